Add the HTTP server and client

Cause: every peer speaks HTTP and nothing carried it. Ruled out: QNetworkAccessManager towards backend servers. It allows six connections a host, sends a POST again by itself when a kept-alive connection closes early, and hides whether bytes were written, so that 'not run' could not be told. Conclusion: a refused connect reports 'not sent', everything later 'sent'.

--- /dev/null
+++ b/src/auburndrum/net/exchange.cpp
@@ -0,0 +1,118 @@
+#include "auburndrum/net/exchange.h"
+
+#include "responsehead.h"
+#include "serverconnection.h"
+
+#include <QUrlQuery>
+
+namespace auburndrum::net {
+
+Exchange::Exchange(Request request, std::weak_ptr<ServerConnection> connection)
+    : m_request(std::move(request))
+    , m_connection(std::move(connection))
+{
+}
+
+Exchange::~Exchange() = default;
+
+QByteArray Exchange::path() const
+{
+    return m_request.url.path(QUrl::FullyEncoded).toUtf8();
+}
+
+QByteArray Exchange::query(const QByteArray &name) const
+{
+    return QUrlQuery(m_request.url).queryItemValue(QString::fromUtf8(name), QUrl::FullyDecoded).toUtf8();
+}
+
+QByteArray Exchange::header(const QByteArray &name) const
+{
+    return headerValue(m_request.headers, name);
+}
+
+void Exchange::respond(int status, const std::vector<Header> &headers, const QByteArray &body)
+{
+    if (m_state != State::Waiting) {
+        return;
+    }
+    if (const auto it = m_connection.lock()) {
+        it->write(responseHead(status, headers, body.size()) + body);
+    }
+    complete();
+}
+
+void Exchange::respondJson(int status, const QByteArray &json, const std::vector<Header> &headers)
+{
+    std::vector<Header> all = headers;
+    all.push_back({"Content-Type", "application/json"});
+    respond(status, all, json);
+}
+
+void Exchange::startStream(int status, const std::vector<Header> &headers)
+{
+    if (m_state != State::Waiting) {
+        return;
+    }
+    m_state = State::Streaming;
+    if (const auto it = m_connection.lock()) {
+        it->write(responseHead(status, headers, std::nullopt));
+    }
+}
+
+void Exchange::writeChunk(const QByteArray &part)
+{
+    if (m_state != State::Streaming || part.isEmpty()) {
+        return;
+    }
+    if (const auto it = m_connection.lock()) {
+        it->write(QByteArray::number(part.size(), 16) + "\r\n" + part + "\r\n");
+    }
+}
+
+void Exchange::finishStream()
+{
+    if (m_state != State::Streaming) {
+        return;
+    }
+    if (const auto it = m_connection.lock()) {
+        it->write("0\r\n\r\n");
+    }
+    complete();
+}
+
+void Exchange::abort()
+{
+    m_state = State::Done;
+    m_onCallerGone = {};
+    if (const auto it = m_connection.lock()) {
+        it->abort();
+    }
+}
+
+bool Exchange::isOpen() const
+{
+    const auto it = m_connection.lock();
+    return it && it->isOpen() && m_state != State::Done;
+}
+
+qint64 Exchange::unsentBytes() const
+{
+    const auto it = m_connection.lock();
+    return it ? it->unsentBytes() : 0;
+}
+
+void Exchange::setOnCallerGone(std::function<void()> hook)
+{
+    m_onCallerGone = std::move(hook);
+}
+
+void Exchange::complete()
+{
+    m_state = State::Done;
+    m_onCallerGone = {};
+    if (const auto it = m_connection.lock()) {
+        it->completed(this);
+    }
+}
+
+} // namespace auburndrum::net
--- /dev/null
+++ b/src/auburndrum/net/httpclient.cpp
@@ -0,0 +1,154 @@
+#include "auburndrum/net/httpclient.h"
+
+#include "clientconnection.h"
+
+#include <map>
+#include <set>
+
+namespace auburndrum::net {
+
+namespace {
+
+constexpr std::size_t IdleConnectionsPerPeer = 16;
+constexpr std::chrono::seconds IdleLimit{20}; // shorter than the servers' own limit, so that a kept connection is rarely stale
+
+struct IdleConnection
+{
+    std::shared_ptr<ClientConnection> connection;
+    std::chrono::steady_clock::time_point since;
+};
+
+} // namespace
+
+const char *toText(HttpFailure failure)
+{
+    switch (failure) {
+    case HttpFailure::None:
+        return "none";
+    case HttpFailure::ConnectFailed:
+        return "connect failed";
+    case HttpFailure::ConnectTimeout:
+        return "connect timed out";
+    case HttpFailure::FirstByteTimeout:
+        return "no answer in time";
+    case HttpFailure::IdleTimeout:
+        return "answer went silent";
+    case HttpFailure::Closed:
+        return "connection closed";
+    case HttpFailure::Malformed:
+        return "malformed answer";
+    case HttpFailure::TooLarge:
+        return "answer too large";
+    case HttpFailure::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+HttpCallHandle::HttpCallHandle(std::weak_ptr<ClientConnection> connection, std::uint64_t callNumber)
+    : m_connection(std::move(connection))
+    , m_callNumber(callNumber)
+{
+}
+
+void HttpCallHandle::cancel()
+{
+    if (const auto it = m_connection.lock()) {
+        m_connection.reset();
+        it->cancel(m_callNumber);
+    }
+}
+
+class HttpClient::Private
+{
+public:
+    std::shared_ptr<ClientConnection> take(const HttpCall &call);
+    void release(ClientConnection *connection, bool reusable);
+    void forget(const Address &peer);
+
+private:
+    std::shared_ptr<ClientConnection> takeIdle(const std::string &key);
+
+    std::map<std::string, std::vector<IdleConnection>> m_idle;
+    std::map<ClientConnection *, std::shared_ptr<ClientConnection>> m_busy;
+};
+
+std::shared_ptr<ClientConnection> HttpClient::Private::takeIdle(const std::string &key)
+{
+    auto &list = m_idle[key];
+    const auto oldest = std::chrono::steady_clock::now() - IdleLimit;
+    while (!list.empty()) {
+        IdleConnection it = std::move(list.back());
+        list.pop_back();
+        if (it.since < oldest || !it.connection->isUsable()) {
+            it.connection.reset();
+            continue;
+        }
+        return it.connection;
+    }
+    return nullptr;
+}
+
+std::shared_ptr<ClientConnection> HttpClient::Private::take(const HttpCall &call)
+{
+    std::shared_ptr<ClientConnection> it;
+    if (!call.freshConnection) {
+        it = takeIdle(toText(call.peer));
+    }
+    if (!it) {
+        it = std::shared_ptr<ClientConnection>(new ClientConnection(call.peer,
+                                                                    [this](ClientConnection *connection, bool reusable) {
+                                                                        release(connection, reusable);
+                                                                    }),
+                                               [](ClientConnection *connection) {
+                                                   connection->retire();
+                                                   connection->deleteLater();
+                                               });
+    }
+    m_busy[it.get()] = it;
+    return it;
+}
+
+void HttpClient::Private::release(ClientConnection *connection, bool reusable)
+{
+    const std::string key = toText(connection->peer());
+    auto &list = m_idle[key];
+    const auto busy = m_busy.find(connection);
+    if (busy == m_busy.end()) {
+        // An idle connection was closed by its peer.
+        std::erase_if(list, [connection](const IdleConnection &it) {
+            return it.connection.get() == connection;
+        });
+        return;
+    }
+    if (reusable && list.size() < IdleConnectionsPerPeer) {
+        list.push_back({busy->second, std::chrono::steady_clock::now()});
+    }
+    m_busy.erase(busy);
+}
+
+void HttpClient::Private::forget(const Address &peer)
+{
+    m_idle.erase(toText(peer));
+}
+
+HttpClient::HttpClient(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallHandle HttpClient::start(const HttpCall &call, HttpHooks hooks)
+{
+    const auto it = d->take(call);
+    return {it, it->start(call, std::move(hooks))};
+}
+
+void HttpClient::forget(const Address &peer)
+{
+    d->forget(peer);
+}
+
+} // namespace auburndrum::net
