--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -70,31 +70,31 @@
 {
 public:
     Private(HttpServerOptions options, Handler handler)
-        : m_options(std::move(options))
-        , m_handler(std::move(handler))
+        : options(std::move(options))
+        , handler(std::move(handler))
     {
     }
 
     bool accept(QTcpSocket *socket);
 
-    HttpServerOptions m_options;
-    Handler m_handler;
-    std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> m_connections;
+    HttpServerOptions options;
+    Handler handler;
+    std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> connections;
 };
 
 bool HttpServer::Private::accept(QTcpSocket *socket)
 {
-    if (m_connections.size() >= static_cast<std::size_t>(m_options.maxConnections)) {
-        const QByteArray body = m_options.errorBody ? m_options.errorBody(503, "Too many connections.") : QByteArray();
+    if (connections.size() >= static_cast<std::size_t>(options.maxConnections)) {
+        const QByteArray body = options.errorBody ? options.errorBody(503, "Too many connections.") : QByteArray();
         socket->write(responseHead(503, {{"Content-Type", "application/json"}, {"Retry-After", "1"}, {"Connection", "close"}}, body.size()) + body);
         QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
         socket->disconnectFromHost();
         return false;
     }
-    socket->setReadBufferSize(m_options.maxHeaderBytes + m_options.maxBodyBytes + 1024);
-    m_connections[socket] = std::make_shared<ServerConnection>(socket, m_options, m_handler);
+    socket->setReadBufferSize(options.maxHeaderBytes + options.maxBodyBytes + 1024);
+    connections[socket] = std::make_shared<ServerConnection>(socket, options, handler);
     QObject::connect(socket, &QObject::destroyed, socket, [this, socket] {
-        m_connections.erase(socket);
+        connections.erase(socket);
     });
     return true;
 }
@@ -107,10 +107,10 @@
 
 HttpServer::~HttpServer()
 {
-    for (const auto &[socket, connection] : d->m_connections) {
+    for (const auto &[socket, connection] : d->connections) {
         socket->disconnect();
     }
-    d->m_connections.clear();
+    d->connections.clear();
 }
 
 Address HttpServer::listenOn(const Address &address)
@@ -137,13 +137,13 @@
 
 int HttpServer::connectionCount() const
 {
-    return static_cast<int>(d->m_connections.size());
+    return static_cast<int>(d->connections.size());
 }
 
 int HttpServer::openExchanges() const
 {
     int n = 0;
-    for (const auto &[socket, connection] : d->m_connections) {
+    for (const auto &[socket, connection] : d->connections) {
         n += connection->openExchanges();
     }
     return n;
@@ -151,8 +151,8 @@
 
 bool HttpServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
 {
-    const auto it = d->m_connections.find(socket);
-    if (it == d->m_connections.end()) {
+    const auto it = d->connections.find(socket);
+    if (it == d->connections.end()) {
         return false;
     }
     Exchange::Request copy;
