--- /dev/null
+++ b/include/auburndrum/base/daemonmetrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "auburndrum/base/metrics.h"
+
+namespace auburndrum {
+
+/// The metrics that operators' alarms are built on. docs/OPERATIONS.md says what to do about each.
+/// Services are labels, organisations are not: there are thousands of them.
+struct DaemonMetrics
+{
+    explicit DaemonMetrics(Metrics &metrics);
+
+    Counters &requests; ///< service, status
+    Counters &refusals; ///< service, reason
+    Counters &retries; ///< service
+    Counters &mismatchedAnswers; ///< service; answers dropped because they belong to another attempt
+    Counters &silentStreams; ///< service; streams given up for silence
+    Histograms &firstToken; ///< service; seconds from request to first output byte
+    Histograms &recomputedShare; ///< service; 0 to 1 of the prompt's tokens
+    Counters &promptTokens; ///< service, source: cached or computed
+    Counters &linkBytes; ///< direction: in or out; over the inter-region link
+    Gauges &openStreams;
+    Gauges &queuedRequests; ///< service
+    Gauges &claimsInDoubt; ///< service
+    Counters &claims; ///< service, result: won, lost, released, refused
+    Gauges &configOffset; ///< log offset up to which documents are in force
+    Gauges &configAge; ///< seconds since the log was last read to its end
+    Gauges &platformUp; ///< 1 while the log answers
+    Gauges &peersLive;
+    Gauges &backendsLive; ///< service
+    Gauges &ready; ///< 1 while /readyz succeeds
+};
+
+} // namespace auburndrum
--- a/src/auburndrum/base/settings_test.cpp
+++ b/src/auburndrum/base/settings_test.cpp
@@ -29,12 +29,12 @@
     };
 }
 
-const Values identity{{"name", "a1"}, {"zone", "a"}, {"region", "uusimaa"}, {"listen", "127.0.0.1:8080"}, {"platform", "127.0.0.9:7000"}};
+const Values Identity{{"name", "a1"}, {"zone", "a"}, {"region", "uusimaa"}, {"listen", "127.0.0.1:8080"}, {"platform", "127.0.0.9:7000"}};
 
 Values withIdentity(const Values &more)
 {
     Values values = more;
-    values.insert(identity.begin(), identity.end());
+    values.insert(Identity.begin(), Identity.end());
     return values;
 }
 
@@ -48,7 +48,7 @@
 
 TEST_CASE("settings take defaults from the table")
 {
-    const auto settings = readSettings(lookupIn(identity), lookupIn({}));
+    const auto settings = readSettings(lookupIn(Identity), lookupIn({}));
     REQUIRE(settings.has_value());
     CHECK(settings.value().listen == SocketAddress{"127.0.0.1", 8080});
     CHECK(settings.value().requestTimeout == std::chrono::minutes(10));
