--- /dev/null
+++ b/include/auburndrum/backend/serverwatch.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "auburndrum/backend/fleet.h"
+#include "auburndrum/net/httpclient.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace auburndrum::backend {
+
+/// Options of a ServerWatch.
+struct ServerWatchOptions
+{
+    std::chrono::milliseconds loadInterval{500};
+    std::chrono::milliseconds callTimeout{1500};
+    std::chrono::milliseconds eventWait{5000}; ///< long poll for cache events
+};
+
+/// Hooks of a ServerWatch.
+struct ServerWatchHooks
+{
+    std::function<void(const std::string &address, std::uint64_t incarnation)> onLeaving; ///< first time that a server says so
+};
+
+/// @brief Reads load reports and cache events of the backend servers in the fleet.
+///
+/// Stateless about the servers themselves: each round it watches whatever the fleet holds.
+class ServerWatch : public QObject
+{
+    Q_OBJECT
+
+public:
+    ServerWatch(net::HttpClient &http, Fleet &fleet, ServerWatchOptions options, ServerWatchHooks hooks, QObject *parent = nullptr);
+
+    void start();
+
+private:
+    struct Watched
+    {
+        std::uint64_t nextEvent = 1;
+        std::uint64_t incarnation = 0;
+        bool readsLoad = false;
+        bool readsEvents = false;
+        bool hasEvents = true; ///< plain services have none
+        bool isLeaving = false;
+    };
+
+    void round();
+    void readLoad(const decision::Server &server);
+    void readEvents(const decision::Server &server);
+    void resync(const WatchedServer &server);
+    void takeLoad(const std::string &address, const net::HttpResult &result);
+    void takeEvents(const WatchedServer &server, const net::HttpResult &result);
+    net::HttpCall callTo(const std::string &address, const QByteArray &target) const;
+
+    net::HttpClient &m_http;
+    Fleet &m_fleet;
+    ServerWatchOptions m_options;
+    ServerWatchHooks m_hooks;
+    QTimer m_timer;
+    std::map<std::string, Watched> m_watched;
+};
+
+} // namespace auburndrum::backend
--- /dev/null
+++ b/include/auburndrum/caller/callercontext.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "auburndrum/backend/fleet.h"
+#include "auburndrum/base/daemonmetrics.h"
+#include "auburndrum/base/timeline.h"
+#include "auburndrum/caller/directory.h"
+#include "auburndrum/net/httpclient.h"
+#include "auburndrum/platform/claimservice.h"
+
+#include <functional>
+#include <memory>
+
+namespace auburndrum::caller {
+
+/// What the callers' side uses of the rest of the daemon. All members outlive it.
+struct CallerContext
+{
+    net::HttpClient &http;
+    backend::Fleet &fleet;
+    platform::ClaimService &claims;
+    Timeline &timeline;
+    DaemonMetrics &metrics;
+    std::function<std::shared_ptr<const Directory>()> directory;
+    /// Runs `work` in the pool of workers, then `done` on the event loop.
+    std::function<void(std::function<void()> work, std::function<void()> done)> runInPool;
+    std::function<void(const std::string &address, std::uint64_t incarnation)> onLeavingServer;
+};
+
+} // namespace auburndrum::caller
--- a/include/auburndrum/net/exchange.h
+++ b/include/auburndrum/net/exchange.h
@@ -39,6 +39,8 @@
     QByteArray path() const;
     /// Value of a query item; empty when it is absent.
     QByteArray query(const QByteArray &name) const;
+    /// The whole query as it was sent, without the question mark.
+    QByteArray rawQuery() const;
     QByteArray header(const QByteArray &name) const;
     const QByteArray &body() const
     {
--- /dev/null
+++ b/src/auburndrum/backend/eventsplitter.cpp
@@ -0,0 +1,48 @@
+#include "auburndrum/backend/eventsplitter.h"
+
+namespace auburndrum::backend {
+
+namespace {
+
+constexpr char EventEnd[] = "\n\n";
+constexpr qsizetype EventEndBytes = 2;
+constexpr char DoneEvent[] = "data: [DONE]";
+
+} // namespace
+
+QByteArray EventSplitter::feed(const QByteArray &bytes)
+{
+    if (m_done) {
+        return {};
+    }
+    // The end mark may lie across the seam of two parts.
+    qsizetype from = std::max<qsizetype>(0, m_partial.size() - 1);
+    m_partial += bytes;
+    qsizetype begin = 0;
+    while (!m_done) {
+        const qsizetype end = m_partial.indexOf(EventEnd, from);
+        if (end < 0) {
+            break;
+        }
+        if (QByteArrayView(m_partial).sliced(begin, end - begin) == QByteArrayView(DoneEvent)) {
+            m_done = true;
+        } else {
+            ++m_events;
+        }
+        begin = end + EventEndBytes;
+        from = begin;
+    }
+    if (begin == m_partial.size()) {
+        return std::exchange(m_partial, {});
+    }
+    QByteArray whole = m_partial.left(begin);
+    m_partial.remove(0, begin);
+    return whole;
+}
+
+void EventSplitter::dropPartial()
+{
+    m_partial.clear();
+}
+
+} // namespace auburndrum::backend
--- /dev/null
+++ b/src/auburndrum/backend/serverwatch.cpp
@@ -0,0 +1,235 @@
+#include "auburndrum/backend/serverwatch.h"
+
+#include <nlohmann/json.hpp>
+
+#include <QPointer>
+
+#include <set>
+
+namespace auburndrum::backend {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+
+bool isOk(const net::HttpResult &result)
+{
+    return result.failure == net::HttpFailure::None && result.head.status == StatusOk;
+}
+
+json parseBody(const net::HttpResult &result)
+{
+    return json::parse(result.body.toStdString(), nullptr, false);
+}
+
+std::uint64_t numberOf(const json &body, const char *field)
+{
+    const auto it = body.find(field);
+    return it != body.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
+}
+
+double realOf(const json &body, const char *field)
+{
+    const auto it = body.find(field);
+    return it != body.end() && it->is_number() ? it->get<double>() : 0.0;
+}
+
+decision::LoadReport loadOf(const json &body)
+{
+    decision::LoadReport it;
+    it.incarnation = numberOf(body, "incarnation");
+    const auto version = body.find("version");
+    if (version != body.end() && version->is_string()) {
+        it.version = version->get<std::string>();
+    }
+    it.running = static_cast<std::uint32_t>(numberOf(body, "running"));
+    it.queued = static_cast<std::uint32_t>(numberOf(body, "queued"));
+    it.queuedPrefillTokens = numberOf(body, "queued_prefill_tokens");
+    it.cacheUsedTokens = numberOf(body, "cache_used_tokens");
+    it.cacheTokens = numberOf(body, "cache_tokens");
+    it.prefillTokensPerSecond = realOf(body, "prefill_tokens_per_s");
+    it.decodeTokensPerSecond = realOf(body, "decode_tokens_per_s");
+    const auto leaving = body.find("leaving");
+    it.leaving = leaving != body.end() && leaving->is_boolean() && leaving->get<bool>();
+    it.takenAt = monotonicNow() - std::chrono::milliseconds(numberOf(body, "report_age_ms"));
+    return it;
+}
+
+std::optional<decision::CacheEventKind> kindOf(const std::string &text)
+{
+    if (text == "stored") {
+        return decision::CacheEventKind::Stored;
+    }
+    if (text == "evicted") {
+        return decision::CacheEventKind::Evicted;
+    }
+    if (text == "cleared") {
+        return decision::CacheEventKind::Cleared;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+ServerWatch::ServerWatch(net::HttpClient &http, Fleet &fleet, ServerWatchOptions options, ServerWatchHooks hooks, QObject *parent)
+    : QObject(parent)
+    , m_http(http)
+    , m_fleet(fleet)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+{
+    connect(&m_timer, &QTimer::timeout, this, &ServerWatch::round);
+}
+
+void ServerWatch::start()
+{
+    round();
+    m_timer.start(m_options.loadInterval);
+}
+
+void ServerWatch::round()
+{
+    std::set<std::string> present;
+    for (const decision::Server &it : m_fleet.servers()) {
+        present.insert(it.address);
+        Watched &watched = m_watched[it.address];
+        if (watched.incarnation != it.incarnation) {
+            watched.incarnation = it.incarnation;
+            watched.nextEvent = 1;
+            watched.isLeaving = false;
+        }
+        if (!watched.readsLoad) {
+            readLoad(it);
+        }
+        if (watched.hasEvents && !watched.readsEvents) {
+            readEvents(it);
+        }
+    }
+    std::erase_if(m_watched, [&present](const auto &it) {
+        return !present.contains(it.first) && !it.second.readsLoad && !it.second.readsEvents;
+    });
+}
+
+net::HttpCall ServerWatch::callTo(const std::string &address, const QByteArray &target) const
+{
+    net::HttpCall call;
+    call.peer = net::parseAddress(address).value_or(net::Address{});
+    call.target = target;
+    call.firstByteTimeout = m_options.callTimeout;
+    call.idleTimeout = m_options.callTimeout;
+    return call;
+}
+
+void ServerWatch::readLoad(const decision::Server &server)
+{
+    m_watched[server.address].readsLoad = true;
+    net::HttpHooks hooks;
+    hooks.onDone = [self = QPointer<ServerWatch>(this), address = server.address](const net::HttpResult &result) {
+        if (self) {
+            self->takeLoad(address, result);
+        }
+    };
+    m_http.start(callTo(server.address, "/v1/load"), std::move(hooks));
+}
+
+void ServerWatch::takeLoad(const std::string &address, const net::HttpResult &result)
+{
+    Watched &watched = m_watched[address];
+    watched.readsLoad = false;
+    if (!isOk(result)) {
+        return;
+    }
+    const json body = parseBody(result);
+    if (!body.is_object()) {
+        return;
+    }
+    const decision::LoadReport load = loadOf(body);
+    m_fleet.report(address, load);
+    if (!load.leaving || watched.isLeaving) {
+        return;
+    }
+    watched.isLeaving = true;
+    m_fleet.markLeaving(address, load.incarnation);
+    m_hooks.onLeaving(address, load.incarnation);
+}
+
+void ServerWatch::readEvents(const decision::Server &server)
+{
+    Watched &watched = m_watched[server.address];
+    watched.readsEvents = true;
+    net::HttpCall call = callTo(server.address,
+                                "/v1/cache/events?from=" + QByteArray::number(static_cast<qulonglong>(watched.nextEvent))
+                                    + "&wait_ms=" + QByteArray::number(static_cast<qlonglong>(m_options.eventWait.count())));
+    call.firstByteTimeout += m_options.eventWait;
+    net::HttpHooks hooks;
+    const WatchedServer it{server.id, server.address, server.incarnation};
+    hooks.onDone = [self = QPointer<ServerWatch>(this), it](const net::HttpResult &result) {
+        if (self) {
+            self->takeEvents(it, result);
+        }
+    };
+    m_http.start(call, std::move(hooks));
+}
+
+void ServerWatch::takeEvents(const WatchedServer &server, const net::HttpResult &result)
+{
+    Watched &watched = m_watched[server.address];
+    watched.readsEvents = false;
+    if (result.failure == net::HttpFailure::None && result.head.status == StatusNotFound) {
+        watched.hasEvents = false;
+        return;
+    }
+    if (!isOk(result)) {
+        return;
+    }
+    const json body = parseBody(result);
+    if (!body.is_object() || !body.value("events", json()).is_array()) {
+        return;
+    }
+    std::vector<std::pair<decision::CacheEvent, std::string>> events;
+    for (const json &item : body["events"]) {
+        const auto kind = item.is_object() && item.value("kind", json()).is_string() ? kindOf(item["kind"].get<std::string>()) : std::nullopt;
+        if (!kind) {
+            continue; // its number stays missing, so the view is read anew
+        }
+        const std::string key = item.value("key", json()).is_string() ? item["key"].get<std::string>() : std::string();
+        events.push_back({{.number = numberOf(item, "n"), .kind = *kind}, key});
+    }
+    WatchedServer reported = server;
+    reported.incarnation = std::max(server.incarnation, numberOf(body, "incarnation"));
+    watched.nextEvent = numberOf(body, "next");
+    if (!m_fleet.applyEvents(reported, events, watched.nextEvent)) {
+        resync(reported);
+    }
+}
+
+void ServerWatch::resync(const WatchedServer &server)
+{
+    m_watched[server.address].readsEvents = true;
+    net::HttpHooks hooks;
+    hooks.onDone = [self = QPointer<ServerWatch>(this), server](const net::HttpResult &result) {
+        if (!self) {
+            return;
+        }
+        Watched &watched = self->m_watched[server.address];
+        watched.readsEvents = false;
+        const json body = isOk(result) ? parseBody(result) : json();
+        if (!body.is_object() || !body.value("keys", json()).is_array()) {
+            return;
+        }
+        std::vector<std::string> keys;
+        for (const json &it : body["keys"]) {
+            if (it.is_string()) {
+                keys.push_back(it.get<std::string>());
+            }
+        }
+        watched.nextEvent = numberOf(body, "next");
+        self->m_fleet.resync(server, keys, watched.nextEvent);
+    };
+    m_http.start(callTo(server.address, "/v1/cache/keys"), std::move(hooks));
+}
+
+} // namespace auburndrum::backend
--- /dev/null
+++ b/src/auburndrum/caller/completioncall.cpp
@@ -0,0 +1,346 @@
+#include "completioncall.h"
+
+#include "auburndrum/base/randomid.h"
+
+namespace auburndrum::caller {
+
+namespace {
+
+constexpr std::size_t MaxAttempts = 4;
+constexpr qint64 MaxUnsentBytes = 4 * 1024 * 1024; // a caller that reads this much too slowly is cut
+
+QByteArray toBytes(const std::string &text)
+{
+    return QByteArray::fromStdString(text);
+}
+
+QByteArray targetOf(CompletionKind kind)
+{
+    return kind == CompletionKind::Text ? "/v1/completions" : "/v1/chat/completions";
+}
+
+bool provesNotRun(backend::EngineEndKind kind)
+{
+    return kind == backend::EngineEndKind::NotSent || kind == backend::EngineEndKind::Refused;
+}
+
+const char *toText(backend::EngineEndKind kind)
+{
+    switch (kind) {
+    case backend::EngineEndKind::Complete:
+        return "complete";
+    case backend::EngineEndKind::Rejected:
+        return "rejected";
+    case backend::EngineEndKind::Refused:
+        return "refused";
+    case backend::EngineEndKind::NotSent:
+        return "not sent";
+    case backend::EngineEndKind::WrongVersion:
+        return "wrong version";
+    case backend::EngineEndKind::WrongAttempt:
+        return "wrong attempt";
+    case backend::EngineEndKind::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+CompletionCall::CompletionCall(CallerContext &context,
+                               std::shared_ptr<net::Exchange> exchange,
+                               CompletionKind kind,
+                               std::string organisation,
+                               std::string requestId,
+                               std::shared_ptr<const Directory> directory)
+    : m_context(context)
+    , m_exchange(std::move(exchange))
+    , m_kind(kind)
+    , m_organisation(std::move(organisation))
+    , m_requestId(std::move(requestId))
+    , m_directory(std::move(directory))
+    , m_arrived(monotonicNow())
+{
+}
+
+std::chrono::nanoseconds CompletionCall::sinceArrival() const
+{
+    return monotonicNow() - m_arrived;
+}
+
+void CompletionCall::start()
+{
+    m_exchange->setOnCallerGone([self = weak_from_this()] {
+        if (const auto it = self.lock()) {
+            it->handleCallerGone();
+        }
+    });
+    m_context.runInPool(
+        [self = shared_from_this()] {
+            self->prepare();
+        },
+        [self = shared_from_this()] {
+            self->prepared();
+        });
+}
+
+// Runs in a worker: the event loop touches nothing of this call until prepared().
+void CompletionCall::prepare()
+{
+    const QByteArray &body = m_exchange->body();
+    auto request = parseCompletion(m_kind, std::string_view(body.constData(), static_cast<std::size_t>(body.size())));
+    if (!request) {
+        m_error = std::move(request.error());
+        return;
+    }
+    m_request = std::move(request.value());
+    m_service = m_directory->model(m_request.model);
+    m_grant = m_service == nullptr ? nullptr : grantOf(*m_service, m_organisation);
+    if (m_grant == nullptr) {
+        // One answer for both, so that organisations can't find out each other's services.
+        m_error = ApiError{.status = 404, .message = "There is no such model for this organisation.", .param = "model", .code = "model_not_found"};
+        return;
+    }
+    m_prompt = m_context.fleet.prepare(m_organisation, m_service->weightVersion, m_request.prompt, m_service->pieceTokens);
+    m_request.prompt.clear();
+    m_request.prompt.shrink_to_fit();
+}
+
+void CompletionCall::prepared()
+{
+    if (!m_exchange->isOpen()) {
+        return;
+    }
+    if (m_error) {
+        fail(*m_error);
+        return;
+    }
+    m_context.fleet.firstAttempt(m_service->name);
+    attempt();
+}
+
+void CompletionCall::attempt()
+{
+    decision::RouteRequest route;
+    route.service = m_service->name;
+    route.version = m_service->weightVersion;
+    route.keys = m_prompt.pieces.keys;
+    route.promptTokens = m_prompt.pieces.promptTokens;
+    route.pieceTokens = m_service->pieceTokens;
+    route.deadline = m_service->firstTokenDeadline - sinceArrival();
+    route.weights = m_service->weights;
+    route.tried = m_tried;
+    const auto placement = m_context.fleet.place(route, monotonicNow());
+    if (!placement) {
+        refuseRoute(placement.error());
+        return;
+    }
+    send(placement.value());
+}
+
+void CompletionCall::refuseRoute(const decision::RouteRefusal &refusal)
+{
+    ApiError error = refusal.error == decision::RouteError::Overloaded
+        ? unavailable("overloaded", "The first token is predicted past the service's deadline.", refusal.retryAfter)
+        : unavailable("no_backend_server", "No backend server can take this now.", refusal.retryAfter);
+    error.run = m_mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
+    m_context.metrics.refusals.with({m_service->name, error.code}).Increment();
+    m_context.timeline.record(EventKind::RequestRefused, m_requestId, error.code);
+    fail(error);
+}
+
+void CompletionCall::send(const decision::Placement &placement)
+{
+    m_placement = placement;
+    m_tried.push_back(placement.server);
+    backend::EngineAttempt it;
+    it.server = net::parseAddress(placement.address).value_or(net::Address{});
+    it.target = targetOf(m_kind);
+    it.body = m_exchange->body();
+    it.attemptId = toBytes(randomId());
+    it.organisation = toBytes(m_organisation);
+    it.pieceKeys = toBytes(m_prompt.keyList);
+    it.version = toBytes(m_service->weightVersion);
+    it.priority = m_grant->priority;
+    it.isStream = m_request.stream;
+    it.firstByteTimeout = m_request.stream ? m_service->firstTokenDeadline : m_service->requestTimeout;
+    it.gapTimeout = m_service->tokenGapLimit;
+    m_context.fleet.began(placement.server, placement.recomputeTokens, monotonicNow());
+    m_context.timeline.record(EventKind::AttemptSent, m_requestId, placement.address);
+
+    backend::EngineHooks hooks;
+    hooks.onAccepted = [self = shared_from_this()](const net::HttpHead &head) {
+        self->handleAccepted(head);
+    };
+    hooks.onEvents = [self = shared_from_this()](const QByteArray &events) {
+        self->handleEvents(events);
+    };
+    hooks.onEnd = [self = shared_from_this()](const backend::EngineEnd &end) {
+        self->handleEnd(end);
+    };
+    m_stream = backend::EngineStream::start(m_context.http, std::move(it), std::move(hooks));
+}
+
+void CompletionCall::handleAccepted(const net::HttpHead &head)
+{
+    countCache(head);
+    m_exchange->startStream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", toBytes(m_requestId)}});
+    m_context.metrics.openStreams.with().Increment();
+}
+
+void CompletionCall::handleEvents(const QByteArray &events)
+{
+    if (!m_hasOutput) {
+        firstOutput();
+    }
+    m_exchange->writeChunk(events);
+    if (m_exchange->unsentBytes() > MaxUnsentBytes) {
+        m_context.timeline.record(EventKind::RequestFailed, m_requestId, "caller reads too slowly");
+        const auto exchange = m_exchange;
+        handleCallerGone();
+        exchange->abort();
+    }
+}
+
+void CompletionCall::firstOutput()
+{
+    m_hasOutput = true;
+    const auto seconds = std::chrono::duration<double>(sinceArrival()).count();
+    m_context.metrics.firstToken.with({m_service->name}).Observe(seconds);
+    m_context.timeline.record(EventKind::FirstOutput, m_requestId);
+}
+
+void CompletionCall::countCache(const net::HttpHead &head)
+{
+    const double cached = head.header("X-Cached-Tokens").toDouble();
+    const double all = std::max<double>(m_prompt.pieces.promptTokens, 1);
+    const double computed = std::max(0.0, all - cached);
+    m_context.metrics.recomputedShare.with({m_service->name}).Observe(computed / all);
+    m_context.metrics.promptTokens.with({m_service->name, "cached"}).Increment(cached);
+    m_context.metrics.promptTokens.with({m_service->name, "computed"}).Increment(computed);
+}
+
+void CompletionCall::releaseServer()
+{
+    if (m_placement) {
+        m_context.fleet.ended(m_placement->server);
+        m_placement.reset();
+    }
+    m_stream.reset();
+}
+
+void CompletionCall::learn(const backend::EngineEnd &end)
+{
+    const decision::ServerId server = m_placement->server;
+    switch (end.kind) {
+    case backend::EngineEndKind::Complete:
+    case backend::EngineEndKind::Rejected:
+        m_context.fleet.succeeded(server);
+        break;
+    case backend::EngineEndKind::Refused:
+        break; // meant, and no fault
+    case backend::EngineEndKind::WrongVersion:
+        m_context.fleet.observeVersion(server, end.head.header("X-Weight-Version").toStdString());
+        break;
+    case backend::EngineEndKind::WrongAttempt:
+        m_context.metrics.mismatchedAnswers.with({m_service->name}).Increment();
+        m_context.fleet.failed(server, monotonicNow());
+        break;
+    case backend::EngineEndKind::NotSent:
+    case backend::EngineEndKind::Broken:
+        m_context.fleet.failed(server, monotonicNow());
+        break;
+    }
+    if (end.isLeaving) {
+        m_context.onLeavingServer(m_placement->address, end.head.header("X-Incarnation").toULongLong());
+    }
+    if (end.resumes > 0) {
+        m_context.timeline.record(EventKind::StreamResumed, m_requestId, std::to_string(end.resumes) + " times");
+    }
+}
+
+void CompletionCall::handleEnd(const backend::EngineEnd &end)
+{
+    learn(end);
+    if (end.kind == backend::EngineEndKind::Complete || end.kind == backend::EngineEndKind::Rejected) {
+        complete(end);
+        return;
+    }
+    handleFailure(end);
+}
+
+void CompletionCall::complete(const backend::EngineEnd &end)
+{
+    if (end.kind == backend::EngineEndKind::Complete) {
+        m_context.fleet.notePrefix(m_placement->server, m_prompt);
+    }
+    releaseServer();
+    if (m_request.stream && end.kind == backend::EngineEndKind::Complete) {
+        m_context.metrics.openStreams.with().Decrement();
+        m_exchange->finishStream();
+    } else {
+        if (end.kind == backend::EngineEndKind::Complete) {
+            countCache(end.head);
+            firstOutput();
+        }
+        m_exchange->respondJson(end.head.status, end.body, {{"X-Request-Id", toBytes(m_requestId)}});
+    }
+    m_context.metrics.requests.with({m_service->name, std::to_string(end.head.status == 0 ? 200 : end.head.status)}).Increment();
+    m_context.timeline.record(EventKind::RequestAnswered, m_requestId);
+}
+
+bool CompletionCall::mayRetry(const backend::EngineEnd &end)
+{
+    if (m_exchange->isAnswered() || m_tried.size() >= MaxAttempts) {
+        return false;
+    }
+    if (provesNotRun(end.kind) || end.kind == backend::EngineEndKind::WrongVersion) {
+        return true;
+    }
+    return m_context.fleet.tryRetry(m_service->name, monotonicNow());
+}
+
+void CompletionCall::handleFailure(const backend::EngineEnd &end)
+{
+    m_mayHaveRun = m_mayHaveRun || !provesNotRun(end.kind);
+    m_context.timeline.record(EventKind::AttemptFailed, m_requestId, m_placement->address + ": " + toText(end.kind));
+    releaseServer();
+    if (mayRetry(end)) {
+        m_context.metrics.retries.with({m_service->name}).Increment();
+        attempt();
+        return;
+    }
+    if (!m_exchange->isAnswered()) {
+        ApiError error = m_mayHaveRun ? brokenUpstream("The backend server's answer broke off.")
+                                      : unavailable("no_backend_server", "No backend server took the request.", std::max<std::chrono::milliseconds>(end.retryAfter, std::chrono::seconds(1)));
+        fail(error);
+        return;
+    }
+    // The answer has begun: the error is its last event, and the closing mark stays out.
+    m_context.metrics.openStreams.with().Decrement();
+    m_context.metrics.requests.with({m_service->name, "broken"}).Increment();
+    m_exchange->writeChunk("data: " + toJson(brokenUpstream("The answer broke off and could not be resumed.")) + "\n\n");
+    m_exchange->finishStream();
+    m_context.timeline.record(EventKind::RequestFailed, m_requestId, "broken");
+}
+
+void CompletionCall::handleCallerGone()
+{
+    if (m_exchange->isAnswered() && m_stream) {
+        m_context.metrics.openStreams.with().Decrement();
+    }
+    if (m_stream) {
+        m_stream->cancel();
+    }
+    releaseServer();
+    m_context.timeline.record(EventKind::CallerGone, m_requestId);
+}
+
+void CompletionCall::fail(const ApiError &error)
+{
+    const std::string service = m_service == nullptr ? "unknown" : m_service->name;
+    m_context.metrics.requests.with({service, std::to_string(error.status)}).Increment();
+    refuse(*m_exchange, error);
+}
+
+} // namespace auburndrum::caller
--- /dev/null
+++ b/src/auburndrum/caller/servicecall.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "auburndrum/backend/plaincall.h"
+#include "auburndrum/caller/apierror.h"
+#include "auburndrum/caller/callercontext.h"
+
+namespace auburndrum::caller {
+
+/// One call of a caller to a plain service.
+struct ServiceRequest
+{
+    std::string organisation;
+    std::string requestId;
+    std::string incarnation; ///< of this process
+    QByteArray target; ///< path and query at the service
+    QByteArray idempotencyKey; ///< empty: none
+};
+
+/// @brief Runs one call to a plain service, and answers the caller.
+///
+/// A keyed call to a service whose calls may not be repeated goes through the claims in the platform's log. One
+/// without a key is sent at most once and needs no log.
+class ServiceCall : public std::enable_shared_from_this<ServiceCall>
+{
+public:
+    ServiceCall(CallerContext &context,
+                std::shared_ptr<net::Exchange> exchange,
+                ServiceRequest request,
+                std::shared_ptr<const Directory> directory,
+                const decision::ServiceDocument &service);
+
+    void start();
+
+private:
+    void startKeyed();
+    void startUnkeyed();
+    void attempt();
+    void handleEnd(const backend::PlainEnd &end);
+    void handleKeyedEnd(const backend::PlainEnd &end);
+    void handleUnkeyedEnd(const backend::PlainEnd &end);
+    void lookUp();
+    void handleLookup(const net::HttpResult &result);
+    void answer(const decision::CallAnswer &answer);
+    void pass(int status, const QByteArray &contentType, const QByteArray &body, bool isReplay);
+    void fail(const ApiError &error);
+    bool isKeyed() const;
+    decision::Outcome outcomeOf(const backend::PlainEnd &end) const;
+    decision::RouteResult<decision::Placement> place();
+
+    CallerContext &m_context;
+    std::shared_ptr<net::Exchange> m_exchange;
+    ServiceRequest m_request;
+    std::shared_ptr<const Directory> m_directory; ///< the call keeps the documents that it began under
+    const decision::ServiceDocument &m_service;
+    decision::Claim m_claim;
+    std::vector<decision::ServerId> m_tried;
+    std::optional<decision::Placement> m_placement;
+    Instant m_arrived;
+};
+
+} // namespace auburndrum::caller
--- a/src/auburndrum/net/exchange.cpp
+++ b/src/auburndrum/net/exchange.cpp
@@ -25,6 +25,11 @@
     return QUrlQuery(m_request.url).queryItemValue(QString::fromUtf8(name), QUrl::FullyDecoded).toUtf8();
 }
 
+QByteArray Exchange::rawQuery() const
+{
+    return m_request.url.query(QUrl::FullyEncoded).toUtf8();
+}
+
 QByteArray Exchange::header(const QByteArray &name) const
 {
     return headerValue(m_request.headers, name);
--- /dev/null
+++ b/src/auburndrum/platform/logfollower.cpp
@@ -0,0 +1,83 @@
+#include "auburndrum/platform/logfollower.h"
+
+#include <QPointer>
+
+namespace auburndrum::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds RetryDelay{200};
+
+} // namespace
+
+LogFollower::LogFollower(LogClient &log, LogFollowerHooks hooks, QObject *parent)
+    : QObject(parent)
+    , m_log(log)
+    , m_hooks(std::move(hooks))
+{
+    m_retry.setSingleShot(true);
+    connect(&m_retry, &QTimer::timeout, this, &LogFollower::read);
+}
+
+void LogFollower::start(std::uint64_t from)
+{
+    m_next = from;
+    read();
+}
+
+void LogFollower::skipTo(std::uint64_t next)
+{
+    // Never back: what was folded stays folded.
+    m_next = std::max(m_next, next);
+}
+
+void LogFollower::read()
+{
+    // The first read doesn't wait, so that a new process learns at once how far the log goes.
+    const auto wait = m_reported ? m_log.options().readWait : std::chrono::milliseconds(0);
+    m_log.read(m_next, wait, [self = QPointer<LogFollower>(this)](const ReadResult &result) {
+        if (self) {
+            self->handle(result);
+        }
+    });
+}
+
+void LogFollower::handle(const ReadResult &result)
+{
+    if (result.error == PlatformError::Cut) {
+        m_next = std::max(m_next, result.first);
+        m_hooks.onCut(result.first);
+        m_retry.start(std::chrono::milliseconds(0));
+        return;
+    }
+    if (result.error != PlatformError::None) {
+        setReachable(false);
+        m_retry.start(RetryDelay);
+        return;
+    }
+    m_lastAnswer = monotonicNow();
+    for (const StoredRecord &it : result.records) {
+        if (it.offset < m_next) {
+            continue; // seen before
+        }
+        m_next = it.offset + 1;
+        m_hooks.onRecord(it);
+    }
+    setReachable(true);
+    if (m_next >= result.next) {
+        m_hooks.onCaughtUp(m_next);
+    }
+    m_retry.start(std::chrono::milliseconds(0));
+}
+
+void LogFollower::setReachable(bool isUp)
+{
+    if (m_reported && m_reachable == isUp) {
+        return;
+    }
+    m_reported = true;
+    m_reachable = isUp;
+    m_hooks.onReachable(isUp);
+}
+
+} // namespace auburndrum::platform
