--- /dev/null
+++ b/src/auburndrum/decision/claimbatcher.cpp
@@ -0,0 +1,116 @@
+#include "auburndrum/decision/claimbatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburndrum::decision {
+
+namespace {
+
+/// Sorts items into one record of each kind. Outcomes and releases come first, since they free keys.
+class BatchBuilder
+{
+public:
+    void add(Claim claim)
+    {
+        m_claims.claims.push_back(std::move(claim));
+    }
+
+    void add(Outcome outcome)
+    {
+        m_outcomes.outcomes.push_back(std::move(outcome));
+    }
+
+    void add(Release release)
+    {
+        m_releases.releases.push_back(std::move(release));
+    }
+
+    std::vector<LogRecord> build()
+    {
+        std::vector<LogRecord> records;
+        if (!m_outcomes.outcomes.empty()) {
+            records.emplace_back(std::move(m_outcomes));
+        }
+        if (!m_releases.releases.empty()) {
+            records.emplace_back(std::move(m_releases));
+        }
+        if (!m_claims.claims.empty()) {
+            records.emplace_back(std::move(m_claims));
+        }
+        return records;
+    }
+
+private:
+    ClaimBatchRecord m_claims;
+    OutcomeBatchRecord m_outcomes;
+    ReleaseRecord m_releases;
+};
+
+} // namespace
+
+ClaimBatcher::ClaimBatcher(ClaimBatcherOptions options)
+    : m_options(options)
+{
+}
+
+void ClaimBatcher::setBatchers(std::size_t n)
+{
+    m_batchers = std::max<std::size_t>(n, 1);
+}
+
+bool ClaimBatcher::add(BatchItem item)
+{
+    // Refusing a claim is a true "not run". Refusing an outcome would lose it.
+    const bool isClaim = std::holds_alternative<Claim>(item);
+    if (isClaim && m_items.size() >= m_options.maxWaiting) {
+        return false;
+    }
+    m_items.push_back(std::move(item));
+    return true;
+}
+
+std::optional<Instant> ClaimBatcher::nextAppend() const
+{
+    if (m_items.empty()) {
+        return std::nullopt;
+    }
+    return m_earliest;
+}
+
+std::vector<LogRecord> ClaimBatcher::take(Instant now)
+{
+    if (m_items.empty() || now < m_earliest) {
+        return {};
+    }
+    m_earliest = now + interval();
+    const std::size_t n = std::min(m_items.size(), m_options.maxBatch);
+    BatchBuilder builder;
+    for (std::size_t it = 0; it < n; ++it) {
+        std::visit(
+            [&builder](auto &item) {
+                builder.add(std::move(item));
+            },
+            m_items[it]);
+    }
+    m_items.erase(m_items.begin(), m_items.begin() + std::ptrdiff_t(n));
+    return builder.build();
+}
+
+void ClaimBatcher::holdUntil(Instant until)
+{
+    m_earliest = std::max(m_earliest, until);
+}
+
+std::chrono::nanoseconds ClaimBatcher::interval() const
+{
+    const std::chrono::duration<double> seconds(double(m_batchers) / m_options.fleetAppendsPerSecond);
+    return std::chrono::ceil<std::chrono::nanoseconds>(seconds);
+}
+
+std::size_t ClaimBatcher::waiting() const
+{
+    return m_items.size();
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/claimcall.cpp
@@ -0,0 +1,227 @@
+#include "auburndrum/decision/claimcall.h"
+
+#include <utility>
+
+namespace auburndrum::decision {
+
+namespace {
+
+ClaimActions joined(ClaimActions first, ClaimActions second)
+{
+    for (ClaimAction &it : second) {
+        first.push_back(std::move(it));
+    }
+    return first;
+}
+
+} // namespace
+
+ClaimCall::ClaimCall(ClaimCallOptions options)
+    : m_options(std::move(options))
+{
+}
+
+ClaimActions ClaimCall::start(Instant now, const ClaimState *holder, bool isLogUp)
+{
+    if (m_state != State::New) {
+        return {};
+    }
+    // A claim never moves, so a holder in an old fold is answered as well as one in a fresh fold.
+    if (holder != nullptr) {
+        m_state = State::Finished;
+        return answerFrom(*holder);
+    }
+    if (!isLogUp || now >= m_options.deadline) {
+        m_state = State::Finished;
+        return answerNotRun();
+    }
+    m_state = State::Claiming;
+    return {AppendClaimAction{m_options.claim}};
+}
+
+ClaimActions ClaimCall::claimRefused(Instant /*now*/)
+{
+    if (m_state != State::Claiming) {
+        return {};
+    }
+    // A refusal on the way back may still hide an append. Abandoned releases it if it shows up.
+    m_state = State::Abandoned;
+    return answerNotRun();
+}
+
+ClaimActions ClaimCall::claimDecided(Instant now, ClaimVerdict verdict, const ClaimState *holder)
+{
+    const bool isWaiting = m_state == State::Claiming || m_state == State::Abandoned;
+    if (!isWaiting) {
+        return {};
+    }
+    const bool isAbandoned = m_state == State::Abandoned;
+    if (verdict == ClaimVerdict::Won) {
+        return isAbandoned || now >= m_options.deadline ? release(now) : dispatch();
+    }
+    m_state = State::Finished;
+    if (isAbandoned) {
+        return {};
+    }
+    // The holder may have released the key since it beat this claim.
+    if (verdict == ClaimVerdict::TooLate || holder == nullptr) {
+        return answerNotRun();
+    }
+    return answerFrom(*holder);
+}
+
+ClaimActions ClaimCall::dispatchRefused(Instant now)
+{
+    if (m_state != State::Dispatched) {
+        return {};
+    }
+    const bool mayTryAnother = m_attempts < m_options.maxAttempts && now < m_options.deadline && !m_isAnswered;
+    return mayTryAnother ? dispatch() : release(now);
+}
+
+ClaimActions ClaimCall::dispatchBroken(Instant /*now*/)
+{
+    return m_state == State::Dispatched ? doubt() : ClaimActions{};
+}
+
+ClaimActions ClaimCall::answered(Instant now, const Outcome &outcome)
+{
+    // An answer after the time out is too late for the caller, but settles the doubt.
+    if (m_state != State::Dispatched && m_state != State::InDoubt) {
+        return {};
+    }
+    ClaimActions actions = answerOnce({AnswerKind::Fresh, outcome, {}});
+    return joined(std::move(actions), record(now, outcome));
+}
+
+ClaimActions ClaimCall::lookedUp(Instant now, const std::optional<Outcome> &outcome)
+{
+    // A key that the service does not know yet may still be on its way there: the doubt stays.
+    if (m_state != State::InDoubt || !outcome) {
+        return {};
+    }
+    return record(now, *outcome);
+}
+
+ClaimActions ClaimCall::settled(Instant /*now*/)
+{
+    if (m_state == State::Recording || m_state == State::Releasing || m_state == State::InDoubt) {
+        m_state = State::Finished;
+    }
+    return {};
+}
+
+ClaimActions ClaimCall::callerGone(Instant /*now*/)
+{
+    m_isAnswered = true;
+    if (m_state == State::Claiming) {
+        m_state = State::Abandoned;
+    }
+    return {};
+}
+
+ClaimActions ClaimCall::tick(Instant now)
+{
+    const std::optional<Instant> due = nextTick();
+    if (!due || now < *due) {
+        return {};
+    }
+    switch (m_state) {
+    case State::Claiming:
+        m_state = State::Abandoned;
+        return answerNotRun();
+    case State::Dispatched:
+        return doubt();
+    case State::Recording:
+        return record(now, m_outcome);
+    case State::Releasing:
+        return release(now);
+    default:
+        return {};
+    }
+}
+
+std::optional<Instant> ClaimCall::nextTick() const
+{
+    switch (m_state) {
+    case State::Claiming:
+        return m_options.deadline;
+    case State::Dispatched:
+        return m_options.deadline + m_options.answerTimeout;
+    case State::Recording:
+    case State::Releasing:
+        return m_timer;
+    default:
+        return std::nullopt;
+    }
+}
+
+ClaimCall::State ClaimCall::state() const
+{
+    return m_state;
+}
+
+const Claim &ClaimCall::claim() const
+{
+    return m_options.claim;
+}
+
+ClaimActions ClaimCall::answerOnce(CallAnswer answer)
+{
+    if (std::exchange(m_isAnswered, true)) {
+        return {};
+    }
+    return {AnswerAction{std::move(answer)}};
+}
+
+ClaimActions ClaimCall::answerNotRun()
+{
+    return answerOnce({AnswerKind::NotRun, std::nullopt, m_options.retryAfter});
+}
+
+ClaimActions ClaimCall::answerFrom(const ClaimState &holder)
+{
+    if (holder.fingerprint != m_options.claim.fingerprint) {
+        return answerOnce({AnswerKind::KeyReused, std::nullopt, {}});
+    }
+    if (!holder.outcome) {
+        return answerOnce({AnswerKind::MayHaveRun, std::nullopt, m_options.retryAfter});
+    }
+    return answerOnce({AnswerKind::Replay, *holder.outcome, {}});
+}
+
+ClaimActions ClaimCall::dispatch()
+{
+    m_state = State::Dispatched;
+    ++m_attempts;
+    return {DispatchAction{m_attempts}};
+}
+
+ClaimActions ClaimCall::record(Instant now, Outcome outcome)
+{
+    m_state = State::Recording;
+    m_timer = now + m_options.settleInterval;
+    m_outcome = std::move(outcome);
+    return {AppendOutcomeAction{m_outcome}};
+}
+
+ClaimActions ClaimCall::release(Instant now)
+{
+    m_state = State::Releasing;
+    m_timer = now + m_options.settleInterval;
+    ClaimActions actions = answerNotRun();
+    actions.emplace_back(AppendReleaseAction{{m_options.claim.key, m_options.claim.nonce}});
+    return actions;
+}
+
+ClaimActions ClaimCall::doubt()
+{
+    m_state = State::InDoubt;
+    ClaimActions actions = answerOnce({AnswerKind::MayHaveRun, std::nullopt, m_options.retryAfter});
+    if (m_options.hasLookup) {
+        actions.emplace_back(LookupAction{});
+    }
+    return actions;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/claimcall_test.cpp
@@ -0,0 +1,175 @@
+#include "auburndrum/decision/claimcall.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+using State = ClaimCall::State;
+
+namespace {
+
+constexpr Instant T0{1h};
+constexpr WallTime At{std::chrono::hours(500000)};
+const ClaimKey orderKey{"orders", "lounas", "k1"};
+const Outcome soup{orderKey, "a", 200, "text/plain", "soup", "", OutcomeSource::Answer};
+
+ClaimCall newCall(bool hasLookup = false)
+{
+    return ClaimCall({.claim = {orderKey, "print", "vm1", "a", At + 10s}, .deadline = T0 + 10s, .hasLookup = hasLookup});
+}
+
+ClaimCall dispatchedCall()
+{
+    ClaimCall call = newCall();
+    call.start(T0, nullptr, true);
+    call.claimDecided(T0, ClaimVerdict::Won, nullptr);
+    return call;
+}
+
+ClaimState heldBy(const std::string &nonce, const std::string &fingerprint = "print")
+{
+    return {fingerprint, "vm2", nonce, At, 1, At, nullptr};
+}
+
+template<typename T>
+const T *find(const ClaimActions &actions)
+{
+    for (const ClaimAction &it : actions) {
+        if (const T *action = std::get_if<T>(&it)) {
+            return action;
+        }
+    }
+    return nullptr;
+}
+
+AnswerKind answerOf(const ClaimActions &actions)
+{
+    const auto *action = find<AnswerAction>(actions);
+    REQUIRE(action != nullptr);
+    return action->answer.kind;
+}
+
+} // namespace
+
+TEST_CASE("a call is dispatched only once the log has decided for it")
+{
+    ClaimCall call = newCall();
+    const ClaimActions started = call.start(T0, nullptr, true);
+    CHECK(find<AppendClaimAction>(started) != nullptr);
+    CHECK(find<DispatchAction>(started) == nullptr);
+    CHECK(find<DispatchAction>(call.claimDecided(T0 + 1s, ClaimVerdict::Won, nullptr)) != nullptr);
+    CHECK(call.claimDecided(T0 + 1s, ClaimVerdict::Won, nullptr).empty());
+}
+
+TEST_CASE("an answer is passed on and recorded until the log has it")
+{
+    ClaimCall call = dispatchedCall();
+    const ClaimActions actions = call.answered(T0 + 1s, soup);
+    CHECK(answerOf(actions) == AnswerKind::Fresh);
+    CHECK(find<AppendOutcomeAction>(actions) != nullptr);
+    CHECK(find<AppendOutcomeAction>(call.tick(T0 + 2s)) != nullptr);
+    call.settled(T0 + 3s);
+    CHECK(call.state() == State::Finished);
+}
+
+TEST_CASE("without the log a call is refused at once, and not run")
+{
+    ClaimCall call = newCall();
+    CHECK(answerOf(call.start(T0, nullptr, false)) == AnswerKind::NotRun);
+    CHECK(call.state() == State::Finished);
+}
+
+TEST_CASE("a key that another call holds is answered from its record")
+{
+    ClaimState holder = heldBy("b");
+    CHECK(answerOf(newCall().start(T0, &holder, false)) == AnswerKind::MayHaveRun);
+    const ClaimState other = heldBy("b", "other");
+    CHECK(answerOf(newCall().start(T0, &other, true)) == AnswerKind::KeyReused);
+    holder.outcome = std::make_unique<const Outcome>(soup);
+    CHECK(answerOf(newCall().start(T0, &holder, true)) == AnswerKind::Replay);
+}
+
+TEST_CASE("a lost claim whose holder has released the key was not run")
+{
+    ClaimCall call = newCall();
+    call.start(T0, nullptr, true);
+    CHECK(answerOf(call.claimDecided(T0, ClaimVerdict::Lost, nullptr)) == AnswerKind::NotRun);
+}
+
+TEST_CASE("a claim that wins after its deadline is released, never dispatched")
+{
+    ClaimCall call = newCall();
+    call.start(T0, nullptr, true);
+    const ClaimActions actions = call.claimDecided(T0 + 10s, ClaimVerdict::Won, nullptr);
+    CHECK(find<DispatchAction>(actions) == nullptr);
+    CHECK(find<AppendReleaseAction>(actions) != nullptr);
+    CHECK(answerOf(actions) == AnswerKind::NotRun);
+}
+
+TEST_CASE("a claim that shows up after the call gave up is released")
+{
+    ClaimCall call = newCall();
+    call.start(T0, nullptr, true);
+    CHECK(answerOf(call.tick(T0 + 10s)) == AnswerKind::NotRun);
+    const ClaimActions actions = call.claimDecided(T0 + 11s, ClaimVerdict::Won, nullptr);
+    CHECK(find<AppendReleaseAction>(actions) != nullptr);
+    CHECK(find<AnswerAction>(actions) == nullptr);
+    CHECK(find<AppendReleaseAction>(call.tick(T0 + 13s)) != nullptr);
+}
+
+TEST_CASE("a server that took no byte may be followed by another, up to the limit")
+{
+    ClaimCall call = dispatchedCall();
+    CHECK(find<DispatchAction>(call.dispatchRefused(T0 + 1s)) != nullptr);
+    CHECK(find<DispatchAction>(call.dispatchRefused(T0 + 2s)) != nullptr);
+    const ClaimActions actions = call.dispatchRefused(T0 + 3s);
+    CHECK(find<AppendReleaseAction>(actions) != nullptr);
+    CHECK(answerOf(actions) == AnswerKind::NotRun);
+}
+
+TEST_CASE("no second server is tried after the deadline")
+{
+    ClaimCall call = dispatchedCall();
+    CHECK(find<DispatchAction>(call.dispatchRefused(T0 + 10s)) == nullptr);
+}
+
+TEST_CASE("after a byte was sent the call is in doubt, not repeated, and a late answer is recorded")
+{
+    ClaimCall call = dispatchedCall();
+    const ClaimActions broken = call.dispatchBroken(T0 + 1s);
+    CHECK(answerOf(broken) == AnswerKind::MayHaveRun);
+    CHECK(find<DispatchAction>(broken) == nullptr);
+    CHECK(call.dispatchRefused(T0 + 2s).empty());
+    const ClaimActions late = call.answered(T0 + 3s, soup);
+    CHECK(find<AppendOutcomeAction>(late) != nullptr);
+    CHECK(find<AnswerAction>(late) == nullptr);
+}
+
+TEST_CASE("a silent server leaves the call in doubt after the time out")
+{
+    ClaimCall call = dispatchedCall();
+    CHECK(call.tick(T0 + 129s).empty());
+    CHECK(answerOf(call.tick(T0 + 130s)) == AnswerKind::MayHaveRun);
+}
+
+TEST_CASE("a look-up settles a doubt only when the service knows the key")
+{
+    ClaimCall call = newCall(true);
+    call.start(T0, nullptr, true);
+    call.claimDecided(T0, ClaimVerdict::Won, nullptr);
+    CHECK(find<LookupAction>(call.dispatchBroken(T0 + 1s)) != nullptr);
+    CHECK(call.lookedUp(T0 + 2s, std::nullopt).empty());
+    CHECK(call.state() == State::InDoubt);
+    CHECK(find<AppendOutcomeAction>(call.lookedUp(T0 + 3s, soup)) != nullptr);
+}
+
+TEST_CASE("a caller that leaves before the log has decided gets nothing run")
+{
+    ClaimCall call = newCall();
+    call.start(T0, nullptr, true);
+    call.callerGone(T0 + 1s);
+    const ClaimActions actions = call.claimDecided(T0 + 2s, ClaimVerdict::Won, nullptr);
+    CHECK(find<DispatchAction>(actions) == nullptr);
+    CHECK(find<AppendReleaseAction>(actions) != nullptr);
+}
--- /dev/null
+++ b/src/auburndrum/decision/logrecord_test.cpp
@@ -0,0 +1,72 @@
+#include "auburndrum/decision/logrecord.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+
+namespace {
+
+const ClaimKey orderKey{"orders", "lounas", "k1"};
+constexpr WallTime At{std::chrono::milliseconds(1700000000000)};
+
+std::vector<LogRecord> oneOfEach()
+{
+    const Claim claim{orderKey, "f", "i", "n", At};
+    const Outcome outcome{orderKey, "n", 200, "text/plain", "soup \xc3\xa4", "", OutcomeSource::Lookup};
+    const LeaseRecord lease{"orders/menu", "i", "n", 3, std::chrono::seconds(15)};
+    const SnapshotRecord snapshot{9, At, {{"team/a", 2, "{}"}}, {{"r", 2, true, At}}, {{claim, 4, At, {outcome}}}, {{lease, 5}}};
+    return {PublishRecord{"service/menu", 7, "{\"a\":1}", "r", "ana"},
+            ClaimBatchRecord{{claim}},
+            OutcomeBatchRecord{{outcome}},
+            ReleaseRecord{{{orderKey, "n"}}},
+            lease,
+            snapshot};
+}
+
+} // namespace
+
+TEST_CASE("every kind of record survives the way through text")
+{
+    const auto entry = decodeEntry(encodeEntry(oneOfEach()));
+    REQUIRE(entry.has_value());
+    CHECK(entry.value().records == oneOfEach());
+    CHECK(entry.value().unreadable + entry.value().newer == 0);
+}
+
+TEST_CASE("an entry cut short anywhere is unreadable and never throws")
+{
+    const std::string text = encodeEntry(oneOfEach());
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        REQUIRE(decodeEntry(text.substr(0, n)).error() == RecordError::Unreadable);
+    }
+}
+
+TEST_CASE("an entry of a newer format is told apart")
+{
+    CHECK(decodeEntry(R"({"format":2,"records":[]})").error() == RecordError::NewerFormat);
+}
+
+TEST_CASE("an unknown kind and a wrong field are counted, the rest is read")
+{
+    const auto entry = decodeEntry(R"({"format":1,"records":[{"kind":"later","data":{}},{"kind":"releases","data":{"releases":7}},
+        {"kind":"releases","data":{"releases":[]}}]})");
+    REQUIRE(entry.has_value());
+    CHECK(entry.value().newer == 1);
+    CHECK(entry.value().unreadable == 1);
+    CHECK(entry.value().records.size() == 1);
+}
+
+TEST_CASE("fractions and negative numbers are refused")
+{
+    const std::string head = R"({"format":1,"records":[{"kind":"lease","data":{"resource":"r","holder":"h","nonce":"n","duration":5,"replaces":)";
+    CHECK(decodeEntry(head + "1}}]}").has_value());
+    CHECK_FALSE(decodeEntry(head + "1e300}}]}").has_value());
+    CHECK_FALSE(decodeEntry(head + "-1}}]}").has_value());
+}
+
+TEST_CASE("a body that is not UTF-8 does not throw")
+{
+    const auto entry = decodeEntry(encodeEntry({PublishRecord{"team/a", 0, "\xff\xfe", "r", "ana"}}));
+    CHECK(entry.has_value());
+}
