--- /dev/null
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -0,0 +1,296 @@
+#include "auburndrum/daemon/daemon.h"
+
+#include "auburndrum/base/randomid.h"
+#include "auburndrum/caller/apierror.h"
+
+#include <nlohmann/json.hpp>
+
+#include <QCoreApplication>
+
+namespace auburndrum::daemon {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int WorkerThreads = 2;
+constexpr std::chrono::milliseconds VmListInterval{1000};
+constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr int ExitCut = 3; // a second signal or the drain limit ended work under way
+
+net::Address toNet(const SocketAddress &address)
+{
+    return {QHostAddress(QString::fromStdString(address.ip)), address.port};
+}
+
+net::HttpServerOptions serverOptions(const Settings &settings)
+{
+    net::HttpServerOptions it;
+    it.maxBodyBytes = static_cast<qint64>(settings.maxBodyBytes);
+    it.maxHeaderBytes = static_cast<qint64>(settings.maxHeaderBytes);
+    it.maxConnections = static_cast<int>(settings.maxConnections);
+    it.requestTimeout = settings.requestTimeout;
+    it.errorBody = [](int status, const QByteArray &message) {
+        caller::ApiError error;
+        error.status = status;
+        error.message = message.toStdString();
+        error.param = "request";
+        error.code = "bad_request";
+        return caller::toJson(error);
+    };
+    return it;
+}
+
+backend::FleetOptions fleetOptions(const Settings &settings)
+{
+    backend::FleetOptions it;
+    it.router.place = {settings.zone, settings.region};
+    return it;
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings &settings, QObject *parent)
+    : QObject(parent)
+    , m_settings(settings)
+    , m_incarnation(settings.name + "-" + randomId())
+    , m_timeline(settings.timelineEvents, m_clock)
+    , m_metrics(m_registry)
+    , m_log("daemon")
+    , m_workers(WorkerThreads)
+    , m_logClient(m_http, {.platform = toNet(settings.platform)})
+    , m_fold({},
+             {.onDocument =
+                  [this](const std::string &document) {
+                      m_directoryStale = true;
+                      m_timeline.record(EventKind::DocumentInForce, {}, document);
+                  },
+              .onClaim =
+                  [this](const decision::ClaimDecision &it) {
+                      m_claims.tookClaim(it);
+                  },
+              .onSettled =
+                  [this](const std::string &nonce) {
+                      m_claims.tookSettlement(nonce);
+                  }})
+    , m_claims(m_logClient,
+               m_fold.ledger(),
+               {},
+               {.isLogUp =
+                    [this] {
+                        return m_follower.isReachable() && m_isCaughtUp;
+                    },
+                .onEvent =
+                    [this](const std::string &nonce, EventKind kind) {
+                        m_timeline.record(kind, nonce);
+                    }})
+    , m_follower(m_logClient,
+                 {.onRecord =
+                      [this](const platform::StoredRecord &it) {
+                          m_fold.apply(it);
+                      },
+                  .onCaughtUp =
+                      [this](std::uint64_t) {
+                          rebuildDirectory();
+                          m_publisher.handleFolded();
+                          if (!std::exchange(m_isCaughtUp, true)) {
+                              m_timeline.record(EventKind::DaemonReady, {});
+                              m_log.info("ready at log offset {}", m_fold.offset());
+                          }
+                      },
+                  .onCut =
+                      [this](std::uint64_t first) {
+                          m_log.warning("log is cut before {}", first);
+                      },
+                  .onReachable =
+                      [this](bool isUp) {
+                          m_timeline.record(isUp ? EventKind::PlatformBack : EventKind::PlatformLost, {});
+                          m_log.info("platform log is {}", isUp ? "up" : "down");
+                      }})
+    , m_publisher(m_logClient, m_fold.config())
+    , m_fleet(fleetOptions(settings))
+    , m_watch(m_http,
+              m_fleet,
+              {},
+              {.onLeaving =
+                   [this](const std::string &address, std::uint64_t incarnation) {
+                       noteLeavingServer(address, incarnation);
+                   }})
+    , m_directory(std::make_shared<caller::Directory>())
+    , m_callerContext{m_http,
+                      m_fleet,
+                      m_claims,
+                      m_timeline,
+                      m_metrics,
+                      [this] {
+                          return m_directory;
+                      },
+                      [this](std::function<void()> work, std::function<void()> done) {
+                          m_workers.run(std::move(work), std::move(done));
+                      },
+                      [this](const std::string &address, std::uint64_t incarnation) {
+                          noteLeavingServer(address, incarnation);
+                      }}
+    , m_callerApi(m_callerContext, {.incarnation = m_incarnation})
+    , m_server(serverOptions(settings),
+               [this](const std::shared_ptr<net::Exchange> &exchange) {
+                   handle(exchange);
+               })
+{
+    connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::readVms);
+    connect(&m_drainTimer, &QTimer::timeout, this, &Daemon::finishDrain);
+    m_registry.onScrape([this] {
+        refreshMetrics();
+    });
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::start()
+{
+    m_address = m_server.listenOn(toNet(m_settings.listen));
+    if (m_address.port == 0) {
+        m_log.error("can't listen on {}", toText(m_settings.listen));
+        return false;
+    }
+    m_timeline.record(EventKind::DaemonStarted, {}, m_incarnation);
+    m_follower.start(1);
+    readVms();
+    m_vmTimer.start(VmListInterval);
+    m_watch.start();
+    return true;
+}
+
+void Daemon::handle(const std::shared_ptr<net::Exchange> &exchange)
+{
+    if (handleObservation(*exchange) || m_callerApi.handle(exchange)) {
+        return;
+    }
+    caller::refuse(*exchange, caller::unknownPath(exchange->path()));
+}
+
+bool Daemon::handleObservation(net::Exchange &exchange)
+{
+    const QByteArray path = exchange.path();
+    if (path != "/healthz" && path != "/readyz" && path != "/metrics") {
+        return false;
+    }
+    if (exchange.method() != "GET") {
+        caller::refuse(exchange, caller::wrongMethod("GET"));
+        return true;
+    }
+    if (path == "/healthz") {
+        exchange.respondJson(200, R"({"status":"alive"})");
+    } else if (path == "/metrics") {
+        exchange.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, QByteArray::fromStdString(m_registry.text()));
+    } else {
+        const auto reasons = notReadyReasons();
+        const json body{{"ready", reasons.empty()}, {"reasons", reasons}, {"config_offset", m_fold.offset()}};
+        exchange.respondJson(reasons.empty() ? 200 : 503, QByteArray::fromStdString(body.dump()));
+    }
+    return true;
+}
+
+std::vector<std::string> Daemon::notReadyReasons() const
+{
+    std::vector<std::string> reasons;
+    if (!m_isCaughtUp) {
+        reasons.emplace_back("configuration not read yet");
+    }
+    if (m_phase != Phase::Serving) {
+        reasons.emplace_back("shutting down");
+    }
+    return reasons;
+}
+
+void Daemon::rebuildDirectory()
+{
+    if (std::exchange(m_directoryStale, false)) {
+        m_directory = m_directoryBuilder.build(m_fold.config());
+    }
+}
+
+void Daemon::readVms()
+{
+    platform::readVmList(m_http, toNet(m_settings.platform), [this](platform::PlatformError error, const std::vector<platform::Vm> &vms) {
+        if (error == platform::PlatformError::None) {
+            takeVms(vms);
+        }
+    });
+}
+
+void Daemon::takeVms(const std::vector<platform::Vm> &vms)
+{
+    std::set<std::string> listed;
+    for (const platform::Vm &it : vms) {
+        if (it.role != platform::VmRole::Backend) {
+            continue;
+        }
+        listed.insert(it.address);
+        m_fleet.put({it.address, it.zone, it.region, it.service, it.incarnation});
+        if (it.leaving) {
+            noteLeavingServer(it.address, it.incarnation);
+        }
+    }
+    for (const decision::Server &it : m_fleet.servers()) {
+        if (m_listedServers.contains(it.address) && !listed.contains(it.address)) {
+            m_fleet.remove(it.address, it.incarnation);
+        }
+    }
+    m_listedServers = std::move(listed);
+}
+
+void Daemon::noteLeavingServer(const std::string &address, std::uint64_t incarnation)
+{
+    m_fleet.markLeaving(address, incarnation);
+    m_timeline.record(EventKind::BackendLeaving, {}, address);
+}
+
+void Daemon::refreshMetrics()
+{
+    m_metrics.configOffset.with().Set(static_cast<double>(m_fold.offset()));
+    m_metrics.platformUp.with().Set(m_follower.isReachable() ? 1 : 0);
+    m_metrics.configAge.with().Set(std::chrono::duration<double>(monotonicNow() - m_follower.lastAnswer()).count());
+    m_metrics.ready.with().Set(notReadyReasons().empty() ? 1 : 0);
+}
+
+void Daemon::shutDown()
+{
+    if (m_phase != Phase::Serving) {
+        m_log.warning("cut {} requests and {} claims", m_server.openExchanges(), m_claims.active());
+        m_timeline.record(EventKind::DrainCut, {}, std::to_string(m_server.openExchanges()) + " requests");
+        exitProcess(ExitCut);
+        return;
+    }
+    m_phase = Phase::Draining;
+    m_drainDeadline = monotonicNow() + m_settings.drainLimit;
+    m_timeline.record(EventKind::DrainStarted, {});
+    m_log.info("draining {} requests", m_server.openExchanges());
+    // The balancer goes on sending here until it has seen /readyz fail.
+    QTimer::singleShot(m_settings.balancerLag, this, [this] {
+        m_phase = Phase::Finishing;
+        m_server.stopListening();
+        m_drainTimer.start(DrainPoll);
+    });
+}
+
+void Daemon::finishDrain()
+{
+    if (m_server.openExchanges() == 0 && m_claims.active() == 0) {
+        m_timeline.record(EventKind::DrainFinished, {});
+        m_log.info("drained");
+        exitProcess(0);
+        return;
+    }
+    if (monotonicNow() >= m_drainDeadline) {
+        shutDown();
+    }
+}
+
+void Daemon::exitProcess(int code)
+{
+    m_drainTimer.stop();
+    QCoreApplication::exit(code);
+}
+
+} // namespace auburndrum::daemon
--- /dev/null
+++ b/src/auburndrum/daemon/main.cpp
@@ -0,0 +1,58 @@
+#include "auburndrum/base/log.h"
+#include "auburndrum/base/settings.h"
+#include "auburndrum/daemon/daemon.h"
+#include "auburndrum/daemon/shutdownsignal.h"
+
+#include <QCoreApplication>
+
+#include <cstdio>
+
+namespace {
+
+constexpr int ExitBadSettings = 2;
+constexpr int ExitCannotListen = 1;
+
+int reportFaults(const std::vector<auburndrum::SettingFault> &faults)
+{
+    for (const auburndrum::SettingFault &it : faults) {
+        std::fprintf(stderr, "auburndrumd: %s\n", auburndrum::toText(it).c_str());
+    }
+    return ExitBadSettings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auburndrum::CommandLine commandLine = auburndrum::parseCommandLine(argc, argv);
+    if (commandLine.mode == auburndrum::RunMode::PrintSettingsPage) {
+        std::fputs(auburndrum::settingsPage().c_str(), stdout);
+        return 0;
+    }
+    if (!commandLine.settings) {
+        return reportFaults(commandLine.settings.error());
+    }
+    if (commandLine.mode == auburndrum::RunMode::CheckSettings) {
+        std::puts("settings are valid");
+        return 0;
+    }
+    const auburndrum::Settings &settings = commandLine.settings.value();
+    auburndrum::startLog({.level = settings.logLevel, .format = settings.logFormat});
+
+    QCoreApplication app(argc, argv);
+    // Before any worker thread starts, so that all of them block the signals.
+    auburndrum::daemon::Daemon *running = nullptr;
+    const auburndrum::daemon::ShutdownSignal signals([&running] {
+        if (running != nullptr) {
+            running->shutDown();
+        }
+    });
+    auburndrum::daemon::Daemon daemon(settings);
+    running = &daemon;
+    if (!daemon.start()) {
+        return ExitCannotListen;
+    }
+    std::printf("listening %s\n", auburndrum::net::toText(daemon.address()).c_str());
+    std::fflush(stdout);
+    return QCoreApplication::exec();
+}
