Add the routing core: piece keys, server table, cache index, placement, limits

Keys carry organisation and weight version as fields besides the chained hash, so equal hashes never match across either. A gap in cache events drops the server's view by its number; nothing is swept. Ruled out: std::string_view look-ups in Abseil's own string maps (Debian builds Abseil with its own string_view).

--- /dev/null
+++ b/src/auburndrum/decision/cacheindex_test.cpp
@@ -0,0 +1,145 @@
+#include "auburndrum/decision/cacheindex.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum::decision;
+
+namespace {
+
+constexpr ServerId A{0, 1};
+constexpr ServerId B{1, 1};
+
+std::vector<PieceKey> keys(NameId organisation = 0, NameId version = 0)
+{
+    std::vector<PieceKey> made;
+    made.reserve(4);
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        made.push_back({organisation, version, n, n * 77});
+    }
+    return made;
+}
+
+std::vector<CacheEvent> stored(std::uint64_t from, const std::vector<PieceKey> &list)
+{
+    std::vector<CacheEvent> events;
+    for (const PieceKey &it : list) {
+        events.push_back({from++, CacheEventKind::Stored, it});
+    }
+    return events;
+}
+
+std::uint32_t depth(CacheIndex &index, ServerId server, const std::vector<PieceKey> &list)
+{
+    for (const PrefixDepth &it : index.depths(list)) {
+        if (it.server == server) {
+            return it.pieces;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("events show the leading pieces that a server holds")
+{
+    CacheIndex index;
+    const auto list = keys();
+    CHECK(index.apply(A, 1, stored(0, list), 4));
+    CHECK(depth(index, A, list) == 4);
+    const std::vector<CacheEvent> evicted{{4, CacheEventKind::Evicted, list[2]}};
+    CHECK(index.apply(A, 1, evicted, 5));
+    CHECK(depth(index, A, list) == 2);
+}
+
+TEST_CASE("a gap in event numbers makes the view unknown until resync")
+{
+    CacheIndex index;
+    const auto list = keys();
+    index.apply(A, 1, stored(0, list), 4);
+    const std::vector<CacheEvent> late{{6, CacheEventKind::Stored, list[0]}};
+    CHECK_FALSE(index.apply(A, 1, late, 7));
+    CHECK_FALSE(index.isKnown(A));
+    CHECK(depth(index, A, list) == 0);
+    CHECK_FALSE(index.apply(A, 1, stored(7, list), 11));
+    index.noteStored(A, list);
+    CHECK(depth(index, A, list) == 0);
+    index.resync(A, 1, std::vector<PieceKey>{list[0], list[1]}, 11);
+    CHECK(index.isKnown(A));
+    CHECK(depth(index, A, list) == 2);
+}
+
+TEST_CASE("a gap at the end of a batch counts as a gap")
+{
+    CacheIndex index;
+    CHECK_FALSE(index.apply(A, 1, stored(0, keys()), 6));
+    CHECK_FALSE(index.isKnown(A));
+}
+
+TEST_CASE("repeated events change nothing")
+{
+    CacheIndex index;
+    const auto list = keys();
+    index.apply(A, 1, stored(0, list), 4);
+    CHECK(index.apply(A, 1, stored(0, list), 4));
+    CHECK(depth(index, A, list) == 4);
+}
+
+TEST_CASE("a restart of the server forgets its view")
+{
+    CacheIndex index;
+    const auto list = keys();
+    index.apply(A, 1, stored(0, list), 4);
+    CHECK(index.apply(A, 2, {}, 0));
+    CHECK(depth(index, A, list) == 0);
+}
+
+TEST_CASE("cleared forgets all keys of that server only")
+{
+    CacheIndex index;
+    const auto list = keys();
+    index.apply(A, 1, stored(0, list), 4);
+    index.apply(B, 1, stored(0, list), 4);
+    const std::vector<CacheEvent> cleared{{4, CacheEventKind::Cleared, {}}};
+    CHECK(index.apply(A, 1, cleared, 5));
+    CHECK(depth(index, A, list) == 0);
+    CHECK(depth(index, B, list) == 4);
+}
+
+TEST_CASE("several holders are kept apart")
+{
+    CacheIndex index;
+    const auto list = keys();
+    index.apply(A, 1, stored(0, list), 4);
+    index.apply(B, 1, stored(0, {list[0], list[1]}), 2);
+    CHECK(depth(index, A, list) == 4);
+    CHECK(depth(index, B, list) == 2);
+    index.noteMissing(A, list, 1);
+    CHECK(depth(index, A, list) == 1);
+    CHECK(depth(index, B, list) == 2);
+    index.remove(B);
+    CHECK(depth(index, B, list) == 0);
+}
+
+TEST_CASE("no view matches across organisations or weight versions, equal hashes or not")
+{
+    CacheIndex index;
+    index.apply(A, 1, stored(0, keys(1, 1)), 4);
+    CHECK(depth(index, A, keys(1, 1)) == 4);
+    CHECK(depth(index, A, keys(2, 1)) == 0);
+    CHECK(depth(index, A, keys(1, 2)) == 0);
+}
+
+TEST_CASE("the index stays within its bound and keeps what is looked up")
+{
+    constexpr std::size_t MaxKeys = 1000;
+    CacheIndex index(MaxKeys);
+    const auto list = keys();
+    index.noteStored(A, list);
+    for (std::uint64_t n = 0; n < 20 * MaxKeys; ++n) {
+        index.noteStored(B, std::vector<PieceKey>{{9, 9, n, n}});
+        if (n % 100 == 0) {
+            CHECK(depth(index, A, list) == 4);
+        }
+    }
+    CHECK(index.size() <= MaxKeys + 2);
+}
--- /dev/null
+++ b/src/auburndrum/decision/candidates.cpp
@@ -0,0 +1,141 @@
+#include "auburndrum/decision/placement.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+// Finalizer of splitmix64: mixes the two hashes so that every server order is independent.
+std::uint64_t rendezvousWeight(std::uint64_t prefix, std::uint64_t server)
+{
+    std::uint64_t hash = prefix ^ server;
+    hash = (hash ^ (hash >> 30U)) * 0xBF58476D1CE4E5B9U;
+    hash = (hash ^ (hash >> 27U)) * 0x94D049BB133111EBU;
+    return hash ^ (hash >> 31U);
+}
+
+} // namespace
+
+bool Router::eligible(const RouteRequest &request, const Server &server, Instant now) const
+{
+    if (server.leaving) {
+        return false;
+    }
+    const bool otherVersion = !request.version.empty() && !server.load.version.empty() && server.load.version != request.version;
+    if (otherVersion || std::find(request.tried.begin(), request.tried.end(), server.id) != request.tried.end()) {
+        return false;
+    }
+    return !m_hooks.mayUse || m_hooks.mayUse(server, now);
+}
+
+Router::Candidates Router::candidates(const RouteRequest &request, Instant now, absl::BitGenRef random) const
+{
+    Candidates found;
+    const std::vector<std::uint32_t> &slots = m_servers.ofService(request.service);
+    const bool scanAll = slots.size() <= m_options.scanAll;
+    if (scanAll) {
+        addAll(request, slots, now, found);
+    }
+    addHomes(request, slots, now, found);
+    if (!scanAll) {
+        addSamples(request, slots, now, random, found);
+    }
+    addDepths(request, !scanAll, now, found);
+    return found;
+}
+
+void Router::addAll(const RouteRequest &request, std::span<const std::uint32_t> slots, Instant now, Candidates &found) const
+{
+    for (const std::uint32_t slot : slots) {
+        const Server &server = m_servers.at(slot);
+        if (eligible(request, server, now)) {
+            found.push_back({&server, 0, false});
+        }
+    }
+}
+
+void Router::addHomes(const RouteRequest &request, std::span<const std::uint32_t> slots, Instant now, Candidates &found) const
+{
+    if (request.keys.empty() || slots.empty()) {
+        return;
+    }
+    struct Ranked
+    {
+        std::uint64_t weight = 0;
+        const Server *server = nullptr;
+    };
+    absl::InlinedVector<Ranked, 8> best(std::max<std::size_t>(m_options.homes, 1));
+    for (const std::uint32_t slot : slots) {
+        const Server &server = m_servers.at(slot);
+        const std::uint64_t weight = rendezvousWeight(request.keys.front().low, server.hash);
+        if (weight < best.back().weight || !eligible(request, server, now)) {
+            continue;
+        }
+        best.back() = {weight, &server};
+        std::sort(best.begin(), best.end(), [](const Ranked &a, const Ranked &b) {
+            return a.weight > b.weight;
+        });
+    }
+    bool first = true;
+    for (const Ranked &it : best) {
+        if (it.server == nullptr) {
+            continue;
+        }
+        const auto known = std::find_if(found.begin(), found.end(), [&](const Candidate &candidate) {
+            return candidate.server == it.server;
+        });
+        if (known != found.end()) {
+            known->home = first;
+        } else {
+            found.push_back({it.server, 0, first});
+        }
+        first = false;
+    }
+}
+
+void Router::addSamples(const RouteRequest &request, std::span<const std::uint32_t> slots, Instant now, absl::BitGenRef random, Candidates &found) const
+{
+    // A few spare draws make up for servers that may not be used and for those drawn twice.
+    std::size_t wanted = m_options.samples;
+    for (std::size_t n = 0; n < 4 * m_options.samples && wanted > 0; ++n) {
+        const Server &server = m_servers.at(slots[absl::Uniform<std::size_t>(random, 0, slots.size())]);
+        const bool known = std::any_of(found.begin(), found.end(), [&](const Candidate &candidate) {
+            return candidate.server == &server;
+        });
+        if (known || !eligible(request, server, now)) {
+            continue;
+        }
+        found.push_back({&server, 0, false});
+        --wanted;
+    }
+}
+
+void Router::addDepths(const RouteRequest &request, bool mayAdd, Instant now, Candidates &found) const
+{
+    PrefixDepths depths = m_cache.depths(request.keys);
+    std::sort(depths.begin(), depths.end(), [](const PrefixDepth &a, const PrefixDepth &b) {
+        return a.pieces > b.pieces;
+    });
+    std::size_t added = 0;
+    for (const PrefixDepth &it : depths) {
+        const auto known = std::find_if(found.begin(), found.end(), [&](const Candidate &candidate) {
+            return candidate.server->id == it.server;
+        });
+        if (known != found.end()) {
+            known->heldPieces = it.pieces;
+            continue;
+        }
+        const Server *server = m_servers.find(it.server);
+        const bool wanted = mayAdd && added < m_options.holders && server != nullptr;
+        if (!wanted || m_servers.names().name(server->service) != request.service || !eligible(request, *server, now)) {
+            continue;
+        }
+        found.push_back({server, it.pieces, false});
+        ++added;
+    }
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/circuitbreaker.cpp
@@ -0,0 +1,59 @@
+#include "auburndrum/decision/circuitbreaker.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+CircuitBreaker::CircuitBreaker(const CircuitBreakerOptions &options)
+    : m_options(options)
+    , m_pause(options.firstPause)
+{
+}
+
+bool CircuitBreaker::mayTry(Instant now) const
+{
+    return m_state == State::Closed || now >= m_until;
+}
+
+void CircuitBreaker::began(Instant now)
+{
+    if (m_state == State::Closed || now < m_until) {
+        return;
+    }
+    m_state = State::HalfOpen;
+    m_until = now + m_options.probeTimeout;
+}
+
+void CircuitBreaker::succeeded()
+{
+    // An answer to a request from before the pause says nothing about the server now.
+    if (m_state == State::Open) {
+        return;
+    }
+    m_state = State::Closed;
+    m_failures = 0;
+    m_pause = m_options.firstPause;
+}
+
+void CircuitBreaker::failed(Instant now, absl::BitGenRef random)
+{
+    ++m_failures;
+    if (m_state == State::Open || (m_state == State::Closed && m_failures < m_options.failures)) {
+        return;
+    }
+    if (m_state == State::HalfOpen) {
+        m_pause = std::min(2 * m_pause, m_options.maxPause);
+    }
+    m_state = State::Open;
+    const auto spread = absl::Uniform<std::int64_t>(random, 0, m_pause.count() / 4 + 1);
+    m_until = now + m_pause + std::chrono::nanoseconds(spread);
+}
+
+CircuitBreaker::State CircuitBreaker::state() const
+{
+    return m_state;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/concurrencylimit.cpp
@@ -0,0 +1,65 @@
+#include "auburndrum/decision/concurrencylimit.h"
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+ConcurrencyLimit::ConcurrencyLimit(const ConcurrencyLimitOptions &options)
+    : m_options(options)
+    , m_limit(options.initial)
+{
+}
+
+bool ConcurrencyLimit::mayStart() const
+{
+    return m_inFlight < limit();
+}
+
+void ConcurrencyLimit::started()
+{
+    ++m_inFlight;
+}
+
+void ConcurrencyLimit::finished(std::chrono::nanoseconds firstToken, std::chrono::nanoseconds predicted, Instant now)
+{
+    const bool late = firstToken > predicted * m_options.tolerance;
+    const bool usedUp = 2 * m_inFlight >= limit();
+    ignored();
+    if (late) {
+        decrease(now);
+    } else if (usedUp) {
+        m_limit = std::min(m_limit + 1 / m_limit, m_options.max);
+    }
+}
+
+void ConcurrencyLimit::dropped(Instant now)
+{
+    ignored();
+    decrease(now);
+}
+
+void ConcurrencyLimit::ignored()
+{
+    m_inFlight -= std::min(m_inFlight, 1U);
+}
+
+std::uint32_t ConcurrencyLimit::limit() const
+{
+    return static_cast<std::uint32_t>(m_limit);
+}
+
+std::uint32_t ConcurrencyLimit::inFlight() const
+{
+    return m_inFlight;
+}
+
+void ConcurrencyLimit::decrease(Instant now)
+{
+    if (now - m_lastDecrease < m_options.minDecreaseGap) {
+        return;
+    }
+    m_lastDecrease = now;
+    m_limit = std::max(m_limit * m_options.backoff, m_options.min);
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/fairqueue.cpp
@@ -0,0 +1,226 @@
+#include "auburndrum/decision/fairqueue.h"
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr std::chrono::milliseconds RateWindow{500};
+constexpr double RateLearning = 0.3;
+
+} // namespace
+
+FairQueue::FairQueue(const FairQueueOptions &options)
+    : m_options(options)
+{
+}
+
+void FairQueue::setGrant(std::string_view name, const QueueGrant &grant)
+{
+    organisation(name).grant = grant;
+}
+
+PushResult FairQueue::push(WaitingRequest request, Instant now)
+{
+    PushResult result;
+    const std::chrono::nanoseconds wait = predictedWait(request.organisation);
+    const std::chrono::nanoseconds allowed = request.deadline - now;
+    result.retryAfter = retryAfter(wait, allowed);
+    if (wait > allowed) {
+        return result;
+    }
+    Organisation &own = organisation(request.organisation);
+    const std::uint64_t id = request.id;
+    if (own.waiting.empty()) {
+        own.start = std::max(own.start, m_virtualTime);
+    }
+    if (m_size == 0) {
+        m_windowStart = now;
+        m_windowCost = 0;
+    }
+    own.waitingCost += request.cost;
+    own.waiting.push_back(std::move(request));
+    ++m_size;
+    result.queued = true;
+    if (m_size <= m_options.limit) {
+        return result;
+    }
+    Organisation *over = mostOverShare();
+    const WaitingRequest last = std::move(over->waiting.back());
+    over->waiting.pop_back();
+    removed(*over, last.cost);
+    if (over == &own && last.id == id) {
+        result.queued = false;
+        return result;
+    }
+    result.displaced = last.id;
+    return result;
+}
+
+std::optional<WaitingRequest> FairQueue::pop(Instant now)
+{
+    Organisation *chosen = next();
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    m_virtualTime = std::max(m_virtualTime, chosen->start);
+    WaitingRequest request = std::move(chosen->waiting.front());
+    chosen->waiting.pop_front();
+    chosen->start += request.cost / chosen->grant.share;
+    ++chosen->running;
+    m_virtualTime += request.cost / std::max(activeShares() + (chosen->waiting.empty() ? chosen->grant.share : 0), chosen->grant.share);
+    removed(*chosen, request.cost);
+    countPopped(request.cost, now);
+    return request;
+}
+
+void FairQueue::finished(std::string_view name)
+{
+    Organisation &it = organisation(name);
+    it.running -= std::min(it.running, 1U);
+}
+
+bool FairQueue::cancel(std::string_view name, std::uint64_t id)
+{
+    Organisation &own = organisation(name);
+    const auto it = std::find_if(own.waiting.begin(), own.waiting.end(), [&](const WaitingRequest &request) {
+        return request.id == id;
+    });
+    if (it == own.waiting.end()) {
+        return false;
+    }
+    const double cost = it->cost;
+    own.waiting.erase(it);
+    removed(own, cost);
+    return true;
+}
+
+std::vector<WaitingRequest> FairQueue::expire(Instant now)
+{
+    std::vector<WaitingRequest> expired;
+    for (auto &[name, own] : m_organisations) {
+        for (auto it = own.waiting.begin(); it != own.waiting.end();) {
+            if (it->deadline > now) {
+                ++it;
+                continue;
+            }
+            expired.push_back(std::move(*it));
+            it = own.waiting.erase(it);
+            removed(own, expired.back().cost);
+        }
+    }
+    return expired;
+}
+
+std::chrono::nanoseconds FairQueue::predictedWait(std::string_view name) const
+{
+    if (m_costPerSecond <= 0 || m_size == 0) {
+        return std::chrono::nanoseconds(0);
+    }
+    const auto it = m_organisations.find(name);
+    const bool known = it != m_organisations.end();
+    const double share = known ? it->second.grant.share : QueueGrant{}.share;
+    const double ownCost = known ? it->second.waitingCost : 0;
+    const bool active = known && !it->second.waiting.empty();
+    const double shares = activeShares() + (active ? 0 : share);
+    const Seconds wait(ownCost * shares / share / m_costPerSecond);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
+}
+
+std::size_t FairQueue::size() const
+{
+    return m_size;
+}
+
+FairQueue::Organisation &FairQueue::organisation(std::string_view name)
+{
+    if (const auto it = m_organisations.find(name); it != m_organisations.end()) {
+        return it->second;
+    }
+    return m_organisations[name];
+}
+
+FairQueue::Organisation *FairQueue::next()
+{
+    // First choice: due by virtual time, then priority, then earliest finish. Second: whoever is due soonest.
+    const auto before = [this](const Organisation &a, const Organisation &b) {
+        const bool aDue = a.start <= m_virtualTime;
+        const bool bDue = b.start <= m_virtualTime;
+        if (aDue != bDue) {
+            return aDue;
+        }
+        if (!aDue) {
+            return a.start < b.start;
+        }
+        if (a.grant.priority != b.grant.priority) {
+            return a.grant.priority < b.grant.priority;
+        }
+        return a.start + a.waiting.front().cost / a.grant.share < b.start + b.waiting.front().cost / b.grant.share;
+    };
+    Organisation *best = nullptr;
+    for (auto &[name, it] : m_organisations) {
+        if (mayRun(it) && (best == nullptr || before(it, *best))) {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+bool FairQueue::mayRun(const Organisation &organisation) const
+{
+    const bool atLimit = organisation.grant.maxConcurrent > 0 && organisation.running >= organisation.grant.maxConcurrent;
+    return !organisation.waiting.empty() && !atLimit;
+}
+
+void FairQueue::removed(Organisation &organisation, double cost)
+{
+    organisation.waitingCost = organisation.waiting.empty() ? 0 : organisation.waitingCost - cost;
+    --m_size;
+}
+
+double FairQueue::activeShares() const
+{
+    double shares = 0;
+    for (const auto &[name, it] : m_organisations) {
+        shares += it.waiting.empty() ? 0 : it.grant.share;
+    }
+    return shares;
+}
+
+FairQueue::Organisation *FairQueue::mostOverShare()
+{
+    Organisation *most = nullptr;
+    for (auto &[name, it] : m_organisations) {
+        if (it.waiting.empty()) {
+            continue;
+        }
+        if (most == nullptr || it.waitingCost / it.grant.share > most->waitingCost / most->grant.share) {
+            most = &it;
+        }
+    }
+    return most;
+}
+
+void FairQueue::countPopped(double cost, Instant now)
+{
+    m_windowCost += cost;
+    const Seconds elapsed = now - m_windowStart;
+    if (elapsed < RateWindow) {
+        return;
+    }
+    const double rate = m_windowCost / elapsed.count();
+    m_costPerSecond = m_costPerSecond <= 0 ? rate : m_costPerSecond + RateLearning * (rate - m_costPerSecond);
+    m_windowStart = now;
+    m_windowCost = 0;
+}
+
+std::chrono::milliseconds FairQueue::retryAfter(std::chrono::nanoseconds wait, std::chrono::nanoseconds allowed) const
+{
+    const auto over = std::chrono::ceil<std::chrono::milliseconds>(wait - allowed);
+    return std::clamp(over, m_options.minRetryAfter, m_options.maxRetryAfter);
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/placement.cpp
@@ -0,0 +1,174 @@
+#include "auburndrum/decision/placement.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+constexpr double BytesPerMegabyte = 1e6;
+constexpr double TokensPerUnit = 1000;
+constexpr std::chrono::milliseconds MinRetryAfter{1000};
+
+std::chrono::nanoseconds toNanoseconds(double seconds)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(seconds));
+}
+
+std::chrono::milliseconds retryAfter(std::chrono::nanoseconds predicted, std::chrono::nanoseconds deadline)
+{
+    return std::max(MinRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(predicted - deadline));
+}
+
+} // namespace
+
+struct Router::Estimate
+{
+    double cost = 0;
+    std::chrono::nanoseconds firstToken{};
+    std::chrono::nanoseconds queue{};
+    std::uint32_t cachedTokens = 0;
+    std::uint32_t recomputeTokens = 0;
+    std::uint32_t imports = 0; ///< blocks read after the held pieces
+    std::uint64_t linkBytes = 0;
+};
+
+Router::Router(const RouterOptions &options, const ServerTable &servers, CacheIndex &cache, StoreTable &stores, RouterHooks hooks)
+    : m_options(options)
+    , m_servers(servers)
+    , m_cache(cache)
+    , m_stores(stores)
+    , m_hooks(std::move(hooks))
+{
+}
+
+RouteResult<Placement> Router::choose(const RouteRequest &request, Instant now, absl::BitGenRef random) const
+{
+    if (m_servers.ofService(request.service).empty()) {
+        return RouteRefusal{RouteError::UnknownService, MinRetryAfter};
+    }
+    const Candidates found = candidates(request, now, random);
+    if (found.empty()) {
+        return RouteRefusal{RouteError::NoServer, MinRetryAfter};
+    }
+    const std::vector<BlockImport> blocks = importable(request, now);
+    absl::InlinedVector<Estimate, 24> estimates;
+    for (const Candidate &it : found) {
+        estimates.push_back(estimate(request, it, blocks, now));
+    }
+    const auto best = std::min_element(estimates.begin(), estimates.end(), [](const Estimate &a, const Estimate &b) {
+        return a.cost < b.cost;
+    });
+    const double limit = best->cost + Seconds(m_options.closeMargin).count();
+    std::size_t chosen = 0;
+    std::size_t close = 0;
+    for (std::size_t n = 0; n < estimates.size(); ++n) {
+        if (estimates[n].cost > limit) {
+            continue;
+        }
+        ++close;
+        if (absl::Uniform<std::size_t>(random, 0, close) == 0) {
+            chosen = n;
+        }
+    }
+    if (estimates[chosen].firstToken > request.deadline) {
+        return RouteRefusal{RouteError::Overloaded, retryAfter(estimates[chosen].firstToken, request.deadline)};
+    }
+    return place(found[chosen], estimates[chosen], blocks);
+}
+
+std::vector<BlockImport> Router::importable(const RouteRequest &request, Instant now) const
+{
+    std::vector<BlockImport> blocks;
+    for (const PieceKey &key : request.keys) {
+        const StoredBlock *block = m_stores.find(key, now);
+        blocks.push_back({key, block != nullptr ? *block : StoredBlock{}});
+    }
+    return blocks;
+}
+
+Router::Estimate Router::estimate(const RouteRequest &request, const Candidate &candidate, std::span<const BlockImport> blocks, Instant now) const
+{
+    const Server &server = *candidate.server;
+    const std::string_view region = m_servers.names().name(server.region);
+    const bool otherRegion = region != m_options.place.region;
+    const bool sameZone = m_servers.names().name(server.zone) == m_options.place.zone;
+    const std::chrono::nanoseconds oneWay = otherRegion ? m_options.linkDelay : sameZone ? m_options.zoneDelay : m_options.regionDelay;
+    const std::uint64_t forwardBytes = otherRegion ? std::uint64_t{request.promptTokens} * BytesPerToken + m_options.answerBytes : 0;
+    double forwardSeconds = 0;
+    if (otherRegion && m_hooks.freeLinkRate) {
+        forwardSeconds = static_cast<double>(forwardBytes) / std::max(m_hooks.freeLinkRate(m_options.place.region, region), 1.0);
+    }
+    const bool rated = server.reported && server.load.prefillTokensPerSecond > 0;
+    const double rate = rated ? server.load.prefillTokensPerSecond : m_options.prefillTokensPerSecond;
+    const std::chrono::nanoseconds queue = predictedQueue(server, m_options, now);
+
+    Estimate best;
+    std::uint64_t importBytes = 0;
+    std::uint64_t importLinkBytes = 0;
+    double importSeconds = 0;
+    for (std::size_t reused = candidate.heldPieces;; ++reused) {
+        // At least one token is always computed.
+        const auto held = static_cast<std::uint32_t>(reused * request.pieceTokens);
+        const std::uint32_t recompute = request.promptTokens > held ? request.promptTokens - held : std::min(request.promptTokens, 1U);
+        Estimate it;
+        // Imports run while the request waits.
+        const double ready = std::max(Seconds(queue).count(), importSeconds);
+        const double first = Seconds(2 * oneWay).count() + forwardSeconds + ready + recompute / rate;
+        it.firstToken = toNanoseconds(first);
+        it.queue = queue;
+        it.recomputeTokens = recompute;
+        it.cachedTokens = candidate.heldPieces * request.pieceTokens;
+        it.imports = static_cast<std::uint32_t>(reused - candidate.heldPieces);
+        it.linkBytes = forwardBytes + importLinkBytes;
+        it.cost = request.weights.firstToken * first + request.weights.recompute * recompute / TokensPerUnit
+            + request.weights.link * static_cast<double>(it.linkBytes) / BytesPerMegabyte;
+        if (reused == candidate.heldPieces || it.cost < best.cost) {
+            best = it;
+        }
+        if (reused >= blocks.size() || blocks[reused].block.length == 0) {
+            break;
+        }
+        const StoredBlock &block = blocks[reused].block;
+        importBytes += block.length;
+        importSeconds = Seconds(m_stores.readTime(block, importBytes)).count();
+        const Store &store = m_stores.at(block.store);
+        if (store.region != region) {
+            importLinkBytes += block.length;
+            const double linkRate = m_hooks.freeLinkRate ? std::max(m_hooks.freeLinkRate(store.region, region), 1.0) : store.memoryBytesPerSecond;
+            importSeconds += 2 * Seconds(m_options.linkDelay).count() + static_cast<double>(importLinkBytes) / linkRate;
+        }
+    }
+    if (candidate.home) {
+        best.cost -= m_options.homeBonus * request.weights.firstToken * request.promptTokens / rate;
+    }
+    return best;
+}
+
+Placement Router::place(const Candidate &candidate, const Estimate &estimate, std::span<const BlockImport> blocks) const
+{
+    Placement placement;
+    placement.server = candidate.server->id;
+    placement.address = candidate.server->address;
+    placement.predictedFirstToken = estimate.firstToken;
+    placement.predictedQueue = estimate.queue;
+    placement.cachedTokens = estimate.cachedTokens;
+    placement.recomputeTokens = estimate.recomputeTokens;
+    placement.linkBytes = estimate.linkBytes;
+    placement.cost = estimate.cost;
+    const auto imports = blocks.subspan(std::min<std::size_t>(candidate.heldPieces, blocks.size()), estimate.imports);
+    placement.imports.assign(imports.begin(), imports.end());
+    if (!placement.imports.empty()) {
+        placement.reason = PlacementReason::Imported;
+    } else if (candidate.heldPieces > 0) {
+        placement.reason = PlacementReason::Cached;
+    } else if (candidate.home) {
+        placement.reason = PlacementReason::Home;
+    }
+    return placement;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/servertable_test.cpp
@@ -0,0 +1,104 @@
+#include "auburndrum/decision/servertable.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant Start{100s};
+
+ServerEntry entry(std::uint64_t incarnation)
+{
+    return {"127.0.0.2:80", "zone-a", "uusimaa", "menu", incarnation};
+}
+
+} // namespace
+
+TEST_CASE("leaving sticks to the incarnation when a lagging list shows the server live again")
+{
+    ServerTable table;
+    table.put(entry(7));
+    table.markLeaving("127.0.0.2:80", 7);
+    table.put(entry(7));
+    CHECK(table.find("127.0.0.2:80")->leaving);
+    table.remove("127.0.0.2:80", 7);
+    table.put(entry(7));
+    CHECK(table.find("127.0.0.2:80")->leaving);
+    LoadReport load;
+    load.incarnation = 7;
+    table.report("127.0.0.2:80", load);
+    CHECK(table.find("127.0.0.2:80")->leaving);
+}
+
+TEST_CASE("a newer incarnation is not leaving")
+{
+    ServerTable table;
+    table.put(entry(7));
+    table.markLeaving("127.0.0.2:80", 7);
+    table.put(entry(8));
+    CHECK_FALSE(table.find("127.0.0.2:80")->leaving);
+}
+
+TEST_CASE("leaving may be heard before the server is")
+{
+    ServerTable table;
+    table.markLeaving("127.0.0.2:80", 7);
+    table.put(entry(7));
+    CHECK(table.find("127.0.0.2:80")->leaving);
+}
+
+TEST_CASE("an older incarnation changes nothing")
+{
+    ServerTable table;
+    const auto id = table.put(entry(7));
+    CHECK(*table.put(entry(6)) == *id);
+    table.remove("127.0.0.2:80", 6);
+    CHECK(table.find(*id) != nullptr);
+}
+
+TEST_CASE("a handle goes stale when its server is replaced")
+{
+    ServerTable table;
+    const auto id = table.put(entry(7));
+    table.sent(*id, 100, Start);
+    table.put(entry(8));
+    CHECK(table.find(*id) == nullptr);
+    table.finished(*id);
+    CHECK(table.ofService("menu").size() == 1);
+    CHECK(table.size() == 1);
+}
+
+TEST_CASE("a report covers the requests sent before it was taken")
+{
+    ServerTable table;
+    const auto id = table.put(entry(7));
+    table.sent(*id, 100, Start);
+    table.sent(*id, 200, Start + 2s);
+    LoadReport load;
+    load.incarnation = 7;
+    load.takenAt = Start + 1s;
+    table.report("127.0.0.2:80", load);
+    REQUIRE(table.find(*id)->sent.size() == 1);
+    CHECK(table.find(*id)->sent[0].prefillTokens == 200);
+}
+
+TEST_CASE("a report of another incarnation or an older one is ignored")
+{
+    ServerTable table;
+    const auto id = table.put(entry(7));
+    LoadReport load;
+    load.incarnation = 7;
+    load.queued = 5;
+    load.takenAt = Start;
+    table.report("127.0.0.2:80", load);
+    load.queued = 9;
+    load.takenAt = Start - 1s;
+    table.report("127.0.0.2:80", load);
+    load.incarnation = 6;
+    load.takenAt = Start + 1s;
+    table.report("127.0.0.2:80", load);
+    CHECK(table.find(*id)->load.queued == 5);
+}
--- /dev/null
+++ b/src/auburndrum/decision/storetable_test.cpp
@@ -0,0 +1,69 @@
+#include "auburndrum/decision/storetable.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant Start{100s};
+constexpr PieceKey Key{1, 1, 5, 6};
+
+StoredBlock block(std::uint16_t store)
+{
+    StoredBlock it;
+    it.store = store;
+    it.length = 1'000'000;
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("a removed store takes its blocks with it, also when it comes back empty")
+{
+    StoreTable table;
+    table.putBlock(Key, block(table.put("127.0.0.9:1", "zone-a", "uusimaa")));
+    CHECK(table.find(Key, Start) != nullptr);
+    table.remove("127.0.0.9:1");
+    CHECK(table.find(Key, Start) == nullptr);
+    table.put("127.0.0.9:1", "zone-a", "uusimaa");
+    CHECK(table.find(Key, Start) == nullptr);
+}
+
+TEST_CASE("a failed read pauses the store")
+{
+    StoreTable table;
+    const std::uint16_t store = table.put("127.0.0.9:1", "zone-a", "uusimaa");
+    table.putBlock(Key, block(store));
+    table.readBegan(store, 1'000'000);
+    table.readFailed(store, 1'000'000, Start);
+    CHECK(table.find(Key, Start + 1s) == nullptr);
+    CHECK(table.find(Key, Start + 6s) != nullptr);
+    CHECK(table.at(store).pendingBytes == 0);
+}
+
+TEST_CASE("the read rate follows what reads took")
+{
+    StoreTable table;
+    const std::uint16_t store = table.put("127.0.0.9:1", "zone-a", "uusimaa");
+    const auto before = table.readTime(block(store), 1'000'000);
+    for (int n = 0; n < 20; ++n) {
+        table.readBegan(store, 1'000'000);
+        table.readEnded(store, StoreTier::Memory, 1'000'000, 100ms);
+    }
+    const auto after = table.readTime(block(store), 1'000'000);
+    CHECK(before < 5ms);
+    CHECK(after > 80ms);
+    CHECK(after < 120ms);
+}
+
+TEST_CASE("reads under way delay the next one")
+{
+    StoreTable table;
+    const std::uint16_t store = table.put("127.0.0.9:1", "zone-a", "uusimaa");
+    const auto idle = table.readTime(block(store), 1'000'000);
+    table.readBegan(store, 50'000'000);
+    CHECK(table.readTime(block(store), 1'000'000) > idle + 90ms);
+}
