--- /dev/null
+++ b/src/auburndrum/decision/documentfields.cpp
@@ -0,0 +1,143 @@
+#include "documentfields.h"
+
+namespace auburndrum::decision {
+
+namespace {
+
+constexpr double HighestWeight = 1000;
+constexpr double HighestShare = 1000;
+constexpr std::uint32_t LongestMs = 3600000;
+constexpr std::uint32_t LowestPriority = 9;
+constexpr std::size_t MaxKeys = 16;
+constexpr std::size_t MaxAdapters = 64;
+constexpr std::size_t MaxGrants = 10000;
+
+DocumentFields<MeasureWeights> weightFields()
+{
+    return {
+        numberField("first_token", &MeasureWeights::firstToken, 0, true, HighestWeight),
+        numberField("recompute", &MeasureWeights::recompute, 0, true, HighestWeight),
+        numberField("link", &MeasureWeights::link, 0, true, HighestWeight),
+    };
+}
+
+DocumentFields<OrganisationGrant> grantFields()
+{
+    return {
+        required(textField("name", &OrganisationGrant::organisation, nameRule())),
+        numberField("share", &OrganisationGrant::share, 0, false, HighestShare),
+        wholeField("max_concurrent", &OrganisationGrant::maxConcurrent, 0, 100000),
+        wholeField("priority", &OrganisationGrant::priority, 0, LowestPriority),
+    };
+}
+
+/// The kind is written as "engine" or "plain".
+DocumentField<ServiceDocument> serviceKindField()
+{
+    DocumentField<ServiceDocument> field;
+    field.name = "kind";
+    field.schema = Json{{"enum", {"engine", "plain"}}};
+    field.read = [](const Json &value, const std::string &path, ServiceDocument &document, DocumentFaults &faults) {
+        if (value != "engine" && value != "plain") {
+            addFault(faults, path, value, "\"engine\" or \"plain\"");
+            return;
+        }
+        document.kind = value == "engine" ? ServiceKind::Engine : ServiceKind::Plain;
+    };
+    field.write = [](const ServiceDocument &document) {
+        return Json(document.kind == ServiceKind::Engine ? "engine" : "plain");
+    };
+    return field;
+}
+
+void checkGrants(const ServiceDocument &document, DocumentFaults &faults)
+{
+    std::set<std::string> seen;
+    for (std::size_t n = 0; n < document.organisations.size(); ++n) {
+        const std::string &organisation = document.organisations[n].organisation;
+        if (organisation.empty() || seen.insert(organisation).second) {
+            continue;
+        }
+        faults.push_back({fmt::format("/organisations/{}/name", n), fmt::format("\"{}\" is listed twice", organisation)});
+    }
+}
+
+void checkKind(const ServiceDocument &document, DocumentFaults &faults)
+{
+    if (document.kind == ServiceKind::Engine && document.weightVersion.empty()) {
+        faults.push_back({"/weight_version", "required for kind \"engine\""});
+    }
+    if (document.kind == ServiceKind::Engine && !document.lookupPath.empty()) {
+        faults.push_back({"/lookup_path", "allowed only for kind \"plain\""});
+    }
+    if (document.kind == ServiceKind::Plain && !document.weightVersion.empty()) {
+        faults.push_back({"/weight_version", "allowed only for kind \"engine\""});
+    }
+    if (document.kind == ServiceKind::Plain && !document.adapters.empty()) {
+        faults.push_back({"/adapters", "allowed only for kind \"engine\""});
+    }
+}
+
+void checkTimes(const ServiceDocument &document, DocumentFaults &faults)
+{
+    if (document.firstTokenDeadline > document.requestTimeout) {
+        faults.push_back({"/first_token_deadline_ms", fmt::format("allowed: at most request_timeout_ms, {}", document.requestTimeout.count())});
+    }
+    if (document.tokenGapLimit > document.requestTimeout) {
+        faults.push_back({"/token_gap_limit_ms", fmt::format("allowed: at most request_timeout_ms, {}", document.requestTimeout.count())});
+    }
+}
+
+} // namespace
+
+const DocumentFields<ServiceDocument> &serviceFields()
+{
+    static const DocumentFields<ServiceDocument> fields{
+        required(textField("name", &ServiceDocument::name, nameRule())),
+        required(textField("owner_team", &ServiceDocument::ownerTeam, nameRule())),
+        required(serviceKindField()),
+        textField("model", &ServiceDocument::model, orEmpty(modelRule())),
+        textField("weight_version", &ServiceDocument::weightVersion, orEmpty(modelRule())),
+        textListField("adapters", &ServiceDocument::adapters, modelRule(), MaxAdapters),
+        objectListField("organisations", &ServiceDocument::organisations, grantFields(), MaxGrants),
+        objectField("weights", &ServiceDocument::weights, weightFields()),
+        wholeField("first_token_deadline_ms", &ServiceDocument::firstTokenDeadline, 1, LongestMs),
+        wholeField("request_timeout_ms", &ServiceDocument::requestTimeout, 1, LongestMs),
+        wholeField("token_gap_limit_ms", &ServiceDocument::tokenGapLimit, 1, LongestMs),
+        wholeField("piece_tokens", &ServiceDocument::pieceTokens, 16, 1000000),
+        wholeField("queue_limit", &ServiceDocument::queueLimit, 0, 100000),
+        boolField("repeatable", &ServiceDocument::repeatable),
+        boolField("key_required", &ServiceDocument::keyRequired),
+        textField("lookup_path", &ServiceDocument::lookupPath, orEmpty(pathRule())),
+        boolField("checks_fencing", &ServiceDocument::checksFencing),
+    };
+    return fields;
+}
+
+const DocumentFields<OrganisationDocument> &organisationFields()
+{
+    static const DocumentFields<OrganisationDocument> fields{
+        required(textField("name", &OrganisationDocument::name, nameRule())),
+        required(textListField("key_hashes", &OrganisationDocument::keyHashes, keyHashRule(), MaxKeys)),
+    };
+    return fields;
+}
+
+const DocumentFields<TeamDocument> &teamFields()
+{
+    static const DocumentFields<TeamDocument> fields{
+        required(textField("name", &TeamDocument::name, nameRule())),
+        boolField("platform_administrator", &TeamDocument::platformAdministrator),
+        required(textListField("key_hashes", &TeamDocument::keyHashes, keyHashRule(), MaxKeys)),
+    };
+    return fields;
+}
+
+void checkTogether(const ServiceDocument &document, DocumentFaults &faults)
+{
+    checkGrants(document, faults);
+    checkKind(document, faults);
+    checkTimes(document, faults);
+}
+
+} // namespace auburndrum::decision
