--- a/include/auburndrum/caller/callerapi.h
+++ b/include/auburndrum/caller/callerapi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auburndrum/caller/callercontext.h"
+#include "auburndrum/net/exchange.h"
 
 #include <memory>
 #include <string>
