--- a/include/auburndrum/platform/claimservice.h
+++ b/include/auburndrum/platform/claimservice.h
@@ -39,11 +39,8 @@
     Q_OBJECT
 
 public:
-    ClaimService(LogClient &log,
-                 const decision::ClaimLedger &ledger,
-                 decision::ClaimBatcherOptions options,
-                 ClaimServiceHooks hooks,
-                 QObject *parent = nullptr);
+    ClaimService(
+        LogClient &log, const decision::ClaimLedger &ledger, decision::ClaimBatcherOptions options, ClaimServiceHooks hooks, QObject *parent = nullptr);
 
     /// Starts a call. Its nonce names it from here on.
     void run(decision::ClaimCallOptions options, ClaimRunHooks hooks);
--- a/include/auburndrum/platform/vmlist.h
+++ b/include/auburndrum/platform/vmlist.h
@@ -30,8 +30,6 @@
 };
 
 /// Reads the platform's list of VMs once. Entries that can't be read are left out.
-void readVmList(net::HttpClient &http,
-                const net::Address &platform,
-                std::function<void(PlatformError error, const std::vector<Vm> &vms)> onDone);
+void readVmList(net::HttpClient &http, const net::Address &platform, std::function<void(PlatformError error, const std::vector<Vm> &vms)> onDone);
 
 } // namespace auburndrum::platform
--- a/src/auburndrum/backend/fleet.cpp
+++ b/src/auburndrum/backend/fleet.cpp
@@ -8,11 +8,7 @@
     : m_options(options)
     , m_cache(options.maxCacheKeys)
     , m_stores(options.stores)
-    , m_router(options.router,
-               m_servers,
-               m_cache,
-               m_stores,
-               {.mayUse = [this](const decision::Server &server, Instant now) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+    , m_router(options.router, m_servers, m_cache, m_stores, {.mayUse = [this](const decision::Server &server, Instant now) ABSL_NO_THREAD_SAFETY_ANALYSIS {
                    const auto it = m_breakers.find(server.id);
                    return it == m_breakers.end() || it->second.mayTry(now);
                }})
--- a/src/auburndrum/caller/apierror.cpp
+++ b/src/auburndrum/caller/apierror.cpp
@@ -54,7 +54,8 @@
 
 ApiError wrongKey()
 {
-    return {.status = 401, .message = "The API key is missing or unknown.", .type = "authentication_error", .param = "Authorization", .code = "invalid_api_key"};
+    return {
+        .status = 401, .message = "The API key is missing or unknown.", .type = "authentication_error", .param = "Authorization", .code = "invalid_api_key"};
 }
 
 ApiError unavailable(std::string code, std::string message, std::chrono::milliseconds retryAfter)
--- a/src/auburndrum/caller/callerapi.cpp
+++ b/src/auburndrum/caller/callerapi.cpp
@@ -119,8 +119,7 @@
     const std::string name = path.mid(ServicesPrefix.size(), nameEnd < 0 ? -1 : nameEnd - ServicesPrefix.size()).toStdString();
     const decision::ServiceDocument *service = directory->service(name);
     if (service == nullptr || service->kind != decision::ServiceKind::Plain || grantOf(*service, *organisation) == nullptr) {
-        refuse(*exchange,
-               {.status = 404, .message = "There is no such service for this organisation.", .param = "service", .code = "service_not_found"});
+        refuse(*exchange, {.status = 404, .message = "There is no such service for this organisation.", .param = "service", .code = "service_not_found"});
         return;
     }
     const QByteArray key = exchange->header("Idempotency-Key");
--- a/src/auburndrum/caller/completioncall.cpp
+++ b/src/auburndrum/caller/completioncall.cpp
@@ -312,7 +312,9 @@
     }
     if (!m_exchange->isAnswered()) {
         ApiError error = m_mayHaveRun ? brokenUpstream("The backend server's answer broke off.")
-                                      : unavailable("no_backend_server", "No backend server took the request.", std::max<std::chrono::milliseconds>(end.retryAfter, std::chrono::seconds(1)));
+                                      : unavailable("no_backend_server",
+                                                    "No backend server took the request.",
+                                                    std::max<std::chrono::milliseconds>(end.retryAfter, std::chrono::seconds(1)));
         fail(error);
         return;
     }
--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -290,10 +290,7 @@
         fail(outcomeUnknown(std::max(answer.retryAfter, RetryAfter)));
         return;
     case decision::AnswerKind::KeyReused:
-        fail({.status = 422,
-              .message = "This Idempotency-Key was used with another call.",
-              .param = "Idempotency-Key",
-              .code = "key_reused"});
+        fail({.status = 422, .message = "This Idempotency-Key was used with another call.", .param = "Idempotency-Key", .code = "key_reused"});
         return;
     case decision::AnswerKind::Expired:
         fail({.status = 409,
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -29,7 +29,6 @@
     it.maxBodyBytes = static_cast<qint64>(settings.maxBodyBytes);
     it.maxHeaderBytes = static_cast<qint64>(settings.maxHeaderBytes);
     it.maxConnections = static_cast<int>(settings.maxConnections);
-    it.requestTimeout = settings.requestTimeout;
     it.errorBody = [](int status, const QByteArray &message) {
         caller::ApiError error;
         error.status = status;
@@ -132,10 +131,9 @@
                           noteLeavingServer(address, incarnation);
                       }}
     , m_callerApi(m_callerContext, {.incarnation = m_incarnation})
-    , m_server(serverOptions(settings),
-               [this](const std::shared_ptr<net::Exchange> &exchange) {
-                   handle(exchange);
-               })
+    , m_server(serverOptions(settings), [this](const std::shared_ptr<net::Exchange> &exchange) {
+        handle(exchange);
+    })
 {
     connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::readVms);
     connect(&m_drainTimer, &QTimer::timeout, this, &Daemon::finishDrain);
--- a/src/auburndrum/daemon/main.cpp
+++ b/src/auburndrum/daemon/main.cpp
@@ -42,7 +42,7 @@
     QCoreApplication app(argc, argv);
     // Before any worker thread starts, so that all of them block the signals.
     auburndrum::daemon::Daemon *running = nullptr;
-    const auburndrum::daemon::ShutdownSignal signals([&running] {
+    const auburndrum::daemon::ShutdownSignal shutdownSignal([&running] {
         if (running != nullptr) {
             running->shutDown();
         }
--- a/src/auburndrum/daemon/shutdownsignal.cpp
+++ b/src/auburndrum/daemon/shutdownsignal.cpp
@@ -12,12 +12,12 @@
     : QObject(parent)
     , m_onSignal(std::move(onSignal))
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    sigset_t mask;
+    sigemptyset(&mask);
+    sigaddset(&mask, SIGTERM);
+    sigaddset(&mask, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &mask, nullptr);
+    m_descriptor = signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC);
     m_notifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
     connect(m_notifier.get(), &QSocketNotifier::activated, this, [this] {
         signalfd_siginfo info{};
--- a/src/auburndrum/platform/claimservice.cpp
+++ b/src/auburndrum/platform/claimservice.cpp
@@ -35,11 +35,7 @@
 
 } // namespace
 
-ClaimService::ClaimService(LogClient &log,
-                           const decision::ClaimLedger &ledger,
-                           decision::ClaimBatcherOptions options,
-                           ClaimServiceHooks hooks,
-                           QObject *parent)
+ClaimService::ClaimService(LogClient &log, const decision::ClaimLedger &ledger, decision::ClaimBatcherOptions options, ClaimServiceHooks hooks, QObject *parent)
     : QObject(parent)
     , m_log(log)
     , m_ledger(ledger)
--- a/src/auburndrum/platform/publisher.cpp
+++ b/src/auburndrum/platform/publisher.cpp
@@ -11,9 +11,7 @@
 {
 }
 
-void Publisher::publish(const decision::PublishRecord &record,
-                        std::chrono::milliseconds patience,
-                        std::function<void(const PublishResult &)> onDone)
+void Publisher::publish(const decision::PublishRecord &record, std::chrono::milliseconds patience, std::function<void(const PublishResult &)> onDone)
 {
     const std::string requestId = record.requestId;
     auto *timer = new QTimer(this);
--- a/src/auburndrum/platform/vmlist.cpp
+++ b/src/auburndrum/platform/vmlist.cpp
@@ -73,9 +73,7 @@
 
 } // namespace
 
-void readVmList(net::HttpClient &http,
-                const net::Address &platform,
-                std::function<void(PlatformError error, const std::vector<Vm> &vms)> onDone)
+void readVmList(net::HttpClient &http, const net::Address &platform, std::function<void(PlatformError error, const std::vector<Vm> &vms)> onDone)
 {
     net::HttpCall call;
     call.peer = platform;
