--- /dev/null
+++ b/src/auburndrum/decision/linkbudget.cpp
@@ -0,0 +1,131 @@
+#include "auburndrum/decision/linkbudget.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburndrum::decision {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Background transfers wait this long after an interactive one went short.
+constexpr std::chrono::milliseconds BackgroundPause{200};
+constexpr double UseLearning = 2.0; // per second
+
+std::uint64_t slotWeight(const std::string &entry, std::size_t slot)
+{
+    return XXH3_64bits_withSeed(entry.data(), entry.size(), slot);
+}
+
+} // namespace
+
+LinkBudget::LinkBudget(const LinkBudgetOptions &options)
+    : m_options(options)
+{
+}
+
+void LinkBudget::setLiveEntries(const std::vector<std::string> &entries, Instant now)
+{
+    // After a pause of this process others may have taken its slots, so all of them settle again.
+    const bool wasFresh = viewIsFresh(now);
+    refill(now);
+    for (std::size_t slot = 0; slot < SlotCount; ++slot) {
+        const std::uint64_t own = slotWeight(m_options.self, slot);
+        const bool owned = std::none_of(entries.begin(), entries.end(), [&](const std::string &it) {
+            return it != m_options.self && slotWeight(it, slot) > own;
+        });
+        Slot &it = m_slots.at(slot);
+        if (owned && (!it.owned || !wasFresh)) {
+            it.ownedSince = now;
+        }
+        it.owned = owned;
+    }
+    m_lastView = now;
+    m_hasView = true;
+    refill(now);
+}
+
+std::uint64_t LinkBudget::take(std::uint64_t bytes, TransferClass transferClass, Instant now)
+{
+    if (!viewIsFresh(now)) {
+        return 0;
+    }
+    refill(now);
+    const bool interactive = transferClass == TransferClass::Interactive;
+    if (!interactive && m_hasUnmet && now - m_lastUnmet < BackgroundPause) {
+        return 0;
+    }
+    // Half of the burst is kept back for the next interactive transfer.
+    const double kept = interactive ? 0 : rate(now) * Seconds(m_options.burst).count() / 2;
+    const auto granted = std::min(bytes, static_cast<std::uint64_t>(std::max(m_level - kept, 0.0)));
+    if (interactive && granted < bytes) {
+        m_lastUnmet = now;
+        m_hasUnmet = true;
+    }
+    m_level -= static_cast<double>(granted);
+    m_used += static_cast<double>(granted) * UseLearning;
+    return granted;
+}
+
+double LinkBudget::lend(double bytesPerSecond, std::chrono::nanoseconds duration, Instant now)
+{
+    refill(now);
+    const double lent = std::clamp(bytesPerSecond, 0.0, rate(now));
+    m_loans.push_back({-lent, now + duration + m_options.loanMargin});
+    refill(now);
+    return lent;
+}
+
+void LinkBudget::borrow(double bytesPerSecond, std::chrono::nanoseconds duration, Instant now)
+{
+    refill(now);
+    m_loans.push_back({bytesPerSecond, now + duration});
+}
+
+double LinkBudget::rate(Instant now) const
+{
+    double sum = heldRate(now);
+    for (const Loan &it : m_loans) {
+        sum += now < it.until ? it.bytesPerSecond : 0;
+    }
+    return std::max(sum, 0.0);
+}
+
+double LinkBudget::utilisation() const
+{
+    const double current = rate(m_lastRefill);
+    return current > 0 ? std::min(m_used / current, 1.0) : 0;
+}
+
+double LinkBudget::heldRate(Instant now) const
+{
+    const auto held = std::count_if(m_slots.begin(), m_slots.end(), [&](const Slot &it) {
+        return it.owned && now - it.ownedSince >= m_options.settle;
+    });
+    return m_options.bytesPerSecond / m_options.zones * static_cast<double>(held) / SlotCount;
+}
+
+void LinkBudget::refill(Instant now)
+{
+    const Seconds elapsed = std::max(now - m_lastRefill, std::chrono::nanoseconds(0));
+    const double current = rate(now);
+    // A rate that grew since the last refill must not count for the time before.
+    const double credited = std::min(current, rate(m_lastRefill)) * elapsed.count();
+    m_level = std::min(m_level + credited, current * Seconds(m_options.burst).count());
+    m_used *= std::exp(-elapsed.count() * UseLearning);
+    m_lastRefill = std::max(m_lastRefill, now);
+    std::erase_if(m_loans, [&](const Loan &it) {
+        return it.until <= now;
+    });
+}
+
+bool LinkBudget::viewIsFresh(Instant now) const
+{
+    return m_hasView && now - m_lastView <= m_options.viewMaxAge;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/weightrollout_test.cpp
@@ -0,0 +1,104 @@
+#include "auburndrum/decision/weightrollout.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string address(int worker)
+{
+    return "127.0.0." + std::to_string(worker) + ":80";
+}
+
+void report(ServerTable &table, int worker, const std::string &version, std::uint32_t running = 0)
+{
+    static Instant at{100s};
+    LoadReport load;
+    load.incarnation = 1;
+    load.version = version;
+    load.running = running;
+    load.takenAt = at += 1s;
+    table.report(address(worker), load);
+}
+
+ServerTable workers(int count)
+{
+    ServerTable table;
+    for (int n = 0; n < count; ++n) {
+        table.put({address(n), "zone-a", "cantabrico", "assess", 1});
+        report(table, n, "v1", static_cast<std::uint32_t>(count - n));
+    }
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("at most two loads at once, the least busy workers first")
+{
+    const ServerTable table = workers(12);
+    const auto next = nextLoads(table, {"assess", "v2", {}, 0});
+    REQUIRE(next.size() == 2);
+    CHECK(table.find(next[0])->address == address(11));
+    CHECK(nextLoads(table, {"assess", "v2", {next[0]}, 0}).size() == 1);
+    CHECK(nextLoads(table, {"assess", "v2", next, 0}).empty());
+    CHECK(nextLoads(table, {"assess", "v2", {}, 2}).empty());
+}
+
+TEST_CASE("the last serving worker is never taken")
+{
+    CHECK(nextLoads(workers(1), {"assess", "v2", {}, 0}).empty());
+    ServerTable table = workers(3);
+    table.markLeaving(address(0), 1);
+    table.markLeaving(address(1), 1);
+    CHECK(nextLoads(table, {"assess", "v2", {}, 0}).empty());
+    CHECK(nextLoads(workers(2), {"assess", "v2", {}, 0}).size() == 1);
+}
+
+TEST_CASE("a worker that serves nothing is loaded first")
+{
+    ServerTable table = workers(3);
+    report(table, 1, "");
+    const auto next = nextLoads(table, {"assess", "v2", {}, 0});
+    REQUIRE_FALSE(next.empty());
+    CHECK(table.find(next[0])->address == address(1));
+}
+
+TEST_CASE("a roll-out ends with all workers on the wanted version and never fewer serving than the share")
+{
+    ServerTable table = workers(12);
+    for (int round = 0; round < 12; ++round) {
+        const auto next = nextLoads(table, {"assess", "v2", {}, 0});
+        CHECK(next.size() <= 2);
+        for (const ServerId &it : next) {
+            const std::string at = table.find(it)->address;
+            for (int n = 0; n < 12; ++n) {
+                if (address(n) == at) {
+                    report(table, n, "v2");
+                }
+            }
+        }
+    }
+    for (int n = 0; n < 12; ++n) {
+        CHECK(table.find(address(n))->load.version == "v2");
+    }
+}
+
+TEST_CASE("requests are spread over versions by the workers that serve them")
+{
+    std::mt19937_64 random(5);
+    ServerTable table = workers(4);
+    report(table, 0, "v2");
+    std::map<std::string, int> counts;
+    for (int n = 0; n < 4000; ++n) {
+        ++counts[servingVersion(table, "assess", random)];
+    }
+    CHECK(counts["v2"] > 850);
+    CHECK(counts["v2"] < 1150);
+    CHECK(counts["v1"] + counts["v2"] == 4000);
+}
