--- a/include/auburndrum/decision/concurrencylimit.h
+++ b/include/auburndrum/decision/concurrencylimit.h
@@ -14,6 +14,7 @@
     double min = 1;
     double max = 256;
     double tolerance = 2; ///< waits up to this many times the predicted one count as healthy
+    std::chrono::nanoseconds slack = std::chrono::milliseconds(500); ///< lateness that is never held against a server
     double backoff = 0.9; ///< factor on a late or refused request
     std::chrono::nanoseconds minDecreaseGap = std::chrono::milliseconds(500); ///< one burst of bad answers counts once
 };
--- a/include/auburndrum/decision/fairqueue.h
+++ b/include/auburndrum/decision/fairqueue.h
@@ -65,6 +65,9 @@
     /// Takes the request to run next; nothing when none waits or all waiting organisations are at their limit.
     std::optional<WaitingRequest> pop(Instant now);
 
+    /// Puts a popped request back in front, as when no server can take it yet.
+    void putBack(WaitingRequest request);
+
     /// Counts a popped request of @p organisation as ended.
     void finished(std::string_view organisation);
 
--- a/include/auburndrum/decision/placement.h
+++ b/include/auburndrum/decision/placement.h
@@ -67,6 +67,7 @@
 enum class RouteError : std::uint8_t {
     UnknownService, ///< no server of this service is known
     NoServer, ///< all are leaving, tried, broken or serve another version
+    Busy, ///< those that could take it have long queues: let it wait here, where the fair queue orders it
     Overloaded, ///< the first token is predicted past the deadline
 };
 
@@ -96,6 +97,8 @@
     std::chrono::nanoseconds linkDelay = std::chrono::milliseconds(12); ///< to another region
     std::size_t scanAll = 16; ///< up to this many servers, every one is a candidate
     std::size_t homes = 3; ///< candidates in rendezvous order
+    std::size_t homePiece = 2; ///< piece that decides the home; earlier ones may be shared by an organisation's prompts
+    std::chrono::nanoseconds maxQueue = std::chrono::milliseconds(1500); ///< a server with a longer queue gets no more
     std::size_t samples = 4; ///< candidates at random
     std::size_t holders = 8; ///< candidates that hold the longest prefixes
     double homeBonus = 0.1; ///< of the prompt's compute time, in favour of a new prompt's home
@@ -134,15 +137,22 @@
         bool home = false;
     };
 
+    struct Candidates
+    {
+        absl::InlinedVector<Candidate, 24> list;
+        bool someBusy = false; ///< a server was left out for its queue alone
+
+        Candidate *find(const Server *server);
+    };
+
     struct Estimate;
-    using Candidates = absl::InlinedVector<Candidate, 24>;
 
     Candidates candidates(const RouteRequest &request, Instant now, absl::BitGenRef random) const;
     void addAll(const RouteRequest &request, std::span<const std::uint32_t> slots, Instant now, Candidates &found) const;
     void addHomes(const RouteRequest &request, std::span<const std::uint32_t> slots, Instant now, Candidates &found) const;
     void addSamples(const RouteRequest &request, std::span<const std::uint32_t> slots, Instant now, absl::BitGenRef random, Candidates &found) const;
     void addDepths(const RouteRequest &request, bool mayAdd, Instant now, Candidates &found) const;
-    bool eligible(const RouteRequest &request, const Server &server, Instant now) const;
+    bool eligible(const RouteRequest &request, const Server &server, Instant now, Candidates &found) const;
     std::vector<BlockImport> importable(const RouteRequest &request, Instant now) const;
     Estimate estimate(const RouteRequest &request, const Candidate &candidate, std::span<const BlockImport> blocks, Instant now) const;
     Placement place(const Candidate &candidate, const Estimate &estimate, std::span<const BlockImport> blocks) const;
--- a/src/auburndrum/decision/candidates.cpp
+++ b/src/auburndrum/decision/candidates.cpp
@@ -19,7 +19,15 @@
 
 } // namespace
 
-bool Router::eligible(const RouteRequest &request, const Server &server, Instant now) const
+Router::Candidate *Router::Candidates::find(const Server *server)
+{
+    const auto it = std::find_if(list.begin(), list.end(), [&](const Candidate &candidate) {
+        return candidate.server == server;
+    });
+    return it == list.end() ? nullptr : &*it;
+}
+
+bool Router::eligible(const RouteRequest &request, const Server &server, Instant now, Candidates &found) const
 {
     if (server.leaving) {
         return false;
@@ -28,7 +36,12 @@
     if (otherVersion || std::find(request.tried.begin(), request.tried.end(), server.id) != request.tried.end()) {
         return false;
     }
-    return !m_hooks.mayUse || m_hooks.mayUse(server, now);
+    if (m_hooks.mayUse && !m_hooks.mayUse(server, now)) {
+        return false;
+    }
+    const bool busy = predictedQueue(server, m_options, now) > m_options.maxQueue;
+    found.someBusy = found.someBusy || busy;
+    return !busy;
 }
 
 Router::Candidates Router::candidates(const RouteRequest &request, Instant now, absl::BitGenRef random) const
@@ -51,8 +64,8 @@
 {
     for (const std::uint32_t slot : slots) {
         const Server &server = m_servers.at(slot);
-        if (eligible(request, server, now)) {
-            found.push_back({&server, 0, false});
+        if (eligible(request, server, now, found)) {
+            found.list.push_back({&server, 0, false});
         }
     }
 }
@@ -67,11 +80,12 @@
         std::uint64_t weight = 0;
         const Server *server = nullptr;
     };
+    const PieceKey &home = request.keys[std::min(m_options.homePiece, request.keys.size() - 1)];
     absl::InlinedVector<Ranked, 8> best(std::max<std::size_t>(m_options.homes, 1));
     for (const std::uint32_t slot : slots) {
         const Server &server = m_servers.at(slot);
-        const std::uint64_t weight = rendezvousWeight(request.keys.front().low, server.hash);
-        if (weight < best.back().weight || !eligible(request, server, now)) {
+        const std::uint64_t weight = rendezvousWeight(home.low, server.hash);
+        if (weight < best.back().weight || !eligible(request, server, now, found)) {
             continue;
         }
         best.back() = {weight, &server};
@@ -84,13 +98,10 @@
         if (it.server == nullptr) {
             continue;
         }
-        const auto known = std::find_if(found.begin(), found.end(), [&](const Candidate &candidate) {
-            return candidate.server == it.server;
-        });
-        if (known != found.end()) {
+        if (Candidate *known = found.find(it.server)) {
             known->home = first;
         } else {
-            found.push_back({it.server, 0, first});
+            found.list.push_back({it.server, 0, first});
         }
         first = false;
     }
@@ -102,13 +113,10 @@
     std::size_t wanted = m_options.samples;
     for (std::size_t n = 0; n < 4 * m_options.samples && wanted > 0; ++n) {
         const Server &server = m_servers.at(slots[absl::Uniform<std::size_t>(random, 0, slots.size())]);
-        const bool known = std::any_of(found.begin(), found.end(), [&](const Candidate &candidate) {
-            return candidate.server == &server;
-        });
-        if (known || !eligible(request, server, now)) {
+        if (found.find(&server) != nullptr || !eligible(request, server, now, found)) {
             continue;
         }
-        found.push_back({&server, 0, false});
+        found.list.push_back({&server, 0, false});
         --wanted;
     }
 }
@@ -121,19 +129,19 @@
     });
     std::size_t added = 0;
     for (const PrefixDepth &it : depths) {
-        const auto known = std::find_if(found.begin(), found.end(), [&](const Candidate &candidate) {
-            return candidate.server->id == it.server;
-        });
-        if (known != found.end()) {
+        const Server *server = m_servers.find(it.server);
+        if (server == nullptr) {
+            continue;
+        }
+        if (Candidate *known = found.find(server)) {
             known->heldPieces = it.pieces;
             continue;
         }
-        const Server *server = m_servers.find(it.server);
-        const bool wanted = mayAdd && added < m_options.holders && server != nullptr;
-        if (!wanted || m_servers.names().name(server->service) != request.service || !eligible(request, *server, now)) {
+        const bool wanted = mayAdd && added < m_options.holders;
+        if (!wanted || m_servers.names().name(server->service) != request.service || !eligible(request, *server, now, found)) {
             continue;
         }
-        found.push_back({server, it.pieces, false});
+        found.list.push_back({server, it.pieces, false});
         ++added;
     }
 }
--- a/src/auburndrum/decision/concurrencylimit.cpp
+++ b/src/auburndrum/decision/concurrencylimit.cpp
@@ -22,7 +22,7 @@
 
 void ConcurrencyLimit::finished(std::chrono::nanoseconds firstToken, std::chrono::nanoseconds predicted, Instant now)
 {
-    const bool late = firstToken > predicted * m_options.tolerance;
+    const bool late = firstToken > predicted * m_options.tolerance + m_options.slack;
     const bool usedUp = 2 * m_inFlight >= limit();
     ignored();
     if (late) {
--- a/src/auburndrum/decision/fairqueue.cpp
+++ b/src/auburndrum/decision/fairqueue.cpp
@@ -77,6 +77,17 @@
     return request;
 }
 
+void FairQueue::putBack(WaitingRequest request)
+{
+    Organisation &it = organisation(request.organisation);
+    it.start -= request.cost / it.grant.share;
+    it.running -= std::min(it.running, 1U);
+    it.waitingCost += request.cost;
+    m_windowCost -= request.cost;
+    it.waiting.push_front(std::move(request));
+    ++m_size;
+}
+
 void FairQueue::finished(std::string_view name)
 {
     Organisation &it = organisation(name);
--- a/src/auburndrum/decision/fairqueue_test.cpp
+++ b/src/auburndrum/decision/fairqueue_test.cpp
@@ -99,6 +99,19 @@
     CHECK(queue.pop(Start)->id == 2);
 }
 
+TEST_CASE("a request put back is the next one again and costs its organisation nothing")
+{
+    FairQueue queue;
+    queue.push(request(1, "kattila"), Start);
+    queue.push(request(2, "poyta"), Start);
+    queue.push(request(3, "kattila"), Start);
+    for (int n = 0; n < 50; ++n) {
+        queue.putBack(*queue.pop(Start));
+    }
+    CHECK(queue.size() == 3);
+    CHECK(popped(queue, 2).size() == 2);
+}
+
 TEST_CASE("a full queue displaces the organisation furthest above its share")
 {
     FairQueueOptions options;
--- a/src/auburndrum/decision/linkbudget_test.cpp
+++ b/src/auburndrum/decision/linkbudget_test.cpp
@@ -36,6 +36,7 @@
     std::vector<std::string> view;
     int ticks = 0;
     Instant viewed{};
+    Instant idleUntil{};
 };
 
 // Entries of one zone that all want more than there is. Each hears of a change up to two seconds late,
@@ -44,7 +45,7 @@
 {
     void add(const std::string &name)
     {
-        entries.push_back({name, budget(name), false, {}, {}, static_cast<int>(7 * entries.size()), {}});
+        entries.push_back({name, budget(name), false, {}, {}, static_cast<int>(7 * entries.size()), {}, {}});
     }
 
     std::vector<std::string> live() const
@@ -71,7 +72,8 @@
                 it.viewed = now;
             }
             // A paused entry resumes in the middle of its work: it sends before it looks at its peers.
-            sent += static_cast<double>(it.link->take(1'000'000, TransferClass::Interactive, now));
+            const std::uint64_t wanted = it.idleUntil <= now ? 1'000'000 : 0;
+            sent += static_cast<double>(it.link->take(wanted, TransferClass::Interactive, now));
             if (++it.ticks % (TicksPerSecond / 2) == 0) {
                 it.link->setLiveEntries(it.view, now);
             }
@@ -112,6 +114,8 @@
             one.dead = true;
         } else if (chance == 1) {
             one.pausedUntil = zone.now + std::chrono::seconds(zone.random() % 20);
+        } else if (chance % 500 == 3) {
+            one.idleUntil = zone.now + 1s;
         } else if (chance == 2 && zone.entries.size() < 40) {
             zone.add("entry-" + std::to_string(zone.entries.size()));
         }
--- a/src/auburndrum/decision/placement.cpp
+++ b/src/auburndrum/decision/placement.cpp
@@ -51,12 +51,12 @@
         return RouteRefusal{RouteError::UnknownService, MinRetryAfter};
     }
     const Candidates found = candidates(request, now, random);
-    if (found.empty()) {
-        return RouteRefusal{RouteError::NoServer, MinRetryAfter};
+    if (found.list.empty()) {
+        return RouteRefusal{found.someBusy ? RouteError::Busy : RouteError::NoServer, MinRetryAfter};
     }
     const std::vector<BlockImport> blocks = importable(request, now);
     absl::InlinedVector<Estimate, 24> estimates;
-    for (const Candidate &it : found) {
+    for (const Candidate &it : found.list) {
         estimates.push_back(estimate(request, it, blocks, now));
     }
     const auto best = std::min_element(estimates.begin(), estimates.end(), [](const Estimate &a, const Estimate &b) {
@@ -77,7 +77,7 @@
     if (estimates[chosen].firstToken > request.deadline) {
         return RouteRefusal{RouteError::Overloaded, retryAfter(estimates[chosen].firstToken, request.deadline)};
     }
-    return place(found[chosen], estimates[chosen], blocks);
+    return place(found.list[chosen], estimates[chosen], blocks);
 }
 
 std::vector<BlockImport> Router::importable(const RouteRequest &request, Instant now) const
--- a/src/auburndrum/decision/placement_test.cpp
+++ b/src/auburndrum/decision/placement_test.cpp
@@ -203,9 +203,19 @@
     CHECK(it.choose(request).value().server == it.ids[0]);
 }
 
+TEST_CASE("a request that only busy servers could take waits here")
+{
+    Fixture it(2);
+    it.reportQueue(0, 20'000, Start + 1ms);
+    it.reportQueue(1, 20'000, Start + 1ms);
+    CHECK(it.choose(it.request(), Start + 1ms).error().error == RouteError::Busy);
+    CHECK(it.choose(it.request(), Start + 600ms).has_value());
+}
+
 TEST_CASE("a first token predicted past the deadline is refused with Retry-After from the queue")
 {
     Fixture it(2);
+    it.options.maxQueue = 1h;
     it.reportQueue(0, 100'000, Start + 1ms);
     it.reportQueue(1, 100'000, Start + 1ms);
     const auto refused = it.choose(it.request(), Start + 1ms);
