--- a/standins/common/faults.cpp
+++ b/standins/common/faults.cpp
@@ -81,10 +81,10 @@
     }));
 }
 
-std::optional<Fault> FaultSwitches::takeConnectionFault(std::string_view path)
+std::optional<Fault> FaultSwitches::takeConnectionFault(std::string_view method, std::string_view path)
 {
     return takeAt(std::find_if(m_faults.begin(), m_faults.end(), [&](const Fault &it) {
-        return isConnectionFault(it.mode) && matches(it, path);
+        return isConnectionFault(it.mode) && matches(it, path) && (it.method.empty() || it.method == method);
     }));
 }
 
--- a/standins/common/faults.h
+++ b/standins/common/faults.h
@@ -40,6 +40,7 @@
     std::uint32_t count = 0; ///< requests still to meet it; 0 means until cleared
     std::chrono::milliseconds delay{0};
     std::string pathPrefix; ///< only requests whose path starts with it
+    std::string method; ///< only requests of this method; empty means any
 };
 
 /// The faults that are switched on in one stand-in.
@@ -53,7 +54,7 @@
     std::optional<Fault> take(FaultMode mode, std::string_view path);
 
     /// Takes the first matching fault that changes how the connection behaves.
-    std::optional<Fault> takeConnectionFault(std::string_view path);
+    std::optional<Fault> takeConnectionFault(std::string_view method, std::string_view path);
 
 private:
     std::optional<Fault> takeAt(std::vector<Fault>::iterator it);
--- a/standins/common/reply.cpp
+++ b/standins/common/reply.cpp
@@ -6,6 +6,12 @@
 
 namespace auburndrum::standins {
 
+namespace {
+
+constexpr char AttemptHeader[] = "X-Attempt-Id";
+
+} // namespace
+
 Reply::Reply(std::shared_ptr<net::Exchange> exchange, std::optional<Fault> fault)
     : m_exchange(std::move(exchange))
     , m_fault(std::move(fault))
@@ -42,7 +48,12 @@
 
 void Reply::respondError(int status, const std::string &code, const std::string &message, const std::vector<net::Header> &headers)
 {
-    respondJson(status, errorJson(status, code, message), headers);
+    std::vector<net::Header> all = headers;
+    const QByteArray attempt = m_exchange->header(AttemptHeader);
+    if (!attempt.isEmpty()) {
+        all.push_back({AttemptHeader, attempt});
+    }
+    respondJson(status, errorJson(status, code, message), all);
 }
 
 void Reply::respondEmpty()
--- a/standins/common/standin.cpp
+++ b/standins/common/standin.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr char FaultsPath[] = "/v1/faults";
+constexpr qint64 MaxHeaderBytes = 1 << 20; // piece keys of a very long prompt
 
 /// Reads the body of a fault switch; nothing when it is malformed.
 std::optional<Fault> parseFault(const nlohmann::json &body)
@@ -23,11 +24,13 @@
     out.count = body.value("count", 0U);
     out.delay = std::chrono::milliseconds(body.value("delay_ms", 0));
     out.pathPrefix = body.value("path", "");
+    out.method = body.value("method", "");
     return out;
 }
 
-net::HttpServerOptions withErrorBody(net::HttpServerOptions options)
+net::HttpServerOptions standInServer(net::HttpServerOptions options)
 {
+    options.maxHeaderBytes = MaxHeaderBytes;
     options.errorBody = [](int status, const QByteArray &message) {
         return QByteArray::fromStdString(errorJson(status, "bad_request", message.toStdString()).dump());
     };
@@ -38,7 +41,7 @@
 
 StandIn::StandIn(const net::HttpServerOptions &options, StandInHooks hooks)
     : m_hooks(std::move(hooks))
-    , m_server(withErrorBody(options), [this](const std::shared_ptr<net::Exchange> &exchange) {
+    , m_server(standInServer(options), [this](const std::shared_ptr<net::Exchange> &exchange) {
         handle(exchange);
     })
 {
@@ -62,7 +65,7 @@
         handleFaults(*reply);
         return;
     }
-    const std::optional<Fault> fault = m_faults.takeConnectionFault(path);
+    const std::optional<Fault> fault = m_faults.takeConnectionFault(exchange->method().toStdString(), path);
     if (fault) {
         handleWithFault(exchange, *fault);
         return;
--- a/standins/engine/cacheevents.h
+++ b/standins/engine/cacheevents.h
@@ -51,7 +51,7 @@
     static constexpr std::size_t KeptEvents = 10'000;
 
     std::deque<CacheEvent> m_events;
-    std::uint64_t m_next = 0;
+    std::uint64_t m_next = 1;
     std::uint32_t m_toDrop = 0;
 };
 
--- a/standins/engine/enginecontrol.cpp
+++ b/standins/engine/enginecontrol.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char StreamsPath[] = "/v1/streams/";
+constexpr qint64 MaxPromptBytes = 64LL << 20;
 constexpr std::chrono::milliseconds LoadSampleInterval{20};
 constexpr std::chrono::milliseconds LoadKept{60'000};
 constexpr std::chrono::milliseconds MaxEventWait{60'000};
@@ -59,7 +60,7 @@
            [this] {
                return m_orders.version();
            })
-    , m_standIn({},
+    , m_standIn({.maxBodyBytes = MaxPromptBytes},
                 {[this](const std::shared_ptr<Reply> &reply) {
                      handle(reply);
                  },
--- a/standins/engine/engineserver.cpp
+++ b/standins/engine/engineserver.cpp
@@ -55,12 +55,8 @@
         return;
     }
     const SubmitResult<void> taken = m_scheduler.submit(run, monotonicNow());
-    if (!taken && taken.error() == SubmitError::Leaving) {
-        reply->respondError(503, "leaving", "this engine is leaving", {{"X-Leaving", "1"}});
-        return;
-    }
     if (!taken) {
-        reply->respondError(503, "overloaded", "the queue is full", {{"Retry-After", "1"}});
+        refuseRun(*reply, taken.error());
         return;
     }
     StreamRecord record;
@@ -77,6 +73,17 @@
     advance();
 }
 
+void EngineServer::refuseRun(Reply &reply, SubmitError error)
+{
+    m_runs.addRefused();
+    const QByteArray incarnation = QByteArray::number(static_cast<qulonglong>(m_options.incarnation));
+    if (error == SubmitError::Leaving) {
+        reply.respondError(503, "leaving", "this engine is leaving", {{"X-Leaving", "1"}, {"X-Incarnation", incarnation}});
+        return;
+    }
+    reply.respondError(503, "overloaded", "the queue is full", {{"Retry-After", "1"}, {"X-Incarnation", incarnation}});
+}
+
 bool EngineServer::refuseVersion(Reply &reply)
 {
     const std::string expected = reply.request().header("X-Expected-Version").toStdString();
--- a/standins/engine/engineserver.h
+++ b/standins/engine/engineserver.h
@@ -63,6 +63,7 @@
 
     void handle(const std::shared_ptr<Reply> &reply);
     void handleCompletion(const std::shared_ptr<Reply> &reply, bool chat);
+    void refuseRun(Reply &reply, SubmitError error);
     bool refuseVersion(Reply &reply);
     void handleStreamRead(const std::shared_ptr<Reply> &reply, const std::string &attempt);
     void handleCancel(Reply &reply, const std::string &attempt);
--- a/standins/engine/prefixcache_test.cpp
+++ b/standins/engine/prefixcache_test.cpp
@@ -31,9 +31,9 @@
     cache.store("kattila", {"b"});
     cache.store("kattila", {"c"});
     const CacheEventPage page = cache.events().read(0);
-    CHECK(page.next == 3);
+    CHECK(page.next == 4);
     REQUIRE(page.events.size() == 2);
-    CHECK(page.events[0].number == 0);
-    CHECK(page.events[1].number == 2);
-    CHECK(cache.events().read(2).events.size() == 1);
+    CHECK(page.events[0].number == 1);
+    CHECK(page.events[1].number == 3);
+    CHECK(cache.events().read(3).events.size() == 1);
 }
--- a/standins/engine/runlist.cpp
+++ b/standins/engine/runlist.cpp
@@ -11,6 +11,11 @@
     }
 }
 
+void RunList::addRefused()
+{
+    ++m_refused;
+}
+
 void RunList::setCached(const std::string &attempt, std::uint64_t tokens)
 {
     if (RunEntry *entry = find(attempt)) {
@@ -38,7 +43,7 @@
                         {"time_ms", it.takenAt.time_since_epoch().count()},
                         {"cancelled", it.cancelled}});
     }
-    return {{"taken", m_taken}, {"runs", list}};
+    return {{"taken", m_taken}, {"refused", m_refused}, {"runs", list}};
 }
 
 RunEntry *RunList::find(const std::string &attempt)
--- a/standins/engine/runlist.h
+++ b/standins/engine/runlist.h
@@ -29,6 +29,7 @@
 {
 public:
     void add(const RunEntry &entry);
+    void addRefused();
     void setCached(const std::string &attempt, std::uint64_t tokens);
     void setCancelled(const std::string &attempt);
     nlohmann::json toJson() const;
@@ -40,6 +41,7 @@
 
     std::deque<RunEntry> m_runs;
     std::uint64_t m_taken = 0;
+    std::uint64_t m_refused = 0;
 };
 
 } // namespace auburndrum::standins
--- a/standins/service/serviceserver.cpp
+++ b/standins/service/serviceserver.cpp
@@ -53,7 +53,10 @@
 {
     const net::Exchange &request = reply->request();
     if (m_leaving) {
-        reply->respondError(503, "leaving", "this server is leaving", {{"X-Leaving", "1"}});
+        reply->respondError(503,
+                            "leaving",
+                            "this server is leaving",
+                            {{"X-Leaving", "1"}, {"X-Incarnation", QByteArray::number(static_cast<qulonglong>(m_options.incarnation))}});
         return;
     }
     Execution call;
