Add membership, gossip and the JSON-RPC codec between entry VMs

Cause: entry VMs have to know each other, leaving backend servers and how far a peer's configuration reaches, within 6 KB/s a node at 340. Ruled out: heartbeat counters for every member (340 counters a second don't fit the budget); suspicion after one silent call (a zone cut from one other zone made flapping); re-spreading facts of a full state (minutes of repeats after a cold start).

--- /dev/null
+++ b/src/auburndrum/decision/gossip_test.cpp
@@ -0,0 +1,256 @@
+#include "auburndrum/decision/fakegossipnetwork.h"
+
+#include <doctest/doctest.h>
+
+#include <utility>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool knowsLeaving(Gossip &gossip, const std::string &server)
+{
+    return gossip.table().find("l/" + server) != nullptr;
+}
+
+std::chrono::milliseconds leavingSpread(FakeNetworkOptions options)
+{
+    FakeGossipNetwork network(std::move(options));
+    network.run(20s);
+    network.announce(0, LeavingServer{"backend-1", 5});
+    return network.runUntil(
+        [&network] {
+            for (std::size_t n = 0; n < network.size(); ++n) {
+                if (!knowsLeaving(network.gossip(n), "backend-1")) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        60s);
+}
+
+std::chrono::milliseconds configSpread(FakeNetworkOptions options)
+{
+    FakeGossipNetwork network(std::move(options));
+    network.run(20s);
+    network.setConfigOffset(0, 77);
+    return network.runUntil(
+        [&network] {
+            for (std::size_t n = 0; n < network.size(); ++n) {
+                if (network.node(n).config.ownOffset() < 77) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        60s);
+}
+
+FakeNetworkOptions letterSize()
+{
+    FakeNetworkOptions options;
+    options.nodes = 340;
+    options.zones = 20;
+    return options;
+}
+
+/// Without the rounds brought forward by urgent facts.
+void withoutUrgency(GossipOptions &gossip, MembershipOptions &)
+{
+    gossip.urgentDelay = gossip.period;
+    gossip.urgentPeriod = 5 * gossip.period;
+    gossip.period = gossip.urgentPeriod;
+    gossip.urgentPeers = 1;
+    gossip.originPeers = 1;
+}
+
+} // namespace
+
+TEST_CASE("7 entry VMs find each other from the platform's list")
+{
+    FakeGossipNetwork network({});
+    CHECK(network.runUntil(
+              [&network] {
+                  return network.isConverged();
+              },
+              30s)
+          < 10s);
+}
+
+TEST_CASE("a leaving backend server is known everywhere within 2 s at 7 entry VMs")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FakeNetworkOptions options;
+        options.seed = seed;
+        CAPTURE(seed);
+        CHECK(leavingSpread(options) < 2s);
+        options.loss = 0.2;
+        CHECK(leavingSpread(options) < 2s);
+    }
+    FakeNetworkOptions broken;
+    broken.configure = withoutUrgency;
+    CHECK(leavingSpread(broken) > 2s);
+}
+
+TEST_CASE("configuration reaches 340 entry VMs within 12 s")
+{
+    FakeNetworkOptions options = letterSize();
+    CHECK(configSpread(options) < 12s);
+    options.loss = 0.05;
+    CHECK(configSpread(options) < 12s);
+    options.configure = withoutUrgency;
+    CHECK(configSpread(options) > 12s);
+}
+
+TEST_CASE("a crashed entry VM is found dead and a restart under its address is found again")
+{
+    FakeGossipNetwork network({});
+    network.run(10s);
+    network.kill(3);
+    CHECK(network.runUntil(
+              [&network] {
+                  return network.isConverged();
+              },
+              60s)
+          < 20s);
+    network.run(20s);
+    CHECK(network.stateAt(0, 3) == MemberState::Dead);
+    network.start(3, 2);
+    CHECK(network.runUntil(
+              [&network] {
+                  return network.isConverged();
+              },
+              60s)
+          < 10s);
+}
+
+TEST_CASE("a restart with a clock behind gets above its earlier incarnation")
+{
+    FakeNetworkOptions options;
+    FakeGossipNetwork network(options);
+    network.run(10s);
+    network.kill(3);
+    network.start(3, 1);
+    network.run(10s);
+    network.leave(3);
+    network.run(5s);
+    CHECK(network.stateAt(0, 3) == MemberState::Leaving);
+    network.kill(3);
+    network.start(3, 1);
+    CHECK(network.runUntil(
+              [&network] {
+                  return network.isConverged();
+              },
+              60s)
+          < 10s);
+}
+
+TEST_CASE("zones that are cut off from each other go on and join again after the heal")
+{
+    FakeGossipNetwork network({});
+    network.run(10s);
+    network.cutZones("zone-0", "zone-1", true);
+    network.cutZones("zone-0", "zone-2", true);
+    network.run(60s);
+    CHECK(network.stateAt(0, 1) == MemberState::Dead);
+    CHECK(network.stateAt(1, 0) == MemberState::Dead);
+    CHECK(network.stateAt(0, 3) == MemberState::Alive);
+    network.cutZones("zone-0", "zone-1", false);
+    network.cutZones("zone-0", "zone-2", false);
+    CHECK(network.runUntil(
+              [&network] {
+                  return network.isConverged();
+              },
+              120s)
+          < 60s);
+}
+
+TEST_CASE("a member that one zone can't reach stays alive through the others")
+{
+    FakeGossipNetwork network({});
+    network.run(10s);
+    network.cutZones("zone-0", "zone-1", true);
+    for (int n = 0; n < 120; ++n) {
+        network.run(1s);
+        CHECK(network.stateAt(0, 1) != MemberState::Dead);
+        CHECK(network.stateAt(1, 0) != MemberState::Dead);
+    }
+}
+
+TEST_CASE("a process paused for long wakes, is told that it was dead, and takes part again")
+{
+    FakeGossipNetwork network({});
+    network.run(10s);
+    network.pause(2);
+    network.run(60s);
+    CHECK(network.stateAt(0, 2) == MemberState::Dead);
+    network.resume(2);
+    CHECK(network.runUntil(
+              [&network] {
+                  return network.isConverged();
+              },
+              120s)
+          < 30s);
+    CHECK(network.stateAt(2, 0) == MemberState::Alive);
+}
+
+TEST_CASE("lost, doubled and overtaking messages don't keep views apart")
+{
+    const auto knownEverywhere = [](std::function<void(GossipOptions &, MembershipOptions &)> configure) {
+        FakeNetworkOptions options;
+        options.nodes = 28;
+        options.loss = 0.2;
+        options.duplicates = 0.3;
+        options.jitter = 800ms;
+        options.configure = std::move(configure);
+        FakeGossipNetwork network(options);
+        network.run(60s);
+        network.announce(0, CircuitReport{"backend-1", "entry-0", 1, true});
+        network.leave(5);
+        network.run(30s);
+        bool known = true;
+        for (std::size_t n = 0; n < network.size(); ++n) {
+            known = known && network.gossip(n).table().find("c/entry-0/backend-1") != nullptr;
+            known = known && (n == 5 || network.stateAt(n, 5) == MemberState::Leaving);
+        }
+        return known;
+    };
+    CHECK(knownEverywhere({}));
+    CHECK_FALSE(knownEverywhere([](GossipOptions &gossip, MembershipOptions &) {
+        gossip.sendsPerFact = [](std::size_t) {
+            return 1;
+        };
+        gossip.comparePeriod = 1h;
+    }));
+}
+
+TEST_CASE("bytes stay within the budget at 340 entry VMs, with a restart and a publish every few seconds")
+{
+    constexpr std::size_t LimitBytesPerSecond = 6000;
+    FakeGossipNetwork network(letterSize());
+    network.run(30s);
+    for (std::size_t n = 0; n < network.size(); ++n) {
+        network.node(n).bytes = 0;
+    }
+    constexpr std::size_t Seconds = 60;
+    for (std::size_t n = 0; n < Seconds; ++n) {
+        network.run(1s);
+        if (n % 12 == 0) {
+            network.setConfigOffset(n, 100 + n);
+            network.announce(n, LeavingServer{"backend-" + std::to_string(n), 1});
+        }
+        if (n % 30 == 15) {
+            network.kill(n);
+            network.start(n, 2);
+        }
+    }
+    std::size_t total = 0;
+    for (std::size_t n = 0; n < network.size(); ++n) {
+        total += network.node(n).bytes;
+    }
+    CHECK(total / network.size() / Seconds < LimitBytesPerSecond);
+    MESSAGE("bytes a second and node: " << total / network.size() / Seconds);
+}
--- /dev/null
+++ b/src/auburndrum/decision/gossipbudget.cpp
@@ -0,0 +1,35 @@
+#include "auburndrum/decision/gossipbudget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace auburndrum::decision {
+
+GossipBudget::GossipBudget(GossipBudgetOptions options)
+    : m_options(options)
+    , m_tokens(options.burstBytes)
+{
+}
+
+bool GossipBudget::hasRoom(Instant now)
+{
+    refill(now);
+    return m_tokens > 0;
+}
+
+void GossipBudget::charge(std::size_t bytes, Instant now)
+{
+    refill(now);
+    m_tokens = std::max(m_tokens - static_cast<double>(bytes), -m_options.maxDebtBytes);
+}
+
+void GossipBudget::refill(Instant now)
+{
+    if (m_last) {
+        const std::chrono::duration<double> passed = now - *m_last;
+        m_tokens = std::min(m_tokens + passed.count() * m_options.bytesPerSecond, m_options.burstBytes);
+    }
+    m_last = now;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/linkshare.cpp
@@ -0,0 +1,108 @@
+#include "auburndrum/decision/linkshare.h"
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+constexpr std::uint64_t AnnounceDivisor = 8; ///< a change below this part of the old demand is not announced
+
+bool holdsShare(const Member &member)
+{
+    return member.record.liveness != Liveness::Dead || member.listed;
+}
+
+} // namespace
+
+std::map<std::string, std::uint64_t> splitLink(std::uint64_t capacityBytesPerSecond, const std::vector<LinkClaimant> &claimants)
+{
+    std::vector<LinkClaimant> order = claimants;
+    std::sort(order.begin(), order.end(), [](const LinkClaimant &a, const LinkClaimant &b) {
+        return a.wantedBytesPerSecond < b.wantedBytesPerSecond;
+    });
+    std::map<std::string, std::uint64_t> shares;
+    std::uint64_t left = capacityBytesPerSecond;
+    std::size_t waiting = order.size();
+    for (const LinkClaimant &it : order) {
+        const std::uint64_t equal = left / waiting;
+        const std::uint64_t share = std::min(it.wantedBytesPerSecond, equal);
+        shares[it.entry] = share;
+        left -= share;
+        --waiting;
+    }
+    return shares;
+}
+
+LinkShare::LinkShare(LinkShareOptions options)
+    : m_options(options)
+{
+}
+
+void LinkShare::setDemand(const std::string &entry, std::uint64_t bytesPerSecond)
+{
+    m_demands[entry] = bytesPerSecond;
+}
+
+std::optional<std::uint64_t> LinkShare::setOwnDemand(std::uint64_t bytesPerSecond)
+{
+    const std::uint64_t change = bytesPerSecond > m_ownDemand ? bytesPerSecond - m_ownDemand : m_ownDemand - bytesPerSecond;
+    if (change == 0 || change < m_ownDemand / AnnounceDivisor) {
+        return std::nullopt;
+    }
+    m_ownDemand = bytesPerSecond;
+    return bytesPerSecond;
+}
+
+void LinkShare::update(const Membership &membership, Instant now)
+{
+    std::erase_if(m_demands, [&membership](const auto &it) {
+        const Member *member = membership.find(it.first);
+        return member == nullptr || !holdsShare(*member);
+    });
+    const bool paused = m_lastUpdate && now - *m_lastUpdate >= m_options.settleTime;
+    m_lastUpdate = now;
+    const std::uint64_t share = splitLink(m_options.capacityBytesPerSecond, claimants(membership))[membership.self().name];
+    if (paused) {
+        // Others may have taken this share while the process stood still.
+        m_share = 0;
+    }
+    if (share <= m_share || m_options.raiseAtOnce) {
+        m_share = share;
+        m_pendingSince.reset();
+        return;
+    }
+    if (!m_pendingSince || share > m_pending) {
+        m_pendingSince = now;
+    }
+    m_pending = share;
+    if (now - *m_pendingSince >= m_options.settleTime) {
+        m_share = share;
+        m_pendingSince.reset();
+    }
+}
+
+std::uint64_t LinkShare::bytesPerSecond() const
+{
+    return m_share;
+}
+
+std::vector<LinkClaimant> LinkShare::claimants(const Membership &membership) const
+{
+    std::vector<LinkClaimant> claimants{{membership.self().name, m_ownDemand}};
+    for (const auto &[name, member] : membership.members()) {
+        if (member.record.region == membership.self().region && holdsShare(member)) {
+            claimants.push_back({name, demandOf(name)});
+        }
+    }
+    return claimants;
+}
+
+std::uint64_t LinkShare::demandOf(const std::string &entry) const
+{
+    const auto it = m_demands.find(entry);
+    // An entry VM that has not said what it wants may be using its equal share.
+    return it == m_demands.end() ? m_options.capacityBytesPerSecond : it->second;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/membership.cpp
@@ -0,0 +1,318 @@
+#include "auburndrum/decision/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace auburndrum::decision {
+
+const std::string &Member::address() const
+{
+    const bool outOfUse = record.incarnation == 0 || record.liveness == Liveness::Dead;
+    return outOfUse && !listedAddress.empty() ? listedAddress : record.address;
+}
+
+MemberState Member::state() const
+{
+    const MemberState own = record.state();
+    if (own == MemberState::Dead) {
+        return own;
+    }
+    return listedLeaving ? MemberState::Leaving : own;
+}
+
+Membership::Membership(MembershipOptions options)
+    : m_options(std::move(options))
+{
+}
+
+const MemberRecord &Membership::self() const
+{
+    return m_options.self;
+}
+
+std::optional<MemberRecord> Membership::merge(const MemberRecord &record, Instant now)
+{
+    if (record.name.empty() || record.incarnation == 0) {
+        return std::nullopt;
+    }
+    if (record.name == m_options.self.name) {
+        return mergeSelf(record);
+    }
+    auto it = m_members.find(record.name);
+    if (it == m_members.end()) {
+        // A dead member that is unknown here was forgotten, or never mattered.
+        if (record.liveness == Liveness::Dead || !makeRoom()) {
+            return std::nullopt;
+        }
+        it = m_members.emplace(record.name, Member{}).first;
+        it->second.record.name = record.name;
+    }
+    if (!m_options.supersedes(record, it->second.record)) {
+        return std::nullopt;
+    }
+    applyRecord(it->second, record, now);
+    return it->second.record;
+}
+
+std::optional<MemberRecord> Membership::mergeSelf(const MemberRecord &record)
+{
+    MemberRecord &self = m_options.self;
+    if (record.incarnation < self.incarnation) {
+        return std::nullopt;
+    }
+    if (record.incarnation > self.incarnation) {
+        if (m_joined && record.address != self.address) {
+            m_supplanted = true;
+            return std::nullopt;
+        }
+        // An earlier process under this name had a clock ahead of ours.
+        self.incarnation = record.incarnation + 1;
+        self.refutation = 0;
+        return self;
+    }
+    if (record.leaving && !self.leaving) {
+        self.incarnation = record.incarnation + 1;
+        self.refutation = 0;
+        return self;
+    }
+    if (record.liveness == Liveness::Alive || record.refutation < self.refutation) {
+        return std::nullopt;
+    }
+    self.refutation = record.refutation + 1;
+    return self;
+}
+
+void Membership::applyRecord(Member &member, const MemberRecord &record, Instant now)
+{
+    const Liveness before = member.record.liveness;
+    const bool restarted = record.incarnation != member.record.incarnation;
+    if (before != Liveness::Alive && record.liveness == Liveness::Alive && !restarted) {
+        const auto doubled = std::max<std::chrono::nanoseconds>(m_options.muteBase, 2 * member.muteFor);
+        member.muteFor = std::min<std::chrono::nanoseconds>(doubled, m_options.muteLimit);
+        member.mutedUntil = now + member.muteFor;
+    }
+    if (restarted) {
+        member.failures = 0;
+        member.mutedUntil.reset();
+        member.muteFor = {};
+    }
+    if (record.liveness != before || restarted) {
+        member.suspectSince.reset();
+        member.deadSince.reset();
+        if (record.liveness == Liveness::Suspect) {
+            member.suspectSince = now;
+        }
+        if (record.liveness == Liveness::Dead) {
+            member.deadSince = now;
+        }
+    }
+    member.record = record;
+}
+
+void Membership::mergeList(const std::vector<ListedVm> &list, Instant now)
+{
+    for (auto &[name, member] : m_members) {
+        member.listed = false;
+        member.listedLeaving = false;
+    }
+    for (const ListedVm &vm : list) {
+        if (vm.name.empty() || vm.name == m_options.self.name) {
+            continue;
+        }
+        auto it = m_members.find(vm.name);
+        if (it == m_members.end()) {
+            if (!makeRoom()) {
+                continue;
+            }
+            it = m_members.emplace(vm.name, Member{}).first;
+            it->second.record = {vm.name, vm.address, vm.zone, vm.region, 0, 0, Liveness::Alive, false};
+        }
+        it->second.listed = true;
+        it->second.listedLeaving = vm.leaving;
+        it->second.listedAddress = vm.address;
+    }
+    std::erase_if(m_members, [](const auto &it) {
+        return !it.second.listed && it.second.record.incarnation == 0;
+    });
+    for (auto &[name, member] : m_members) {
+        // The time to forget starts when the last of the two sources drops the member.
+        if (member.listed && member.deadSince) {
+            member.deadSince = now;
+        }
+    }
+}
+
+void Membership::contactSucceeded(const std::string &name, Instant now)
+{
+    const auto it = m_members.find(name);
+    if (it == m_members.end()) {
+        return;
+    }
+    noteContact(true);
+    it->second.failures = 0;
+    it->second.lastContact = now;
+}
+
+std::optional<MemberRecord> Membership::contactFailed(const std::string &name, Instant now)
+{
+    const auto it = m_members.find(name);
+    if (it == m_members.end()) {
+        return std::nullopt;
+    }
+    Member &member = it->second;
+    ++member.failures;
+    if (member.record.liveness != Liveness::Dead) {
+        noteContact(false);
+    }
+    if (member.failures < failuresNeeded() || member.record.liveness != Liveness::Alive) {
+        return std::nullopt;
+    }
+    // Others reach it: suspecting it again and again would only cost messages.
+    if (member.mutedUntil && now < *member.mutedUntil) {
+        return std::nullopt;
+    }
+    member.record.liveness = Liveness::Suspect;
+    member.suspectSince = now;
+    if (member.record.incarnation == 0) {
+        return std::nullopt;
+    }
+    return member.record;
+}
+
+MemberRecord Membership::leave()
+{
+    m_options.self.leaving = true;
+    return m_options.self;
+}
+
+MembershipChanges Membership::advance(Instant now)
+{
+    if (m_lastAdvance && now - *m_lastAdvance > m_options.longestPause) {
+        // Paused: the silence of the others was ours.
+        shiftTimers(now - *m_lastAdvance);
+    }
+    m_lastAdvance = now;
+    MembershipChanges changes;
+    changes.forgotten = std::exchange(m_evicted, {});
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        if (ageMember(it->second, now, changes)) {
+            ++it;
+            continue;
+        }
+        changes.forgotten.push_back(it->first);
+        it = m_members.erase(it);
+    }
+    return changes;
+}
+
+bool Membership::ageMember(Member &member, Instant now, MembershipChanges &changes) const
+{
+    if (member.suspectSince && now - *member.suspectSince >= suspicionTime()) {
+        member.record.liveness = Liveness::Dead;
+        member.suspectSince.reset();
+        member.deadSince = now;
+        if (member.record.incarnation != 0) {
+            changes.records.push_back(member.record);
+        }
+    }
+    return member.listed || !member.deadSince || now - *member.deadSince < m_options.forgetAfter;
+}
+
+void Membership::shiftTimers(std::chrono::nanoseconds gap)
+{
+    for (auto &[name, member] : m_members) {
+        member.failures = 0;
+        for (std::optional<Instant> *it : {&member.suspectSince, &member.deadSince, &member.mutedUntil}) {
+            if (*it) {
+                **it += gap;
+            }
+        }
+    }
+}
+
+void Membership::noteContact(bool succeeded)
+{
+    constexpr double Newest = 0.05;
+    m_lossRate += Newest * ((succeeded ? 0.0 : 1.0) - m_lossRate);
+}
+
+std::uint32_t Membership::failuresNeeded() const
+{
+    return m_options.failuresToSuspect + static_cast<std::uint32_t>(m_lossRate * m_options.failuresPerLossRate);
+}
+
+bool Membership::makeRoom()
+{
+    if (m_members.size() < m_options.maxMembers) {
+        return true;
+    }
+    auto oldest = m_members.end();
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        if (!it->second.deadSince || it->second.listed) {
+            continue;
+        }
+        if (oldest == m_members.end() || *it->second.deadSince < *oldest->second.deadSince) {
+            oldest = it;
+        }
+    }
+    if (oldest == m_members.end()) {
+        return false;
+    }
+    m_evicted.push_back(oldest->first);
+    m_members.erase(oldest);
+    return true;
+}
+
+void Membership::setJoined()
+{
+    m_joined = true;
+}
+
+bool Membership::isSupplanted() const
+{
+    return m_supplanted;
+}
+
+const Member *Membership::find(const std::string &name) const
+{
+    const auto it = m_members.find(name);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+const std::map<std::string, Member> &Membership::members() const
+{
+    return m_members;
+}
+
+bool Membership::isUsable(const Member &member) const
+{
+    return member.record.incarnation != 0 && member.state() == MemberState::Alive && member.failures < m_options.failuresToSuspect;
+}
+
+bool Membership::isDoubtful(const Member &member) const
+{
+    return member.record.liveness == Liveness::Alive && member.failures > 0 && member.failures < failuresNeeded();
+}
+
+std::vector<MemberRecord> Membership::usable() const
+{
+    std::vector<MemberRecord> usable;
+    if (!m_options.self.leaving) {
+        usable.push_back(m_options.self);
+    }
+    for (const auto &[name, member] : m_members) {
+        if (isUsable(member)) {
+            usable.push_back(member.record);
+        }
+    }
+    return usable;
+}
+
+std::chrono::milliseconds Membership::suspicionTime() const
+{
+    const auto doublings = std::bit_width(m_members.size());
+    return m_options.suspicionBase + doublings * m_options.suspicionPerDoubling;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/entry/jsonrpc.cpp
@@ -0,0 +1,170 @@
+#include "auburndrum/entry/jsonrpc.h"
+
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+
+#include <map>
+#include <utility>
+
+namespace auburndrum {
+namespace entry {
+
+namespace {
+
+/// Stands between the library's client and our own transport: keeps the request and plays back a response.
+class TextConnector : public jsonrpc::IClientConnector
+{
+public:
+    explicit TextConnector(std::string response)
+        : m_response(std::move(response))
+    {
+    }
+
+    void SendRPCMessage(const std::string &message, std::string &result) throw(jsonrpc::JsonRpcException) override // NOLINT(readability-identifier-naming)
+    {
+        m_request = message;
+        result = m_response;
+    }
+
+    const std::string &request() const
+    {
+        return m_request;
+    }
+
+private:
+    std::string m_request;
+    std::string m_response;
+};
+
+bool parseJson(const std::string &text, Json::Value &value)
+{
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    std::string errors;
+    try {
+        return reader->parse(text.data(), text.data() + text.size(), &value, &errors);
+    } catch (const std::exception &) {
+        return false;
+    }
+}
+
+std::string writeJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+constexpr const char *NullResponse = R"({"jsonrpc":"2.0","id":1,"result":null})";
+
+} // namespace
+
+RpcResult rpcResult(const std::string &json)
+{
+    RpcResult result;
+    result.ok = true;
+    result.json = json;
+    return result;
+}
+
+RpcResult rpcError(int code, const std::string &message)
+{
+    RpcResult result;
+    result.errorCode = code;
+    result.errorMessage = message;
+    return result;
+}
+
+std::string encodeRpcRequest(const std::string &method, const std::string &paramsJson)
+{
+    Json::Value params;
+    if (!parseJson(paramsJson, params) || (!params.isObject() && !params.isArray())) {
+        return {};
+    }
+    TextConnector connector(NullResponse);
+    jsonrpc::Client client(connector);
+    client.CallMethod(method, params);
+    return connector.request();
+}
+
+RpcResult decodeRpcResponse(const std::string &response)
+{
+    TextConnector connector(response);
+    jsonrpc::Client client(connector);
+    try {
+        return rpcResult(writeJson(client.CallMethod(std::string(), Json::Value(Json::objectValue))));
+    } catch (const jsonrpc::JsonRpcException &error) {
+        return rpcError(error.GetCode(), error.GetMessage());
+    } catch (const std::exception &) {
+        return rpcError(RpcMalformedResponse, "malformed response");
+    }
+}
+
+class RpcDispatcher::Impl : public jsonrpc::IProcedureInvokationHandler
+{
+public:
+    Impl()
+        : m_protocol(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this))
+    {
+    }
+
+    void addMethod(const std::string &name, Handler handler)
+    {
+        const jsonrpc::Procedure procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr);
+        m_protocol->AddProcedure(procedure);
+        m_handlers[name] = std::move(handler);
+    }
+
+    std::string dispatch(const std::string &request)
+    {
+        std::string response;
+        try {
+            m_protocol->HandleRequest(request, response);
+        } catch (const std::exception &) {
+            response = R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"malformed request"}})";
+        }
+        return response;
+    }
+
+    void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input, Json::Value &output) override // NOLINT(readability-identifier-naming)
+    {
+        const RpcResult result = m_handlers[procedure.GetProcedureName()](writeJson(input));
+        if (!result.ok) {
+            throw jsonrpc::JsonRpcException(result.errorCode, result.errorMessage);
+        }
+        if (!parseJson(result.json, output)) {
+            throw jsonrpc::JsonRpcException(RpcInternalError, "the handler's result is not JSON");
+        }
+    }
+
+    void HandleNotificationCall(jsonrpc::Procedure &procedure, const Json::Value &input) override // NOLINT(readability-identifier-naming)
+    {
+        m_handlers[procedure.GetProcedureName()](writeJson(input));
+    }
+
+private:
+    std::unique_ptr<jsonrpc::IProtocolHandler> m_protocol;
+    std::map<std::string, Handler> m_handlers;
+};
+
+RpcDispatcher::RpcDispatcher()
+    : m_impl(new Impl)
+{
+}
+
+RpcDispatcher::~RpcDispatcher() = default;
+
+void RpcDispatcher::addMethod(const std::string &name, Handler handler)
+{
+    m_impl->addMethod(name, std::move(handler));
+}
+
+std::string RpcDispatcher::dispatch(const std::string &request)
+{
+    return m_impl->dispatch(request);
+}
+
+} // namespace entry
+} // namespace auburndrum
