--- a/include/auburndrum/backend/serverwatch.h
+++ b/include/auburndrum/backend/serverwatch.h
@@ -33,8 +33,6 @@
 /// Stateless about the servers themselves: each round it watches whatever the fleet holds.
 class ServerWatch : public QObject
 {
-    Q_OBJECT
-
 public:
     ServerWatch(net::HttpClient &http, Fleet &fleet, ServerWatchOptions options, ServerWatchHooks hooks, QObject *parent = nullptr);
 
--- a/include/auburndrum/daemon/daemon.h
+++ b/include/auburndrum/daemon/daemon.h
@@ -10,7 +10,8 @@
 #include "auburndrum/daemon/directorybuilder.h"
 #include "auburndrum/daemon/workerpool.h"
 #include "auburndrum/net/httpserver.h"
-#include "auburndrum/platform/logfold.h"
+#include "auburndrum/decision/logfold.h"
+#include "auburndrum/decision/snapshotplanner.h"
 #include "auburndrum/platform/logfollower.h"
 #include "auburndrum/platform/publisher.h"
 #include "auburndrum/platform/vmlist.h"
@@ -29,8 +30,6 @@
 /// Lock order: fleet before time line before clock; no part holds one of them while it calls another part.
 class Daemon : public QObject
 {
-    Q_OBJECT
-
 public:
     explicit Daemon(const Settings &settings, QObject *parent = nullptr);
     ~Daemon() override;
@@ -55,7 +54,11 @@
     void handle(const std::shared_ptr<net::Exchange> &exchange);
     bool handleObservation(net::Exchange &exchange);
     std::vector<std::string> notReadyReasons() const;
+    void fold(const platform::StoredRecord &record);
+    void handleCaughtUp();
+    void handleCut(std::uint64_t first);
     void rebuildDirectory();
+    void appendSnapshot();
     void readVms();
     void takeVms(const std::vector<platform::Vm> &vms);
     void finishDrain();
@@ -73,7 +76,8 @@
     WorkerPool m_workers;
     net::HttpClient m_http;
     platform::LogClient m_logClient;
-    platform::LogFold m_fold;
+    decision::LogFold m_fold;
+    decision::SnapshotPlanner m_snapshots;
     platform::ClaimService m_claims;
     platform::LogFollower m_follower;
     platform::Publisher m_publisher;
--- a/include/auburndrum/daemon/directorybuilder.h
+++ b/include/auburndrum/daemon/directorybuilder.h
@@ -2,6 +2,7 @@
 
 #include "auburndrum/caller/directory.h"
 #include "auburndrum/decision/configfold.h"
+#include "auburndrum/decision/documentparser.h"
 
 #include <map>
 #include <memory>
@@ -29,7 +30,7 @@
     struct Readable
     {
         decision::Offset version = 0;
-        std::string body;
+        decision::AnyDocument document;
     };
 
     void refresh(const std::string &document, const decision::DocumentState &state);
--- a/include/auburndrum/daemon/shutdownsignal.h
+++ b/include/auburndrum/daemon/shutdownsignal.h
@@ -12,8 +12,6 @@
 /// @brief Turns SIGTERM and SIGINT into calls on the event loop.
 class ShutdownSignal : public QObject
 {
-    Q_OBJECT
-
 public:
     explicit ShutdownSignal(std::function<void()> onSignal, QObject *parent = nullptr);
     ~ShutdownSignal() override;
--- a/include/auburndrum/daemon/workerpool.h
+++ b/include/auburndrum/daemon/workerpool.h
@@ -10,8 +10,6 @@
 /// @brief Pool of workers for what would hold up the event loop, such as reading and hashing long prompts.
 class WorkerPool : public QObject
 {
-    Q_OBJECT
-
 public:
     explicit WorkerPool(int threads, QObject *parent = nullptr);
     ~WorkerPool() override;
--- a/include/auburndrum/platform/claimservice.h
+++ b/include/auburndrum/platform/claimservice.h
@@ -36,8 +36,6 @@
 /// functions, in log order. Lives on the event loop's thread.
 class ClaimService : public QObject
 {
-    Q_OBJECT
-
 public:
     ClaimService(
         LogClient &log, const decision::ClaimLedger &ledger, decision::ClaimBatcherOptions options, ClaimServiceHooks hooks, QObject *parent = nullptr);
--- a/include/auburndrum/platform/logfollower.h
+++ b/include/auburndrum/platform/logfollower.h
@@ -19,15 +19,13 @@
 /// Follows the platform's log from an offset on, for good.
 class LogFollower : public QObject
 {
-    Q_OBJECT
-
 public:
     LogFollower(LogClient &log, LogFollowerHooks hooks, QObject *parent = nullptr);
 
     /// Begins at `from`.
     void start(std::uint64_t from);
-    /// Reads again from `next()` at once, so that a record just appended is seen without delay.
-    void skipTo(std::uint64_t next);
+    /// Reads on from `next`, before or behind the last record: a snapshot covers what lies before it.
+    void rewindTo(std::uint64_t next);
     std::uint64_t next() const
     {
         return m_next;
@@ -53,6 +51,7 @@
     std::uint64_t m_next = 1;
     bool m_reachable = false;
     bool m_reported = false;
+    bool m_isRewound = false;
     Instant m_lastAnswer{};
 };
 
--- a/include/auburndrum/platform/publisher.h
+++ b/include/auburndrum/platform/publisher.h
@@ -1,60 +1,49 @@
 #pragma once
 
 #include "auburndrum/decision/configfold.h"
+#include "auburndrum/decision/publishcall.h"
 #include "auburndrum/platform/logclient.h"
 
 #include <QObject>
 #include <QTimer>
 
 #include <functional>
-#include <map>
-#include <string>
+#include <list>
+#include <optional>
 
 namespace auburndrum::platform {
 
-/// How a publish stands.
-enum class PublishState {
-    Accepted, ///< in the log, and read back as the winner
-    Beaten, ///< another version had replaced the base
-    NotPublished, ///< surely not in the log, and never will be
-    Unknown, ///< may be in the log; ask again by request id
-};
-
-/// Answer to a publish.
-struct PublishResult
-{
-    PublishState state = PublishState::Unknown;
-    decision::Offset version = 0; ///< accepted: the version made; beaten: the one in the way
-};
-
 /// @brief Publishes documents through the log.
 ///
 /// A publish is accepted only after this process has read its own record back as the winner.
 class Publisher : public QObject
 {
-    Q_OBJECT
-
 public:
-    Publisher(LogClient &log, const decision::ConfigFold &config, QObject *parent = nullptr);
+    using DoneHook = std::function<void(const decision::PublishAnswer &)>;
+
+    Publisher(LogClient &log, const decision::ConfigFold &config, std::function<bool()> isLogUp, QObject *parent = nullptr);
 
     /// Appends the record and answers once the log has decided, or with Unknown after `patience`.
-    void publish(const decision::PublishRecord &record, std::chrono::milliseconds patience, std::function<void(const PublishResult &)> onDone);
+    void publish(const decision::PublishRecord &record, std::chrono::milliseconds patience, DoneHook onDone);
     /// Looks at what waits, after the fold has moved.
     void handleFolded();
 
 private:
     struct Waiting
     {
-        std::function<void(const PublishResult &)> onDone;
-        std::chrono::milliseconds patience{};
-        QTimer *timer = nullptr;
+        decision::PublishCall call;
+        DoneHook onDone;
     };
+    using Step = std::function<std::optional<decision::PublishAnswer>(decision::PublishCall &)>;
 
-    void finish(const std::string &requestId, const PublishResult &result);
+    void step(const Step &step);
+    void stepOne(const std::string &requestId, const Step &step);
 
     LogClient &m_log;
     const decision::ConfigFold &m_config;
-    std::map<std::string, Waiting> m_waiting;
+    std::function<bool()> m_isLogUp;
+    QTimer m_timer;
+    std::list<Waiting> m_waiting;
 };
 
 } // namespace auburndrum::platform
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "auburndrum/base/randomid.h"
 #include "auburndrum/caller/apierror.h"
 
+#include <absl/random/random.h>
 #include <nlohmann/json.hpp>
 
 #include <QCoreApplication>
@@ -16,6 +17,7 @@
 constexpr int WorkerThreads = 2;
 constexpr std::chrono::milliseconds VmListInterval{1000};
 constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::chrono::milliseconds MaxSnapshotDelay{60000}; // long enough that one of the entries goes first
 constexpr int ExitCut = 3; // a second signal or the drain limit ended work under way
 
 net::Address toNet(const SocketAddress &address)
@@ -40,6 +42,12 @@
     return it;
 }
 
+std::chrono::milliseconds randomSnapshotDelay()
+{
+    absl::BitGen random;
+    return std::chrono::milliseconds(absl::Uniform<std::int64_t>(random, 0, MaxSnapshotDelay.count()));
+}
+
 backend::FleetOptions fleetOptions(const Settings &settings)
 {
     backend::FleetOptions it;
@@ -58,22 +66,9 @@
     , m_log("daemon")
     , m_workers(WorkerThreads)
     , m_logClient(m_http, {.platform = toNet(settings.platform)})
-    , m_fold({},
-             {.onDocument =
-                  [this](const std::string &document) {
-                      m_directoryStale = true;
-                      m_timeline.record(EventKind::DocumentInForce, {}, document);
-                  },
-              .onClaim =
-                  [this](const decision::ClaimDecision &it) {
-                      m_claims.tookClaim(it);
-                  },
-              .onSettled =
-                  [this](const std::string &nonce) {
-                      m_claims.tookSettlement(nonce);
-                  }})
+    , m_snapshots({.randomDelay = randomSnapshotDelay}, monotonicNow())
     , m_claims(m_logClient,
-               m_fold.ledger(),
+               m_fold.claims(),
                {},
                {.isLogUp =
                     [this] {
@@ -86,27 +81,26 @@
     , m_follower(m_logClient,
                  {.onRecord =
                       [this](const platform::StoredRecord &it) {
-                          m_fold.apply(it);
+                          fold(it);
                       },
                   .onCaughtUp =
                       [this](std::uint64_t) {
-                          rebuildDirectory();
-                          m_publisher.handleFolded();
-                          if (!std::exchange(m_isCaughtUp, true)) {
-                              m_timeline.record(EventKind::DaemonReady, {});
-                              m_log.info("ready at log offset {}", m_fold.offset());
-                          }
+                          handleCaughtUp();
                       },
                   .onCut =
                       [this](std::uint64_t first) {
-                          m_log.warning("log is cut before {}", first);
+                          handleCut(first);
                       },
                   .onReachable =
                       [this](bool isUp) {
                           m_timeline.record(isUp ? EventKind::PlatformBack : EventKind::PlatformLost, {});
                           m_log.info("platform log is {}", isUp ? "up" : "down");
                       }})
-    , m_publisher(m_logClient, m_fold.config())
+    , m_publisher(m_logClient,
+                  m_fold.config(),
+                  [this] {
+                      return m_follower.isReachable() && m_isCaughtUp;
+                  })
     , m_fleet(fleetOptions(settings))
     , m_watch(m_http,
               m_fleet,
@@ -136,6 +130,7 @@
     })
 {
     connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::readVms);
+    connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::appendSnapshot);
     connect(&m_drainTimer, &QTimer::timeout, this, &Daemon::finishDrain);
     m_registry.onScrape([this] {
         refreshMetrics();
@@ -201,6 +196,56 @@
     return reasons;
 }
 
+void Daemon::fold(const platform::StoredRecord &record)
+{
+    const decision::FoldedEntry entry = m_fold.feed(record.offset, record.at, record.value);
+    const bool isFound = entry.result == decision::FeedResult::Found;
+    if (isFound || entry.result == decision::FeedResult::Gap) {
+        m_follower.rewindTo(m_fold.offset() + 1);
+    }
+    m_directoryStale = m_directoryStale || isFound;
+    if (entry.hasSnapshot) {
+        m_snapshots.snapshotSeen(monotonicNow(), record.offset);
+    }
+    for (const std::string &it : entry.documents) {
+        m_directoryStale = true;
+        m_timeline.record(EventKind::DocumentInForce, {}, it);
+    }
+    for (const decision::ClaimDecision &it : entry.decisions) {
+        m_claims.tookClaim(it);
+    }
+    for (const std::string &it : entry.settled) {
+        m_claims.tookSettlement(it);
+    }
+}
+
+void Daemon::handleCaughtUp()
+{
+    rebuildDirectory();
+    m_publisher.handleFolded();
+    if (m_fold.isSearching() || std::exchange(m_isCaughtUp, true)) {
+        return;
+    }
+    m_timeline.record(EventKind::DaemonReady, {});
+    m_log.info("ready at log offset {}", m_fold.offset());
+}
+
+void Daemon::appendSnapshot()
+{
+    if (!m_isCaughtUp || !m_follower.isReachable() || !m_fold.mayWriteSnapshot() || !m_snapshots.isDue(monotonicNow(), m_fold.offset())) {
+        return;
+    }
+    m_timeline.record(EventKind::SnapshotAppended, {}, std::to_string(m_fold.offset()));
+    // A lost reply needs no care: a second snapshot is harmless, and a missing one is planned again.
+    m_logClient.append(decision::encodeEntry({m_fold.snapshot()}), [](const platform::AppendResult &) { });
+}
+
+void Daemon::handleCut(std::uint64_t first)
+{
+    m_log.warning("log is cut before {}, looking for a snapshot", first);
+    m_fold.searchSnapshot();
+}
+
 void Daemon::rebuildDirectory()
 {
     if (std::exchange(m_directoryStale, false)) {
--- a/src/auburndrum/daemon/directorybuilder.cpp
+++ b/src/auburndrum/daemon/directorybuilder.cpp
@@ -1,29 +1,46 @@
 #include "auburndrum/daemon/directorybuilder.h"
-#include <nlohmann/json.hpp>
+
+#include "auburndrum/decision/documentparser.h"
+
+#include <variant>
+
 namespace auburndrum::daemon {
+
+void DirectoryBuilder::refresh(const std::string &document, const decision::DocumentState &state)
+{
+    if (state.body.empty()) {
+        m_readable.erase(document);
+        m_heldBack.erase(document);
+        return;
+    }
+    const auto it = m_readable.find(document);
+    if (it != m_readable.end() && it->second.version == state.version) {
+        return;
+    }
+    auto parsed = decision::parseDocument(state.body);
+    const bool isUsable = parsed.has_value() && decision::documentKey(decision::kindOf(parsed.value()), decision::nameOf(parsed.value())) == document;
+    if (!isUsable) {
+        m_heldBack[document] = it == m_readable.end() ? 0 : it->second.version;
+        return;
+    }
+    m_heldBack.erase(document);
+    m_readable[document] = {state.version, std::move(parsed.value())};
+}
+
 std::shared_ptr<const caller::Directory> DirectoryBuilder::build(const decision::ConfigFold &config)
 {
-    auto d = std::make_shared<caller::Directory>();
-    for (const auto &[name, state] : config.documents()) {
-        auto j = nlohmann::json::parse(state.body, nullptr, false);
-        if (name.starts_with("organisation/")) {
-            d->add(decision::OrganisationDocument{j["name"], j["keyHashes"].get<std::vector<std::string>>()});
-            continue;
-        }
-        if (!name.starts_with("service/"))
-            continue;
-        decision::ServiceDocument s;
-        s.name = j["name"];
-        s.kind = j.value("kind", "") == "plain" ? decision::ServiceKind::Plain : decision::ServiceKind::Engine;
-        s.weightVersion = j.value("weightVersion", "");
-        s.repeatable = j.value("repeatable", true);
-        for (auto &o : j["organisations"]) {
-            decision::OrganisationGrant g;
-            g.organisation = o;
-            s.organisations.push_back(g);
-        }
-        d->add(s);
+    for (const auto &[document, state] : config.documents()) {
+        refresh(document, state);
+    }
+    auto directory = std::make_shared<caller::Directory>();
+    for (const auto &[document, readable] : m_readable) {
+        std::visit(
+            [&directory](const auto &it) {
+                directory->add(it);
+            },
+            readable.document);
     }
-    return d;
+    return directory;
 }
+
 } // namespace auburndrum::daemon
--- a/src/auburndrum/platform/logfollower.cpp
+++ b/src/auburndrum/platform/logfollower.cpp
@@ -25,10 +25,10 @@
     read();
 }
 
-void LogFollower::skipTo(std::uint64_t next)
+void LogFollower::rewindTo(std::uint64_t next)
 {
-    // Never back: what was folded stays folded.
-    m_next = std::max(m_next, next);
+    m_next = next;
+    m_isRewound = true;
 }
 
 void LogFollower::read()
@@ -62,6 +62,9 @@
         }
         m_next = it.offset + 1;
         m_hooks.onRecord(it);
+        if (std::exchange(m_isRewound, false)) {
+            break; // the rest of this read is not the next in order
+        }
     }
     setReachable(true);
     if (m_next >= result.next) {
--- a/src/auburndrum/platform/publisher.cpp
+++ b/src/auburndrum/platform/publisher.cpp
@@ -4,61 +4,84 @@
 
 namespace auburndrum::platform {
 
-Publisher::Publisher(LogClient &log, const decision::ConfigFold &config, QObject *parent)
+using decision::PublishAnswer;
+using decision::PublishCall;
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval{50};
+
+} // namespace
+
+Publisher::Publisher(LogClient &log, const decision::ConfigFold &config, std::function<bool()> isLogUp, QObject *parent)
     : QObject(parent)
     , m_log(log)
     , m_config(config)
+    , m_isLogUp(std::move(isLogUp))
 {
+    connect(&m_timer, &QTimer::timeout, this, [this] {
+        step([](PublishCall &call) {
+            return call.tick(monotonicNow());
+        });
+    });
 }
 
-void Publisher::publish(const decision::PublishRecord &record, std::chrono::milliseconds patience, std::function<void(const PublishResult &)> onDone)
+void Publisher::publish(const decision::PublishRecord &record, std::chrono::milliseconds patience, DoneHook onDone)
 {
-    const std::string requestId = record.requestId;
-    auto *timer = new QTimer(this);
-    timer->setSingleShot(true);
-    connect(timer, &QTimer::timeout, this, [this, requestId] {
-        finish(requestId, {PublishState::Unknown, 0});
-    });
-    m_waiting[requestId] = {std::move(onDone), patience, timer};
-    timer->start(patience);
-    m_log.append(decision::encodeEntry({record}), [self = QPointer<Publisher>(this), requestId](const AppendResult &result) {
-        if (!self) {
-            return;
-        }
-        if (result.error == PlatformError::NotSent || result.error == PlatformError::Refused) {
-            self->finish(requestId, {PublishState::NotPublished, 0});
-            return;
+    PublishCall call(record, monotonicNow() + patience);
+    if (const auto answer = call.start(m_config, m_isLogUp())) {
+        onDone(*answer);
+        return;
+    }
+    m_waiting.push_back({std::move(call), std::move(onDone)});
+    m_timer.start(TickInterval);
+    m_log.append(decision::encodeEntry({record}), [self = QPointer<Publisher>(this), requestId = record.requestId](const AppendResult &result) {
+        const bool isRefused = result.error == PlatformError::NotSent || result.error == PlatformError::Refused;
+        if (!self || !isRefused) {
+            return; // the log itself tells the rest
         }
-        self->handleFolded();
+        self->stepOne(requestId, [](PublishCall &it) {
+            return it.appendRefused();
+        });
     });
 }
 
 void Publisher::handleFolded()
 {
-    std::vector<std::pair<std::string, PublishResult>> decided;
-    for (const auto &[requestId, waiting] : m_waiting) {
-        const decision::PublishOutcome outcome = m_config.outcomeOf(requestId);
-        if (outcome.kind == decision::PublishOutcome::Kind::Unknown) {
-            continue;
-        }
-        const bool isAccepted = outcome.kind == decision::PublishOutcome::Kind::Accepted;
-        decided.push_back({requestId, {isAccepted ? PublishState::Accepted : PublishState::Beaten, outcome.version}});
+    step([this](PublishCall &call) {
+        return call.folded(m_config);
+    });
+}
+
+void Publisher::step(const Step &step)
+{
+    std::vector<std::string> requestIds;
+    for (const Waiting &it : m_waiting) {
+        requestIds.push_back(it.call.record().requestId);
     }
-    for (const auto &[requestId, result] : decided) {
-        finish(requestId, result);
+    for (const std::string &it : requestIds) {
+        stepOne(it, step);
+    }
+    if (m_waiting.empty()) {
+        m_timer.stop();
     }
 }
 
-void Publisher::finish(const std::string &requestId, const PublishResult &result)
+void Publisher::stepOne(const std::string &requestId, const Step &step)
 {
-    const auto it = m_waiting.find(requestId);
-    if (it == m_waiting.end()) {
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+        if (it->call.record().requestId != requestId) {
+            continue;
+        }
+        const auto answer = step(it->call);
+        if (!answer) {
+            return;
+        }
+        const DoneHook onDone = std::move(it->onDone);
+        m_waiting.erase(it);
+        onDone(*answer);
         return;
     }
-    const Waiting waiting = std::move(it->second);
-    m_waiting.erase(it);
-    waiting.timer->deleteLater();
-    waiting.onDone(result);
 }
 
 } // namespace auburndrum::platform
