Add the link between entry VMs: calls, gossip, configuration, claims, time lines

Cause: a daemon needs one object that keeps membership, spreads small facts, moves configuration to entry VMs that don't read the log, forwards claims and collects time lines over POST /rpc with the fleet's secret. Ruled out: the library's own HTTP connectors (50 threads, every address, a blocking client); a claim's result as the answer of the forward (a slow log would hold connections open and end in time outs that say nothing). Seen on the way: HttpClient crashes when a call under way ends after its destruction (SIGSEGV in HttpClient::Private::release, a ClientConnection's timer); a daemon has one client for life, so the tests share one as well.

--- a/include/auburndrum/entry/entryerror.h
+++ b/include/auburndrum/entry/entryerror.h
@@ -6,8 +6,8 @@
 
 /// Why a call to another entry VM gave nothing.
 enum class EntryError {
-    Unreachable, ///< no connection, or it broke before the answer was whole
-    TimedOut, ///< no answer in time; the call may have taken effect
+    Unreachable, ///< no connection; nothing was sent
+    Unanswered, ///< no whole answer; the call may have taken effect
     Unauthorized, ///< the peer has another fleet secret
     Refused, ///< the peer can't do this now
     Malformed, ///< the peer's answer or request can't be read
--- /dev/null
+++ b/src/auburndrum/entry/claimforwarder.cpp
@@ -0,0 +1,133 @@
+#include "auburndrum/entry/claimforwarder.h"
+
+#include "auburndrum/base/randomid.h"
+
+#include <nlohmann/json.hpp>
+
+#include <QPointer>
+
+#include <optional>
+#include <utility>
+
+namespace auburndrum::entry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *ForwardMethod = "claims.forward";
+constexpr const char *ResultMethod = "claims.result";
+
+/// A claim or a result with the id that ties the two.
+struct Envelope
+{
+    std::string id;
+    std::string text;
+};
+
+std::string toJson(const Envelope &envelope)
+{
+    return json{{"id", envelope.id}, {"text", envelope.text}}.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<Envelope> envelopeFrom(const std::string &paramsJson)
+{
+    try {
+        const json params = json::parse(paramsJson);
+        return Envelope{params.at("id").get<std::string>(), params.at("text").get<std::string>()};
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+ClaimForwarder::ClaimForwarder(PeerClient &client, PeerServer &server, Address address, ClaimForwarderOptions options)
+    : m_client(client)
+    , m_address(std::move(address))
+    , m_options(options)
+{
+    server.addMethod(ForwardMethod, [this](const std::string &peer, const std::string &paramsJson) {
+        return takeClaim(peer, paramsJson);
+    });
+    server.addMethod(ResultMethod, [this](const std::string &peer, const std::string &paramsJson) {
+        return takeResult(peer, paramsJson);
+    });
+}
+
+void ClaimForwarder::setOwner(Owner owner)
+{
+    m_owner = std::move(owner);
+}
+
+void ClaimForwarder::forward(const std::string &peer, const std::string &claim, Done done)
+{
+    if (m_waiting.size() >= m_options.maxWaiting) {
+        QTimer::singleShot(0, this, [done = std::move(done)] {
+            done(EntryError::Refused);
+        });
+        return;
+    }
+    const std::string id = randomId();
+    m_waiting[id] = {peer, std::move(done)};
+    QTimer::singleShot(m_options.resultTimeout, this, [this, id] {
+        finish(id, EntryError::Unanswered);
+    });
+    m_client.call({peer, m_address(peer), ForwardMethod, toJson({id, claim})}, [this, id](const EntryResult<std::string> &result) {
+        // An unanswered forward may have arrived: its result may still come.
+        if (!result && result.error() != EntryError::Unanswered) {
+            finish(id, result.error());
+        }
+    });
+}
+
+std::size_t ClaimForwarder::waiting() const
+{
+    return m_waiting.size();
+}
+
+RpcResult ClaimForwarder::takeClaim(const std::string &peer, const std::string &paramsJson)
+{
+    const auto envelope = envelopeFrom(paramsJson);
+    if (!envelope) {
+        return rpcError(RpcInvalidParams, "id and text are required");
+    }
+    const auto reply = [self = QPointer(this), peer, id = envelope->id](const std::string &result) {
+        if (!self) {
+            return;
+        }
+        self->m_client.call({peer, self->m_address(peer), ResultMethod, toJson({id, result})}, [](const EntryResult<std::string> &) {
+        });
+    };
+    if (!m_owner || !m_owner(envelope->text, reply)) {
+        return rpcError(RpcRefused, "not an owner now");
+    }
+    return rpcResult("{}");
+}
+
+RpcResult ClaimForwarder::takeResult(const std::string &peer, const std::string &paramsJson)
+{
+    const auto envelope = envelopeFrom(paramsJson);
+    if (!envelope) {
+        return rpcError(RpcInvalidParams, "id and text are required");
+    }
+    const auto it = m_waiting.find(envelope->id);
+    // Only the owner that was asked may answer.
+    if (it != m_waiting.end() && it->second.peer == peer) {
+        finish(envelope->id, envelope->text);
+    }
+    return rpcResult("{}");
+}
+
+void ClaimForwarder::finish(const std::string &id, const EntryResult<std::string> &result)
+{
+    const auto it = m_waiting.find(id);
+    if (it == m_waiting.end()) {
+        return;
+    }
+    const Done done = std::move(it->second.done);
+    m_waiting.erase(it);
+    done(result);
+}
+
+} // namespace auburndrum::entry
--- a/src/auburndrum/entry/entryerror.cpp
+++ b/src/auburndrum/entry/entryerror.cpp
@@ -7,8 +7,8 @@
     switch (error) {
     case EntryError::Unreachable:
         return "unreachable";
-    case EntryError::TimedOut:
-        return "timed out";
+    case EntryError::Unanswered:
+        return "unanswered";
     case EntryError::Unauthorized:
         return "unauthorized";
     case EntryError::Refused:
