Link the entry VMs: membership, leaving servers, a peer's fold when the log is down

Cause: daemons knew nothing of each other. The daemon now gossips with the entry VMs of the VM list and of its settings, spreads leaving backend servers, takes a peer's fold only while the log can't be read, and tells the claims' batcher how many share the append budget. Also mended: an answer of another attempt or version was cancelled before it was noted, so that it counted as broken and taught the router nothing (process_stream_test found it). Ruled out: fetching a fold whenever a peer is ahead; with claims in the log some peer always is, by milliseconds.

--- a/include/auburndrum/backend/fleet.h
+++ b/include/auburndrum/backend/fleet.h
@@ -70,7 +70,8 @@
 
     void put(const decision::ServerEntry &entry);
     void remove(std::string_view address, std::uint64_t incarnation);
-    void markLeaving(std::string_view address, std::uint64_t incarnation);
+    /// Keeps new work away from an incarnation for good. False when it was known to leave.
+    bool markLeaving(std::string_view address, std::uint64_t incarnation);
     void report(std::string_view address, const decision::LoadReport &load);
     void observeVersion(decision::ServerId server, std::string_view version);
     void notePrefix(decision::ServerId server, const PreparedPrompt &prompt);
--- a/include/auburndrum/daemon/daemon.h
+++ b/include/auburndrum/daemon/daemon.h
@@ -12,6 +12,7 @@
 #include "auburndrum/net/httpserver.h"
 #include "auburndrum/decision/logfold.h"
 #include "auburndrum/decision/snapshotplanner.h"
+#include "auburndrum/entry/entrylink.h"
 #include "auburndrum/platform/logfollower.h"
 #include "auburndrum/platform/publisher.h"
 #include "auburndrum/platform/vmlist.h"
@@ -59,6 +60,10 @@
     void handleCut(std::uint64_t first);
     void rebuildDirectory();
     void appendSnapshot();
+    void startEntryLink();
+    bool adoptFold(const entry::ConfigTransfer &transfer);
+    std::string timelineReport(const std::string &filterJson) const;
+    bool isLogUp() const;
     void readVms();
     void takeVms(const std::vector<platform::Vm> &vms);
     void finishDrain();
@@ -88,6 +93,7 @@
     caller::CallerContext m_callerContext;
     caller::CallerApi m_callerApi;
     net::HttpServer m_server;
+    std::unique_ptr<entry::EntryLink> m_entries; ///< made once the own address is known
     net::Address m_address;
     QTimer m_vmTimer;
     QTimer m_drainTimer;
--- a/include/auburndrum/entry/configexchange.h
+++ b/include/auburndrum/entry/configexchange.h
@@ -27,6 +27,8 @@
     std::function<std::optional<std::string>(std::uint64_t after)> provideDelta;
     /// Returns the whole fold; nothing while there is none.
     std::function<std::optional<std::string>()> provideFold;
+    /// Whether to fetch from a peer that is ahead; always when empty.
+    std::function<bool()> isWanted;
     /// Takes what a peer sent, always of a higher offset than the own one. Returns whether it could be used.
     std::function<bool(const ConfigTransfer &)> apply;
 };
--- a/include/auburndrum/platform/claimservice.h
+++ b/include/auburndrum/platform/claimservice.h
@@ -53,6 +53,8 @@
     /// Tells what the log decided.
     void tookClaim(const decision::ClaimDecision &decision);
     void tookSettlement(const std::string &nonce);
+    /// Looks all calls up in the ledger, after it took over a fold without its records.
+    void reconcile();
 
     /// Puts an outcome that an operator or a look-up found into the log.
     void append(const decision::Outcome &outcome);
--- a/src/auburndrum/backend/enginestream.cpp
+++ b/src/auburndrum/backend/enginestream.cpp
@@ -93,13 +93,13 @@
 bool EngineStream::verify(const net::HttpHead &head)
 {
     if (head.header("X-Attempt-Id") != m_attempt.attemptId) {
-        m_call.cancel();
         end(EngineEndKind::WrongAttempt, {.head = head});
+        m_call.cancel();
         return false;
     }
     if (!m_attempt.version.isEmpty() && head.header("X-Weight-Version") != m_attempt.version) {
-        m_call.cancel();
         end(EngineEndKind::WrongVersion, {.head = head});
+        m_call.cancel();
         return false;
     }
     return true;
--- a/src/auburndrum/backend/fleet.cpp
+++ b/src/auburndrum/backend/fleet.cpp
@@ -84,10 +84,15 @@
     m_servers.remove(address, incarnation);
 }
 
-void Fleet::markLeaving(std::string_view address, std::uint64_t incarnation)
+bool Fleet::markLeaving(std::string_view address, std::uint64_t incarnation)
 {
     const absl::MutexLock lock(&m_mutex);
+    const decision::Server *server = m_servers.find(address);
+    if (server != nullptr && server->incarnation == incarnation && server->leaving) {
+        return false;
+    }
     m_servers.markLeaving(address, incarnation);
+    return true;
 }
 
 void Fleet::report(std::string_view address, const decision::LoadReport &load)
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -48,6 +48,12 @@
     return std::chrono::milliseconds(absl::Uniform<std::int64_t>(random, 0, MaxSnapshotDelay.count()));
 }
 
+/// Entry VMs that append to the log now, this one included.
+std::size_t countLive(const decision::Membership &membership)
+{
+    return std::max<std::size_t>(1, membership.usable().size());
+}
+
 backend::FleetOptions fleetOptions(const Settings &settings)
 {
     backend::FleetOptions it;
@@ -72,7 +78,7 @@
                {},
                {.isLogUp =
                     [this] {
-                        return m_follower.isReachable() && m_isCaughtUp;
+                        return isLogUp();
                     },
                 .onEvent =
                     [this](const std::string &nonce, EventKind kind) {
@@ -99,7 +105,7 @@
     , m_publisher(m_logClient,
                   m_fold.config(),
                   [this] {
-                      return m_follower.isReachable() && m_isCaughtUp;
+                      return isLogUp();
                   })
     , m_fleet(fleetOptions(settings))
     , m_watch(m_http,
@@ -147,6 +153,7 @@
         return false;
     }
     m_timeline.record(EventKind::DaemonStarted, {}, m_incarnation);
+    startEntryLink();
     m_follower.start(1);
     readVms();
     m_vmTimer.start(VmListInterval);
@@ -154,9 +161,86 @@
     return true;
 }
 
+void Daemon::startEntryLink()
+{
+    entry::EntryLinkOptions options;
+    options.self.name = m_settings.name;
+    options.self.address = net::toText(m_address);
+    options.self.zone = m_settings.zone;
+    options.self.region = m_settings.region;
+    options.self.incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+    options.fleetSecret = m_settings.fleetSecret;
+    for (const SocketAddress &it : m_settings.peers) {
+        options.seeds.push_back(toText(it));
+    }
+    entry::EntryLinkHooks hooks;
+    hooks.onMemberChange = [this](const decision::MemberRecord &it) {
+        const bool isGone = it.state() == decision::MemberState::Dead;
+        m_timeline.record(isGone ? EventKind::PeerLost : EventKind::PeerBack, {}, it.name);
+        m_claims.setBatchers(countLive(m_entries->membership()));
+    };
+    hooks.onLeavingServer = [this](const decision::LeavingServer &it) {
+        m_fleet.markLeaving(it.server, it.incarnation);
+    };
+    hooks.onSupplanted = [this] {
+        m_log.error("another process runs as {}", m_settings.name);
+    };
+    hooks.config.isWanted = [this] {
+        return !isLogUp();
+    };
+    hooks.config.provideFold = [this]() -> std::optional<std::string> {
+        return m_isCaughtUp ? std::optional(decision::encodeEntry({m_fold.snapshot()})) : std::nullopt;
+    };
+    hooks.config.apply = [this](const entry::ConfigTransfer &it) {
+        return adoptFold(it);
+    };
+    hooks.timelineReport = [this](const std::string &filterJson) {
+        return timelineReport(filterJson);
+    };
+    m_entries = std::make_unique<entry::EntryLink>(m_http, std::move(options), std::move(hooks));
+    m_entries->start();
+}
+
+bool Daemon::isLogUp() const
+{
+    return m_isCaughtUp && m_follower.isReachable();
+}
+
+bool Daemon::adoptFold(const entry::ConfigTransfer &transfer)
+{
+    const auto records = decision::decodeEntry(transfer.text);
+    if (!transfer.isWhole || !records || records.value().records.size() != 1) {
+        return false;
+    }
+    const auto *snapshot = std::get_if<decision::SnapshotRecord>(&records.value().records.front());
+    if (snapshot == nullptr || !m_fold.adopt(*snapshot)) {
+        return false;
+    }
+    m_follower.rewindTo(m_fold.offset() + 1);
+    m_directoryStale = true;
+    // Records that this process didn't see one by one may have decided its own claims.
+    m_claims.reconcile();
+    handleCaughtUp();
+    m_log.info("took a peer's fold at log offset {}", m_fold.offset());
+    return true;
+}
+
+std::string Daemon::timelineReport(const std::string &filterJson) const
+{
+    const json filter = json::parse(filterJson, nullptr, false);
+    TimelineFilter wanted;
+    if (filter.is_object()) {
+        wanted.requestId = filter.value("request", std::string());
+        if (filter.contains("since_ms") && filter["since_ms"].is_number_integer()) {
+            wanted.since = WallTime(std::chrono::milliseconds(filter["since_ms"].get<std::int64_t>()));
+        }
+    }
+    return toJson(TimelineReport{m_settings.name, m_settings.zone, m_timeline.dropped(), m_timeline.events(wanted)});
+}
+
 void Daemon::handle(const std::shared_ptr<net::Exchange> &exchange)
 {
-    if (handleObservation(*exchange) || m_callerApi.handle(exchange)) {
+    if (handleObservation(*exchange) || m_entries->handle(exchange) || m_callerApi.handle(exchange)) {
         return;
     }
     caller::refuse(*exchange, caller::unknownPath(exchange->path()));
@@ -223,6 +307,7 @@
 {
     rebuildDirectory();
     m_publisher.handleFolded();
+    m_entries->setConfigOffset(m_fold.offset());
     if (m_fold.isSearching() || std::exchange(m_isCaughtUp, true)) {
         return;
     }
@@ -265,7 +350,11 @@
 void Daemon::takeVms(const std::vector<platform::Vm> &vms)
 {
     std::set<std::string> listed;
+    std::vector<decision::ListedVm> entries;
     for (const platform::Vm &it : vms) {
+        if (it.role == platform::VmRole::Entry) {
+            entries.push_back({it.name, it.address, it.zone, it.region, it.leaving});
+        }
         if (it.role != platform::VmRole::Backend) {
             continue;
         }
@@ -281,12 +370,16 @@
         }
     }
     m_listedServers = std::move(listed);
+    m_entries->mergeList(entries);
 }
 
 void Daemon::noteLeavingServer(const std::string &address, std::uint64_t incarnation)
 {
-    m_fleet.markLeaving(address, incarnation);
+    if (!m_fleet.markLeaving(address, incarnation)) {
+        return; // known
+    }
     m_timeline.record(EventKind::BackendLeaving, {}, address);
+    m_entries->announce(decision::LeavingServer{address, incarnation});
 }
 
 void Daemon::refreshMetrics()
@@ -308,6 +401,7 @@
     m_phase = Phase::Draining;
     m_drainDeadline = monotonicNow() + m_settings.drainLimit;
     m_timeline.record(EventKind::DrainStarted, {});
+    m_entries->leave();
     m_log.info("draining {} requests", m_server.openExchanges());
     // The balancer goes on sending here until it has seen /readyz fail.
     QTimer::singleShot(m_settings.balancerLag, this, [this] {
--- a/src/auburndrum/entry/configexchange.cpp
+++ b/src/auburndrum/entry/configexchange.cpp
@@ -51,6 +51,9 @@
 
 void ConfigExchange::handlePeerOffset(const std::string &peer, std::uint64_t offset)
 {
+    if (m_hooks.isWanted && !m_hooks.isWanted()) {
+        return;
+    }
     if (const auto source = m_catchUp.peerOffset(peer, offset)) {
         fetch(*source);
     }
--- a/src/auburndrum/platform/claimservice.cpp
+++ b/src/auburndrum/platform/claimservice.cpp
@@ -243,6 +243,27 @@
     });
 }
 
+void ClaimService::reconcile()
+{
+    std::vector<decision::ClaimDecision> decided;
+    for (const auto &[nonce, run] : m_runs) {
+        const decision::Claim &claim = run.call.claim();
+        const decision::ClaimState *holder = m_ledger.find(claim.key);
+        if (holder == nullptr) {
+            continue; // not in the log so far, or released
+        }
+        const auto verdict = holder->nonce == nonce ? decision::ClaimVerdict::Won : decision::ClaimVerdict::Lost;
+        decided.push_back({claim.key, claim.incarnation, nonce, verdict});
+    }
+    for (const decision::ClaimDecision &it : decided) {
+        tookClaim(it);
+        const decision::ClaimState *holder = m_ledger.find(it.key);
+        if (holder != nullptr && holder->nonce == it.nonce && holder->outcome) {
+            tookSettlement(it.nonce);
+        }
+    }
+}
+
 void ClaimService::append(const decision::Outcome &outcome)
 {
     m_batcher.add(outcome);
