--- a/include/auburndrum/decision/claimledger.h
+++ b/include/auburndrum/decision/claimledger.h
@@ -45,7 +45,7 @@
     WallTime deadline;
     Offset offset = 0;
     WallTime at; ///< log time
-    std::unique_ptr<const Outcome> outcome; ///< none while the call may be running
+    std::shared_ptr<const Outcome> outcome; ///< none while the call may be running
 };
 
 /// Who holds which key: a deterministic fold of claims, outcomes and releases.
--- a/src/auburndrum/decision/claimcall_test.cpp
+++ b/src/auburndrum/decision/claimcall_test.cpp
@@ -86,7 +86,7 @@
     CHECK(answerOf(newCall().start(T0, &holder, false)) == AnswerKind::MayHaveRun);
     const ClaimState other = heldBy("b", "other");
     CHECK(answerOf(newCall().start(T0, &other, true)) == AnswerKind::KeyReused);
-    holder.outcome = std::make_unique<const Outcome>(soup);
+    holder.outcome = std::make_shared<const Outcome>(soup);
     CHECK(answerOf(newCall().start(T0, &holder, true)) == AnswerKind::Replay);
 }
 
--- a/src/auburndrum/decision/claimledger.cpp
+++ b/src/auburndrum/decision/claimledger.cpp
@@ -32,7 +32,7 @@
     const auto it = m_claims.find(outcome.key);
     const bool settles = it != m_claims.end() && it->second.nonce == outcome.nonce && !it->second.outcome;
     if (settles) {
-        it->second.outcome = std::make_unique<const Outcome>(outcome);
+        it->second.outcome = std::make_shared<const Outcome>(outcome);
     }
     return settles;
 }
@@ -108,7 +108,7 @@
     m_ages.clear();
     for (const SnapshotClaim &it : snapshot.claims) {
         const Claim &claim = it.claim;
-        auto outcome = it.outcome.empty() ? nullptr : std::make_unique<const Outcome>(it.outcome.front());
+        std::shared_ptr<const Outcome> outcome = it.outcome.empty() ? nullptr : std::make_shared<const Outcome>(it.outcome.front());
         m_claims[claim.key] = {claim.fingerprint, claim.incarnation, claim.nonce, claim.deadline, it.offset, it.at, std::move(outcome)};
         m_ages.push_back({it.at, it.offset, claim.key});
     }
