Measure routing decisions, and walk hashes side by side for the home

Cause: at 11,000 workers the rendezvous walk touched one whole Server for each worker of the service.

It runs three simulations at once, and plans one look at the queue at a time; before, every arrival at a busy service started a chain of its own, and overload at 5x did not end within ten minutes.

--- a/bench/policy/entry.cpp
+++ b/bench/policy/entry.cpp
@@ -5,6 +5,7 @@
 #include <absl/random/distributions.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndrum::bench {
 
@@ -93,6 +94,16 @@
     return m_zone;
 }
 
+bool Entry::planPump()
+{
+    return !std::exchange(m_pumpPlanned, true);
+}
+
+void Entry::pumpBegan()
+{
+    m_pumpPlanned = false;
+}
+
 void Entry::setVersion(Request &request, absl::BitGenRef random) const
 {
     const std::string version = decision::servingVersion(m_knowledge->servers, "service", random);
--- a/bench/policy/entry.h
+++ b/bench/policy/entry.h
@@ -72,6 +72,10 @@
     decision::ReturnGaps &gaps();
     std::uint32_t zone() const;
 
+    /// Plans one later look at the queue; false when one is planned already.
+    bool planPump();
+    void pumpBegan();
+
     /// Sets the weight version that the request asks for, and its keys.
     void setVersion(Request &request, absl::BitGenRef random) const;
 
@@ -94,6 +98,7 @@
     absl::flat_hash_map<decision::ServerId, ServerLimits> m_limits;
     absl::flat_hash_map<std::uint32_t, Instant> m_lastSeen;
     std::size_t m_turn = 0;
+    bool m_pumpPlanned = false;
 };
 
 } // namespace auburndrum::bench
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -4,8 +4,15 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
+#include <array>
+#include <atomic>
+#include <thread>
+#include <vector>
+
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the workload and of every random choice");
-ABSL_FLAG(double, hours, 0.5, "measured hours of virtual time; twice as many warm up");
+ABSL_FLAG(double, hours, 0.5, "measured hours of virtual time");
+ABSL_FLAG(double, warmup, 3, "hours of virtual time before");
+ABSL_FLAG(std::uint32_t, threads, 3, "runs at once");
 ABSL_FLAG(std::string, user, "", "only this user");
 ABSL_FLAG(std::string, fault, "", "only this fault");
 ABSL_FLAG(std::string, policy, "", "only this policy");
@@ -15,6 +22,10 @@
 
 using namespace auburndrum::bench;
 
+constexpr std::array OverloadFactors{1.0, 2.0, 3.0, 4.0, 5.0, 8.0, 20.0};
+constexpr std::chrono::minutes OverloadMeasured{5};
+constexpr std::chrono::minutes OverloadWarmUp{15};
+
 bool wanted(const std::string &flag, std::string_view name)
 {
     return flag.empty() || flag == name;
@@ -26,12 +37,13 @@
     settings.profile = profile;
     settings.seed = absl::GetFlag(FLAGS_seed);
     settings.measured = seconds(3600 * absl::GetFlag(FLAGS_hours));
-    settings.warmUp = 2 * settings.measured;
+    settings.warmUp = seconds(3600 * absl::GetFlag(FLAGS_warmup));
     return settings;
 }
 
-void runFaults(const Profile &profile, Report &report)
+std::vector<RunSettings> faultRuns(const Profile &profile)
 {
+    std::vector<RunSettings> runs;
     for (const Fault fault : Faults) {
         if (!wanted(absl::GetFlag(FLAGS_fault), nameOf(fault))) {
             continue;
@@ -43,19 +55,56 @@
             RunSettings settings = settingsFor(profile);
             settings.policy = policy;
             settings.fault = fault;
-            report.add(settings, Simulation(settings).run());
+            runs.push_back(settings);
         }
     }
+    return runs;
 }
 
-void runOverload(const Profile &profile, Report &report)
+std::vector<RunSettings> overloadRuns(const Profile &profile)
 {
-    for (const double load : {1.0, 1.5, 2.0, 5.0}) {
+    std::vector<RunSettings> runs;
+    for (const double load : OverloadFactors) {
         RunSettings settings = settingsFor(profile);
         settings.load = load;
-        settings.measured = settings.measured / 4;
-        settings.warmUp = settings.warmUp / 4;
-        report.addOverload(settings, Simulation(settings).run());
+        settings.measured = OverloadMeasured;
+        settings.warmUp = OverloadWarmUp;
+        runs.push_back(settings);
+    }
+    return runs;
+}
+
+// Runs all, some at once, and returns their results in order.
+std::vector<RunResult> runAll(const std::vector<RunSettings> &runs)
+{
+    std::vector<RunResult> results(runs.size());
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::jthread> threads(std::max(absl::GetFlag(FLAGS_threads), 1U));
+    for (std::jthread &it : threads) {
+        it = std::jthread([&] {
+            for (std::size_t n = next++; n < runs.size(); n = next++) {
+                results[n] = Simulation(runs[n]).run();
+            }
+        });
+    }
+    threads.clear();
+    return results;
+}
+
+void runUser(const Profile &profile, Report &report)
+{
+    const std::vector<RunSettings> runs = faultRuns(profile);
+    std::size_t n = 0;
+    for (const RunResult &it : runAll(runs)) {
+        report.add(runs[n++], it);
+    }
+    if (!absl::GetFlag(FLAGS_overload)) {
+        return;
+    }
+    const std::vector<RunSettings> overload = overloadRuns(profile);
+    n = 0;
+    for (const RunResult &it : runAll(overload)) {
+        report.addOverload(overload[n++], it);
     }
 }
 
@@ -69,10 +118,7 @@
         if (!wanted(absl::GetFlag(FLAGS_user), profile.name)) {
             continue;
         }
-        runFaults(profile, report);
-        if (absl::GetFlag(FLAGS_overload)) {
-            runOverload(profile, report);
-        }
+        runUser(profile, report);
     }
     report.printTargets();
     return 0;
--- a/bench/policy/requests.cpp
+++ b/bench/policy/requests.cpp
@@ -74,9 +74,7 @@
         const auto placement = entry.choose(m_waiting.at(next->id), m_loop.now(), m_random);
         if (placement.has_error() && waits(placement.error().error)) {
             entry.queue().putBack(*next);
-            m_loop.after(PumpInterval, [this, &entry] {
-                pump(entry);
-            });
+            planPump(entry);
             return;
         }
         Request request = take(next->id);
@@ -97,6 +95,17 @@
     return request;
 }
 
+void Simulation::planPump(Entry &entry)
+{
+    if (!entry.planPump()) {
+        return;
+    }
+    m_loop.after(PumpInterval, [this, &entry] {
+        entry.pumpBegan();
+        pump(entry);
+    });
+}
+
 void Simulation::refuse(const Request &request)
 {
     if (request.arrived >= m_start) {
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -60,7 +60,7 @@
         evictor = [this](const std::vector<decision::BlockUse> &sample, std::uint64_t bytes) {
             const decision::ExportRates rates;
             const decision::ReturnGaps &gaps = m_entries.front()->gaps();
-            const auto evicted = decision::chooseEvictions(sample, bytes, gaps, rates, m_loop.now());
+            auto evicted = decision::chooseEvictions(sample, bytes, gaps, rates, m_loop.now());
             m_lowestStored = evicted.empty() ? 0 : decision::savingPerByte(sample[evicted.back()], gaps, rates, m_loop.now());
             return evicted;
         };
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -70,6 +70,7 @@
     void nextArrival(std::uint32_t context);
     void arrive(const Context &context);
     void pump(Entry &entry);
+    void planPump(Entry &entry);
     Request take(std::uint64_t id);
     void refuse(const Request &request);
     void dispatch(Entry &entry, Request request, const decision::Placement &placement);
--- a/include/auburndrum/decision/servertable.h
+++ b/include/auburndrum/decision/servertable.h
@@ -110,6 +110,9 @@
 
     /// Slots of all servers of a service. Empty for an unknown one.
     const std::vector<std::uint32_t> &ofService(std::string_view service) const;
+    /// Address hashes of the same servers in the same order, side by side for rendezvous hashing over many.
+    const std::vector<std::uint64_t> &hashesOfService(std::string_view service) const;
+
     const Server &at(std::uint32_t slot) const;
 
     /// Names of zones, regions and services.
@@ -118,6 +121,13 @@
     std::size_t size() const;
 
 private:
+    struct Members
+    {
+        std::vector<std::uint32_t> slots;
+        std::vector<std::uint64_t> hashes;
+    };
+
+    const Members &members(std::string_view service) const;
     Server *live(ServerId id);
     bool leaves(std::string_view address, std::uint64_t incarnation) const;
 
@@ -125,7 +135,7 @@
     std::vector<Server> m_servers;
     std::vector<std::uint32_t> m_free;
     StringMap<std::uint32_t> m_byAddress;
-    absl::flat_hash_map<NameId, std::vector<std::uint32_t>> m_byService;
+    absl::flat_hash_map<NameId, Members> m_byService;
     StringMap<std::uint64_t> m_leaving; ///< newest incarnation that leaves, by address
 };
 
--- a/src/auburndrum/decision/candidates.cpp
+++ b/src/auburndrum/decision/candidates.cpp
@@ -82,12 +82,14 @@
     };
     const PieceKey &home = request.keys[std::min(m_options.homePiece, request.keys.size() - 1)];
     absl::InlinedVector<Ranked, 8> best(std::max<std::size_t>(m_options.homes, 1));
-    for (const std::uint32_t slot : slots) {
-        const Server &server = m_servers.at(slot);
-        const std::uint64_t weight = rendezvousWeight(home.low, server.hash);
-        if (weight < best.back().weight || !eligible(request, server, now, found)) {
+    std::size_t n = 0;
+    for (const std::uint64_t hash : m_servers.hashesOfService(request.service)) {
+        const std::uint32_t slot = slots[n++];
+        const std::uint64_t weight = rendezvousWeight(home.low, hash);
+        if (weight < best.back().weight || !eligible(request, m_servers.at(slot), now, found)) {
             continue;
         }
+        const Server &server = m_servers.at(slot);
         best.back() = {weight, &server};
         std::sort(best.begin(), best.end(), [](const Ranked &a, const Ranked &b) {
             return a.weight > b.weight;
--- a/src/auburndrum/decision/servertable.cpp
+++ b/src/auburndrum/decision/servertable.cpp
@@ -59,7 +59,9 @@
     server.hash = XXH3_64bits(entry.address.data(), entry.address.size());
     server.leaving = leaves(entry.address, entry.incarnation);
     m_byAddress[entry.address] = slot;
-    m_byService[*service].push_back(slot);
+    Members &members = m_byService[*service];
+    members.slots.push_back(slot);
+    members.hashes.push_back(server.hash);
     return server.id;
 }
 
@@ -70,7 +72,10 @@
         return;
     }
     const std::uint32_t slot = it->second;
-    std::erase(m_byService[m_servers[slot].service], slot);
+    Members &members = m_byService[m_servers[slot].service];
+    const auto place = std::find(members.slots.begin(), members.slots.end(), slot) - members.slots.begin();
+    members.slots.erase(members.slots.begin() + place);
+    members.hashes.erase(members.hashes.begin() + place);
     m_byAddress.erase(it);
     const std::uint32_t generation = m_servers[slot].id.generation + 1;
     m_servers[slot] = Server{};
@@ -148,7 +153,17 @@
 
 const std::vector<std::uint32_t> &ServerTable::ofService(std::string_view service) const
 {
-    static const std::vector<std::uint32_t> none;
+    return members(service).slots;
+}
+
+const std::vector<std::uint64_t> &ServerTable::hashesOfService(std::string_view service) const
+{
+    return members(service).hashes;
+}
+
+const ServerTable::Members &ServerTable::members(std::string_view service) const
+{
+    static const Members none;
     const auto id = m_names.find(service);
     if (!id) {
         return none;
