--- /dev/null
+++ b/include/auburndrum/operator/adminapi.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "auburndrum/base/log.h"
+#include "auburndrum/base/timeline.h"
+#include "auburndrum/decision/configfold.h"
+#include "auburndrum/decision/servicedocument.h"
+#include "auburndrum/operator/adminmessage.h"
+#include "auburndrum/operator/publishhistory.h"
+#include "auburndrum/operator/statusreport.h"
+#include "auburndrum/platform/publisher.h"
+
+#include <chrono>
+#include <memory>
+
+namespace auburndrum::net {
+class Exchange;
+}
+
+namespace auburndrum::operators {
+
+/// A claim whose outcome nobody will record by itself.
+struct ClaimDoubt
+{
+    decision::ClaimKey key;
+    std::string nonce;
+    WallTime at; ///< log time of the claim
+};
+
+/// What an operator found about a claim in doubt.
+struct ClaimFinding
+{
+    decision::ClaimKey key;
+    bool ran = false; ///< false: releases the key, so that it may be claimed again
+    std::uint32_t status = 0; ///< HTTP status that later requests with the key get; used when it ran
+    std::string contentType;
+    std::string body;
+};
+
+/// How an order of an operator ended.
+enum class AdminOutcome {
+    Done, ///< in force, or begun where it takes time
+    NotFound, ///< nothing of this name
+    Unavailable, ///< surely not done, try again
+    Unknown, ///< may be done; look again
+};
+
+using AdminDone = std::function<void(AdminOutcome)>;
+
+/// What the administration API needs of the daemon. Every hook is required.
+struct AdminHooks
+{
+    std::function<const decision::ConfigFold &()> config;
+    std::function<const decision::TeamDocument *(std::string_view authorization)> team; ///< team whose key this is, or nullptr
+    std::function<void(const decision::PublishRecord &, std::function<void(const platform::PublishResult &)>)> publish;
+    std::function<std::vector<PublishedVersion>(const std::string &document)> history;
+    std::function<StatusReport()> status;
+    std::function<void(const std::string &vm, AdminDone)> drain;
+    std::function<std::vector<ClaimDoubt>()> doubts;
+    std::function<void(const ClaimFinding &, const std::string &author, AdminDone)> resolve;
+};
+
+/// Options of the administration API.
+struct AdminOptions
+{
+    std::string process; ///< name of this VM
+    std::string zone;
+    std::string administratorKeyHash; ///< as in Settings
+    std::size_t maxListed = 1000; ///< claims in doubt in one answer
+};
+
+/// The administration API under /admin/v1/, described in docs/API.md.
+///
+/// Runs on the event loop's thread; hooks may answer later.
+class AdminApi
+{
+public:
+    AdminApi(AdminOptions options, AdminHooks hooks, Timeline &timeline);
+
+    /// Answers an exchange whose path is under /admin/v1/. Returns false, untouched, for other paths.
+    bool handle(const std::shared_ptr<net::Exchange> &exchange);
+
+    /// Answers one request.
+    void handle(const AdminRequest &request, const AdminReply &reply);
+
+private:
+    /// Who asks.
+    struct Operator
+    {
+        std::string team; ///< empty for the key of the settings
+        bool isAdministrator = false;
+        std::string author; ///< for the audit record
+    };
+
+    /// A document named in a path.
+    struct Target
+    {
+        std::string kind;
+        std::string name;
+        std::string key; ///< "KIND/NAME"
+    };
+
+    std::optional<Operator> authenticate(const AdminRequest &request) const;
+    void route(const AdminRequest &request, const std::vector<std::string> &parts, const Operator &who, const AdminReply &reply);
+    void routeDocuments(const AdminRequest &request, const std::vector<std::string> &parts, const Operator &who, const AdminReply &reply);
+
+    AdminResponse listDocuments() const;
+    AdminResponse showDocument(const Target &target, const Operator &who) const;
+    AdminResponse showHistory(const Target &target, const Operator &who) const;
+    AdminResponse showPublish(const std::string &requestId) const;
+    void publish(const AdminRequest &request, const Target &target, const Operator &who, const AdminReply &reply);
+    std::optional<AdminResponse> checkBody(const AdminRequest &request, const Target &target, const Operator &who) const;
+    std::optional<AdminResponse> checkOwner(const Target &target, const Operator &who) const;
+    bool mayRead(const Target &target, const Operator &who) const;
+
+    AdminResponse listDoubts() const;
+    void resolveClaim(const AdminRequest &request, const Operator &who, const AdminReply &reply);
+    bool ownsService(const std::string &service, const Operator &who) const;
+
+    AdminResponse showTimeline(const AdminRequest &request) const;
+    AdminResponse changeLogLevel(const AdminRequest &request, const Operator &who);
+    void drain(const std::string &vm, const Operator &who, const AdminReply &reply);
+
+    AdminOptions m_options;
+    AdminHooks m_hooks;
+    Timeline &m_timeline;
+    Log m_log;
+};
+
+} // namespace auburndrum::operators
--- /dev/null
+++ b/src/auburndrum/operator/adminapi_test.cpp
@@ -0,0 +1,270 @@
+#include "auburndrum/operator/adminapi.h"
+
+#include "auburndrum/base/apikey.h"
+#include "auburndrum/decision/documentparser.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace auburndrum;
+using namespace auburndrum::operators;
+using platform::PublishState;
+
+namespace {
+
+const std::string AdministratorKey = "administrator-key";
+
+std::string serviceText(const std::string &owner)
+{
+    return R"({"document":"service","name":"ordering","kind":"plain","owner_team":")" + owner + "\"}";
+}
+
+/// The API over a fold that takes publishes at once.
+class Bench
+{
+public:
+    Bench()
+        : timeline(100, clock)
+        , api({.process = "a1", .zone = "a", .administratorKeyHash = hashApiKey(AdministratorKey)}, hooks(), timeline)
+    {
+        menus.name = "menus";
+        vouchers.name = "vouchers";
+    }
+
+    AdminResponse ask(const std::string &key,
+                      const std::string &method,
+                      const std::string &path,
+                      const std::string &body = {},
+                      std::map<std::string, std::string, std::less<>> query = {})
+    {
+        AdminResponse answer{0, {}};
+        api.handle({method, "/admin/v1/" + path, std::move(query), "Bearer " + key, "anna", body}, [&answer](const AdminResponse &response) {
+            answer = response;
+        });
+        return answer;
+    }
+
+    AdminResponse put(const std::string &key, const std::string &body, const std::string &base, const std::string &request = {})
+    {
+        return ask(key, "PUT", "documents/service/ordering", body, {{"base", base}, {"request", request}});
+    }
+
+    AdminHooks hooks();
+
+    decision::ConfigFold config;
+    decision::Offset next = 1;
+    std::vector<decision::PublishRecord> published;
+    std::optional<platform::PublishResult> result; ///< given in place of the fold's
+    decision::TeamDocument menus;
+    decision::TeamDocument vouchers;
+    std::vector<ClaimFinding> findings;
+    std::vector<std::string> drained;
+    HybridClock clock;
+    Timeline timeline;
+    AdminApi api;
+};
+
+AdminHooks Bench::hooks()
+{
+    AdminHooks hooks;
+    hooks.config = [this]() -> const decision::ConfigFold & {
+        return config;
+    };
+    hooks.team = [this](std::string_view authorization) -> const decision::TeamDocument * {
+        if (authorization == "Bearer menus.key") {
+            return &menus;
+        }
+        return authorization == "Bearer vouchers.key" ? &vouchers : nullptr;
+    };
+    hooks.publish = [this](const decision::PublishRecord &record, const std::function<void(const platform::PublishResult &)> &done) {
+        published.push_back(record);
+        const decision::Offset offset = next++;
+        const bool isAccepted = config.apply(offset, WallTime{}, record);
+        done(result.value_or(platform::PublishResult{isAccepted ? PublishState::Accepted : PublishState::Beaten, config.version(record.document)}));
+    };
+    hooks.history = [](const std::string &) {
+        return std::vector<PublishedVersion>{{4, WallTime{}, "menus", "{}"}};
+    };
+    hooks.status = [] {
+        StatusReport report;
+        report.name = "a1";
+        return report;
+    };
+    hooks.drain = [this](const std::string &vm, const AdminDone &done) {
+        drained.push_back(vm);
+        done(vm == "b1" ? AdminOutcome::Done : AdminOutcome::NotFound);
+    };
+    hooks.doubts = [] {
+        return std::vector<ClaimDoubt>{{{"ordering", "kattila", "k1"}, "n1", WallTime{}}};
+    };
+    hooks.resolve = [this](const ClaimFinding &finding, const std::string &, const AdminDone &done) {
+        findings.push_back(finding);
+        done(AdminOutcome::Done);
+    };
+    return hooks;
+}
+
+nlohmann::json parsed(const AdminResponse &response)
+{
+    return nlohmann::json::parse(response.body);
+}
+
+} // namespace
+
+TEST_CASE("a missing or unknown key is refused before anything else")
+{
+    Bench bench;
+    CHECK(bench.ask("wrong", "GET", "status").status == 401);
+    CHECK(bench.ask("", "GET", "no/such/path").status == 401);
+    CHECK(bench.put("wrong", serviceText("menus"), "0").status == 401);
+    CHECK(bench.published.empty());
+}
+
+TEST_CASE("a publish is accepted with its version and records who made it")
+{
+    Bench bench;
+    const AdminResponse response = bench.put("menus.key", serviceText("menus"), "0", "r1");
+    CHECK(response.status == 200);
+    CHECK(parsed(response)["state"] == "accepted");
+    CHECK(parsed(response)["version"] == 1);
+    REQUIRE(bench.published.size() == 1);
+    CHECK(bench.published[0].author == "menus/anna");
+    CHECK(bench.published[0].requestId == "r1");
+    const auto events = bench.timeline.events({.requestId = "r1"});
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].kind == EventKind::DocumentPublished);
+}
+
+TEST_CASE("a publish on a replaced version is beaten, and names the version in the way")
+{
+    Bench bench;
+    bench.put("menus.key", serviceText("menus"), "0");
+    const AdminResponse response = bench.put("menus.key", serviceText("menus"), "0");
+    CHECK(response.status == 409);
+    CHECK(parsed(response)["version"] == 1);
+    CHECK(bench.published.size() == 1);
+}
+
+TEST_CASE("a publish sent again with its request id is not published twice")
+{
+    Bench bench;
+    bench.put("menus.key", serviceText("menus"), "0", "r1");
+    const AdminResponse again = bench.put("menus.key", serviceText("menus"), "0", "r1");
+    CHECK(again.status == 200);
+    CHECK(parsed(again)["version"] == 1);
+    CHECK(bench.published.size() == 1);
+}
+
+TEST_CASE("an unknown outcome is said to be unknown, with where to ask")
+{
+    Bench bench;
+    bench.result = platform::PublishResult{PublishState::Unknown, 0};
+    const AdminResponse response = bench.put("menus.key", serviceText("menus"), "0", "r1");
+    CHECK(response.status == 202);
+    CHECK(parsed(response)["ask"] == "/admin/v1/publishes/r1");
+    CHECK(bench.ask("menus.key", "GET", "publishes/r1").status == 200);
+    CHECK(bench.ask("menus.key", "GET", "publishes/other").status == 202);
+    bench.result = platform::PublishResult{PublishState::NotPublished, 0};
+    CHECK(bench.put("menus.key", serviceText("menus"), "1").status == 503);
+}
+
+TEST_CASE("only the owning team or an administrator changes a service")
+{
+    Bench bench;
+    bench.put("menus.key", serviceText("menus"), "0");
+    CHECK(bench.put("vouchers.key", serviceText("vouchers"), "1").status == 403);
+    CHECK(bench.put("vouchers.key", serviceText("menus"), "1").status == 403);
+    CHECK(bench.ask("vouchers.key", "DELETE", "documents/service/ordering", "", {{"base", "1"}}).status == 403);
+    CHECK(bench.put("menus.key", serviceText("vouchers"), "1").status == 403);
+    CHECK(bench.published.size() == 1);
+    CHECK(bench.put(AdministratorKey, serviceText("vouchers"), "1").status == 200);
+    CHECK(bench.put("menus.key", serviceText("menus"), "2").status == 403);
+}
+
+TEST_CASE("teams and organisations are an administrator's to read and change")
+{
+    Bench bench;
+    const std::string team = R"({"document":"team","name":"menus","platform_administrator":true,"key_hashes":[]})";
+    CHECK(bench.ask("menus.key", "PUT", "documents/team/menus", team, {{"base", "0"}}).status == 403);
+    CHECK(bench.ask(AdministratorKey, "PUT", "documents/team/menus", team, {{"base", "0"}}).status == 200);
+    CHECK(bench.ask("menus.key", "GET", "documents/team/menus").status == 403);
+    CHECK(bench.ask("menus.key", "GET", "documents/team/menus/history").status == 403);
+    CHECK(bench.ask(AdministratorKey, "GET", "documents/team/menus").status == 200);
+}
+
+TEST_CASE("a bad document is refused with all its faults, nothing published")
+{
+    Bench bench;
+    const AdminResponse response = bench.put("menus.key", R"({"document":"service","name":"ordering","kind":"odd"})", "0");
+    CHECK(response.status == 400);
+    CHECK(parsed(response)["faults"].size() == 2);
+    CHECK(bench.put("menus.key", "not json", "0").status == 400);
+    CHECK(bench.put("menus.key", serviceText("menus"), "").status == 400);
+    CHECK(bench.put("menus.key", serviceText("menus"), "1x").status == 400);
+    CHECK(bench.ask("menus.key", "PUT", "documents/service/other", serviceText("menus"), {{"base", "0"}}).status == 400);
+    CHECK(bench.published.empty());
+}
+
+TEST_CASE("a withdrawn document is gone from list and view")
+{
+    Bench bench;
+    bench.put("menus.key", serviceText("menus"), "0");
+    CHECK(parsed(bench.ask("menus.key", "GET", "documents"))["documents"][0]["owner_team"] == "menus");
+    CHECK(bench.ask("menus.key", "DELETE", "documents/service/ordering", "", {{"base", "1"}}).status == 200);
+    CHECK(bench.ask("menus.key", "GET", "documents/service/ordering").status == 404);
+    CHECK(parsed(bench.ask("menus.key", "GET", "documents"))["documents"].empty());
+}
+
+TEST_CASE("claims in doubt are listed, and resolved by the owner only")
+{
+    Bench bench;
+    bench.put("menus.key", serviceText("menus"), "0");
+    CHECK(parsed(bench.ask("menus.key", "GET", "claims"))["total"] == 1);
+    const std::string ran = R"({"service":"ordering","organisation":"kattila","key":"k1","ran":true,"status":201})";
+    CHECK(bench.ask("vouchers.key", "POST", "claims/resolve", ran).status == 403);
+    CHECK(bench.ask("menus.key", "POST", "claims/resolve", R"({"service":"ordering","organisation":"kattila","key":"k1","ran":true})").status == 400);
+    CHECK(bench.ask("menus.key", "POST", "claims/resolve", R"({"service":"ordering","ran":false})").status == 400);
+    CHECK(bench.findings.empty());
+    CHECK(bench.ask("menus.key", "POST", "claims/resolve", ran).status == 200);
+    REQUIRE(bench.findings.size() == 1);
+    CHECK(bench.findings[0].status == 201);
+}
+
+TEST_CASE("drain and log level are an administrator's")
+{
+    Bench bench;
+    CHECK(bench.ask("menus.key", "POST", "vms/b1/drain").status == 403);
+    CHECK(bench.drained.empty());
+    CHECK(bench.ask(AdministratorKey, "POST", "vms/b1/drain").status == 200);
+    CHECK(bench.ask(AdministratorKey, "POST", "vms/b9/drain").status == 404);
+    CHECK(bench.ask("menus.key", "PUT", "log-level", R"({"level":"debug"})").status == 403);
+    CHECK(bench.ask(AdministratorKey, "PUT", "log-level", R"({"level":"loud"})").status == 400);
+    CHECK(bench.ask(AdministratorKey, "PUT", "log-level", R"({"level":"warning"})").status == 200);
+    CHECK(logLevel() == LogLevel::Warning);
+    setLogLevel(LogLevel::Info);
+}
+
+TEST_CASE("the time line is filtered by request, and bad filters are refused")
+{
+    Bench bench;
+    bench.timeline.record(EventKind::RequestReceived, "r1");
+    bench.timeline.record(EventKind::RequestReceived, "r2");
+    const auto report = parseTimelineReport(bench.ask("menus.key", "GET", "timeline", "", {{"request", "r2"}}).body);
+    REQUIRE(report.has_value());
+    CHECK(report->process == "a1");
+    CHECK(report->events.size() == 1);
+    CHECK(bench.ask("menus.key", "GET", "timeline", "", {{"since_ms", "yesterday"}}).status == 400);
+}
+
+TEST_CASE("unknown paths and wrong methods are said to be so")
+{
+    Bench bench;
+    for (const char *it : {"", "nothing", "documents/service", "documents/odd/name", "documents/service/a.b", "documents/service/a/b/c", "claims/x"}) {
+        CAPTURE(it);
+        CHECK(bench.ask("menus.key", "GET", it).status == 404);
+    }
+    CHECK(bench.ask("menus.key", "POST", "status").status == 405);
+    CHECK(bench.ask("menus.key", "PATCH", "documents/service/ordering").status == 405);
+    CHECK(bench.ask("menus.key", "GET", "claims/resolve").status == 405);
+}
--- /dev/null
+++ b/src/auburndrum/operator/publishhistory.cpp
@@ -0,0 +1,48 @@
+#include "auburndrum/operator/publishhistory.h"
+
+#include <algorithm>
+
+namespace auburndrum::operators {
+
+PublishHistory::PublishHistory(PublishHistoryOptions options)
+    : m_options(options)
+{
+}
+
+void PublishHistory::add(decision::Offset offset, WallTime at, const decision::PublishRecord &record)
+{
+    const auto it = m_versions.find(record.document);
+    if (it != m_versions.end() && it->second.size() >= m_options.versionsPerDocument) {
+        dropOldest(record.document);
+    }
+    m_versions[record.document].push_back({offset, at, record.author, record.body});
+    m_order.push_back(record.document);
+    m_bytes += record.body.size();
+    while (m_bytes > m_options.maxBytes && m_order.size() > 1) {
+        dropOldest(m_order.front());
+    }
+}
+
+void PublishHistory::dropOldest(const std::string &document)
+{
+    // By value: the argument may be an element of m_order.
+    const std::string name = document;
+    const auto it = m_versions.find(name);
+    m_bytes -= it->second.front().body.size();
+    it->second.pop_front();
+    m_order.erase(std::find(m_order.begin(), m_order.end(), name));
+    if (it->second.empty()) {
+        m_versions.erase(it);
+    }
+}
+
+std::vector<PublishedVersion> PublishHistory::versions(const std::string &document) const
+{
+    const auto it = m_versions.find(document);
+    if (it == m_versions.end()) {
+        return {};
+    }
+    return {it->second.begin(), it->second.end()};
+}
+
+} // namespace auburndrum::operators
