Serve the administration API, and look up claims of dead processes

Cause: operators had no way in, and a claim whose process died stayed in doubt although its service could tell the outcome. One live entry VM, by rendezvous hash over the key, asks and records it. A service that doesn't know the key proves nothing, so such a claim stays for an operator to resolve.

--- a/include/auburndrum/daemon/daemon.h
+++ b/include/auburndrum/daemon/daemon.h
@@ -7,12 +7,15 @@
 #include "auburndrum/base/settings.h"
 #include "auburndrum/base/timeline.h"
 #include "auburndrum/caller/callerapi.h"
+#include "auburndrum/caller/doubtresolver.h"
 #include "auburndrum/daemon/directorybuilder.h"
 #include "auburndrum/daemon/workerpool.h"
 #include "auburndrum/net/httpserver.h"
 #include "auburndrum/decision/logfold.h"
 #include "auburndrum/decision/snapshotplanner.h"
 #include "auburndrum/entry/entrylink.h"
+#include "auburndrum/operator/adminapi.h"
+#include "auburndrum/operator/publishhistory.h"
 #include "auburndrum/platform/logfollower.h"
 #include "auburndrum/platform/publisher.h"
 #include "auburndrum/platform/vmlist.h"
@@ -61,9 +64,18 @@
     void rebuildDirectory();
     void appendSnapshot();
     void startEntryLink();
+    operators::AdminHooks adminHooks();
+    operators::StatusReport status() const;
+    std::chrono::milliseconds configAge() const;
+    std::vector<operators::ClaimDoubt> doubts() const;
+    void resolveClaim(const operators::ClaimFinding &finding, const std::string &author, const operators::AdminDone &done);
+    void drainVm(const std::string &vm, const operators::AdminDone &done);
+    void keepHistory(const platform::StoredRecord &record);
+    void resolveDoubts();
     bool adoptFold(const entry::ConfigTransfer &transfer);
     std::string timelineReport(const std::string &filterJson) const;
     bool isLogUp() const;
+    std::vector<std::string> liveNames() const;
     void readVms();
     void takeVms(const std::vector<platform::Vm> &vms);
     void finishDrain();
@@ -92,11 +104,16 @@
     std::shared_ptr<const caller::Directory> m_directory;
     caller::CallerContext m_callerContext;
     caller::CallerApi m_callerApi;
+    caller::DoubtResolver m_doubtResolver;
+    operators::PublishHistory m_history;
+    operators::AdminApi m_adminApi;
     net::HttpServer m_server;
     std::unique_ptr<entry::EntryLink> m_entries; ///< made once the own address is known
     net::Address m_address;
     QTimer m_vmTimer;
+    QTimer m_doubtTimer;
     QTimer m_drainTimer;
+    std::vector<platform::Vm> m_vms;
     std::set<std::string> m_listedServers;
     Phase m_phase = Phase::Serving;
     Instant m_drainDeadline{};
--- a/include/auburndrum/platform/claimservice.h
+++ b/include/auburndrum/platform/claimservice.h
@@ -56,8 +56,8 @@
     /// Looks all calls up in the ledger, after it took over a fold without its records.
     void reconcile();
 
-    /// Puts an outcome that an operator or a look-up found into the log.
-    void append(const decision::Outcome &outcome);
+    /// Puts what an operator or a look-up found into the log.
+    void append(decision::BatchItem item);
     /// Tells how many live entry VMs append.
     void setBatchers(std::size_t n);
     /// Calls that are not settled yet.
--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -1,22 +1,16 @@
 #include "servicecall.h"
 
 #include "auburndrum/base/randomid.h"
-
-#include <nlohmann/json.hpp>
+#include "outcomelookup.h"
 
 #include <QCryptographicHash>
-#include <QUrl>
 
 namespace auburndrum::caller {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::size_t MaxAttempts = 3;
 constexpr std::chrono::milliseconds RetryAfter{1000};
-constexpr std::chrono::milliseconds LookupTimeout{2000};
-constexpr int StatusOk = 200;
 
 std::string toString(const QByteArray &bytes)
 {
@@ -234,42 +228,9 @@
 
 void ServiceCall::lookUp()
 {
-    m_tried.clear();
-    const auto placement = place();
-    if (!placement) {
-        m_context.claims.lookedUp(m_claim.nonce, std::nullopt);
-        return;
-    }
-    net::HttpCall call;
-    call.peer = net::parseAddress(placement.value().address).value_or(net::Address{});
-    call.target = QByteArray::fromStdString(m_service.lookupPath) + "?key=" + QUrl::toPercentEncoding(QString::fromUtf8(m_request.idempotencyKey))
-        + "&organisation=" + QUrl::toPercentEncoding(QString::fromStdString(m_request.organisation));
-    call.freshConnection = true;
-    call.firstByteTimeout = LookupTimeout;
-    call.idleTimeout = LookupTimeout;
-    net::HttpHooks hooks;
-    hooks.onDone = [self = shared_from_this()](const net::HttpResult &result) {
-        self->handleLookup(result);
-    };
-    m_context.http.start(call, std::move(hooks));
-}
-
-void ServiceCall::handleLookup(const net::HttpResult &result)
-{
-    std::optional<decision::Outcome> found;
-    const json body = result.failure == net::HttpFailure::None && result.head.status == StatusOk ? json::parse(toString(result.body), nullptr, false) : json();
-    if (body.is_object() && body.value("found", json()) == true && body.value("status", json()).is_number_unsigned()
-        && body.value("body", json()).is_string()) {
-        decision::Outcome it;
-        it.key = m_claim.key;
-        it.nonce = m_claim.nonce;
-        it.status = body["status"].get<std::uint32_t>();
-        it.contentType = "application/json";
-        it.body = body["body"].get<std::string>();
-        it.source = decision::OutcomeSource::Lookup;
-        found = std::move(it);
-    }
-    m_context.claims.lookedUp(m_claim.nonce, found);
+    lookUpOutcome(m_context, m_claim.key, m_claim.nonce, m_service.lookupPath, [self = shared_from_this()](const std::optional<decision::Outcome> &found) {
+        self->m_context.claims.lookedUp(self->m_claim.nonce, found);
+    });
 }
 
 void ServiceCall::answer(const decision::CallAnswer &answer)
--- a/src/auburndrum/caller/servicecall.h
+++ b/src/auburndrum/caller/servicecall.h
@@ -39,7 +39,6 @@
     void handleKeyedEnd(const backend::PlainEnd &end);
     void handleUnkeyedEnd(const backend::PlainEnd &end);
     void lookUp();
-    void handleLookup(const net::HttpResult &result);
     void answer(const decision::CallAnswer &answer);
     void pass(int status, const QByteArray &contentType, const QByteArray &body, bool isReplay);
     void fail(const ApiError &error);
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "auburndrum/base/randomid.h"
 #include "auburndrum/caller/apierror.h"
+#include "auburndrum/decision/claimowners.h"
 
 #include <absl/random/random.h>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,8 @@
 constexpr int WorkerThreads = 2;
 constexpr std::chrono::milliseconds VmListInterval{1000};
 constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::chrono::milliseconds DoubtInterval{5000};
+constexpr std::chrono::milliseconds DoubtMargin{5000}; // behind a claim's deadline, for its own process to settle it
 constexpr std::chrono::milliseconds MaxSnapshotDelay{60000}; // long enough that one of the entries goes first
 constexpr int ExitCut = 3; // a second signal or the drain limit ended work under way
 
@@ -131,12 +134,22 @@
                           noteLeavingServer(address, incarnation);
                       }}
     , m_callerApi(m_callerContext, {.incarnation = m_incarnation})
+    , m_doubtResolver(m_callerContext,
+                      {.isMine =
+                           [this](const decision::ClaimKey &key) {
+                               return decision::claimOwner(key, liveNames()) == m_settings.name;
+                           },
+                       .ledger = [this]() -> const decision::ClaimLedger & {
+                           return m_fold.claims();
+                       }})
+    , m_adminApi({.process = settings.name, .zone = settings.zone, .administratorKeyHash = settings.administratorKeyHash}, adminHooks(), m_timeline)
     , m_server(serverOptions(settings), [this](const std::shared_ptr<net::Exchange> &exchange) {
         handle(exchange);
     })
 {
     connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::readVms);
     connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::appendSnapshot);
+    connect(&m_doubtTimer, &QTimer::timeout, this, &Daemon::resolveDoubts);
     connect(&m_drainTimer, &QTimer::timeout, this, &Daemon::finishDrain);
     m_registry.onScrape([this] {
         refreshMetrics();
@@ -157,6 +170,7 @@
     m_follower.start(1);
     readVms();
     m_vmTimer.start(VmListInterval);
+    m_doubtTimer.start(DoubtInterval);
     m_watch.start();
     return true;
 }
@@ -201,6 +215,36 @@
     m_entries->start();
 }
 
+std::vector<std::string> Daemon::liveNames() const
+{
+    std::vector<std::string> names;
+    for (const decision::MemberRecord &it : m_entries->membership().usable()) {
+        names.push_back(it.name);
+    }
+    return names;
+}
+
+void Daemon::resolveDoubts()
+{
+    if (isLogUp()) {
+        m_doubtResolver.round(wallNow() - DoubtMargin);
+    }
+}
+
+void Daemon::keepHistory(const platform::StoredRecord &record)
+{
+    const auto entry = decision::decodeEntry(record.value);
+    if (!entry) {
+        return;
+    }
+    for (const decision::LogRecord &it : entry.value().records) {
+        const auto *publish = std::get_if<decision::PublishRecord>(&it);
+        if (publish != nullptr && m_fold.config().version(publish->document) == record.offset) {
+            m_history.add(record.offset, record.at, *publish);
+        }
+    }
+}
+
 bool Daemon::isLogUp() const
 {
     return m_isCaughtUp && m_follower.isReachable();
@@ -240,7 +284,7 @@
 
 void Daemon::handle(const std::shared_ptr<net::Exchange> &exchange)
 {
-    if (handleObservation(*exchange) || m_entries->handle(exchange) || m_callerApi.handle(exchange)) {
+    if (handleObservation(*exchange) || m_entries->handle(exchange) || m_adminApi.handle(exchange) || m_callerApi.handle(exchange)) {
         return;
     }
     caller::refuse(*exchange, caller::unknownPath(exchange->path()));
@@ -291,6 +335,9 @@
     if (entry.hasSnapshot) {
         m_snapshots.snapshotSeen(monotonicNow(), record.offset);
     }
+    if (!entry.documents.empty()) {
+        keepHistory(record);
+    }
     for (const std::string &it : entry.documents) {
         m_directoryStale = true;
         m_timeline.record(EventKind::DocumentInForce, {}, it);
@@ -370,6 +417,7 @@
         }
     }
     m_listedServers = std::move(listed);
+    m_vms = vms;
     m_entries->mergeList(entries);
 }
 
@@ -386,7 +434,7 @@
 {
     m_metrics.configOffset.with().Set(static_cast<double>(m_fold.offset()));
     m_metrics.platformUp.with().Set(m_follower.isReachable() ? 1 : 0);
-    m_metrics.configAge.with().Set(std::chrono::duration<double>(monotonicNow() - m_follower.lastAnswer()).count());
+    m_metrics.configAge.with().Set(std::chrono::duration<double>(configAge()).count());
     m_metrics.ready.with().Set(notReadyReasons().empty() ? 1 : 0);
 }
 
--- a/src/auburndrum/platform/claimservice.cpp
+++ b/src/auburndrum/platform/claimservice.cpp
@@ -264,9 +264,9 @@
     }
 }
 
-void ClaimService::append(const decision::Outcome &outcome)
+void ClaimService::append(decision::BatchItem item)
 {
-    m_batcher.add(outcome);
+    m_batcher.add(std::move(item));
     arm();
 }
 
