--- a/include/auburndrum/operator/adminapi.h
+++ b/include/auburndrum/operator/adminapi.h
@@ -3,11 +3,11 @@
 #include "auburndrum/base/log.h"
 #include "auburndrum/base/timeline.h"
 #include "auburndrum/decision/configfold.h"
+#include "auburndrum/decision/publishcall.h"
 #include "auburndrum/decision/servicedocument.h"
 #include "auburndrum/operator/adminmessage.h"
 #include "auburndrum/operator/publishhistory.h"
 #include "auburndrum/operator/statusreport.h"
-#include "auburndrum/platform/publisher.h"
 
 #include <chrono>
 #include <memory>
@@ -51,7 +51,7 @@
 {
     std::function<const decision::ConfigFold &()> config;
     std::function<const decision::TeamDocument *(std::string_view authorization)> team; ///< team whose key this is, or nullptr
-    std::function<void(const decision::PublishRecord &, std::function<void(const platform::PublishResult &)>)> publish;
+    std::function<void(const decision::PublishRecord &, std::function<void(const decision::PublishAnswer &)>)> publish;
     std::function<std::vector<PublishedVersion>(const std::string &document)> history;
     std::function<StatusReport()> status;
     std::function<void(const std::string &vm, AdminDone)> drain;
--- a/src/auburndrum/decision/documentfields.cpp
+++ b/src/auburndrum/decision/documentfields.cpp
@@ -1,5 +1,7 @@
 #include "documentfields.h"
 
+#include <algorithm>
+
 namespace auburndrum::decision {
 
 namespace {
@@ -136,7 +138,12 @@
 void checkTogether(const ServiceDocument &document, DocumentFaults &faults)
 {
     checkGrants(document, faults);
-    checkKind(document, faults);
+    const bool isKindKnown = std::none_of(faults.begin(), faults.end(), [](const DocumentFault &it) {
+        return it.path == "/kind";
+    });
+    if (isKindKnown) {
+        checkKind(document, faults);
+    }
     checkTimes(document, faults);
 }
 
--- a/src/auburndrum/operator/adminapi_test.cpp
+++ b/src/auburndrum/operator/adminapi_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace auburndrum;
 using namespace auburndrum::operators;
-using platform::PublishState;
+using PublishState = decision::PublishAnswer::Kind;
 
 namespace {
 
@@ -55,7 +55,7 @@
     decision::ConfigFold config;
     decision::Offset next = 1;
     std::vector<decision::PublishRecord> published;
-    std::optional<platform::PublishResult> result; ///< given in place of the fold's
+    std::optional<decision::PublishAnswer> result; ///< given in place of the fold's
     decision::TeamDocument menus;
     decision::TeamDocument vouchers;
     std::vector<ClaimFinding> findings;
@@ -77,11 +77,11 @@
         }
         return authorization == "Bearer vouchers.key" ? &vouchers : nullptr;
     };
-    hooks.publish = [this](const decision::PublishRecord &record, const std::function<void(const platform::PublishResult &)> &done) {
+    hooks.publish = [this](const decision::PublishRecord &record, const std::function<void(const decision::PublishAnswer &)> &done) {
         published.push_back(record);
         const decision::Offset offset = next++;
         const bool isAccepted = config.apply(offset, WallTime{}, record);
-        done(result.value_or(platform::PublishResult{isAccepted ? PublishState::Accepted : PublishState::Beaten, config.version(record.document)}));
+        done(result.value_or(decision::PublishAnswer{isAccepted ? PublishState::Accepted : PublishState::Beaten, config.version(record.document)}));
     };
     hooks.history = [](const std::string &) {
         return std::vector<PublishedVersion>{{4, WallTime{}, "menus", "{}"}};
@@ -159,13 +159,13 @@
 TEST_CASE("an unknown outcome is said to be unknown, with where to ask")
 {
     Bench bench;
-    bench.result = platform::PublishResult{PublishState::Unknown, 0};
+    bench.result = decision::PublishAnswer{PublishState::Unknown, 0};
     const AdminResponse response = bench.put("menus.key", serviceText("menus"), "0", "r1");
     CHECK(response.status == 202);
     CHECK(parsed(response)["ask"] == "/admin/v1/publishes/r1");
     CHECK(bench.ask("menus.key", "GET", "publishes/r1").status == 200);
     CHECK(bench.ask("menus.key", "GET", "publishes/other").status == 202);
-    bench.result = platform::PublishResult{PublishState::NotPublished, 0};
+    bench.result = decision::PublishAnswer{PublishState::Refused, 0};
     CHECK(bench.put("menus.key", serviceText("menus"), "1").status == 503);
 }
 
--- a/src/auburndrum/operator/documentroutes.cpp
+++ b/src/auburndrum/operator/documentroutes.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 using Json = nlohmann::ordered_json;
-using platform::PublishState;
+using PublishState = decision::PublishAnswer::Kind;
 
 constexpr std::size_t LongestRequestIdCharacters = 64;
 
@@ -36,14 +36,14 @@
     return version;
 }
 
-AdminResponse answerOf(const platform::PublishResult &result, const std::string &requestId)
+AdminResponse answerOf(const decision::PublishAnswer &result, const std::string &requestId)
 {
-    switch (result.state) {
+    switch (result.kind) {
     case PublishState::Accepted:
         return {200, dump({{"state", "accepted"}, {"version", result.version}, {"request", requestId}})};
     case PublishState::Beaten:
         return {409, dump({{"state", "beaten"}, {"version", result.version}, {"request", requestId}})};
-    case PublishState::NotPublished:
+    case PublishState::Refused:
         return adminError(503, "not_published", "The platform's log took nothing; the document is unchanged. Try again.");
     case PublishState::Unknown:
         break;
@@ -51,7 +51,7 @@
     return {202, dump({{"state", "unknown"}, {"request", requestId}, {"ask", "/admin/v1/publishes/" + requestId}})};
 }
 
-platform::PublishResult resultOf(const decision::PublishOutcome &outcome)
+decision::PublishAnswer resultOf(const decision::PublishOutcome &outcome)
 {
     switch (outcome.kind) {
     case decision::PublishOutcome::Kind::Accepted:
@@ -208,9 +208,9 @@
         return;
     }
     const decision::PublishRecord record{target.key, *base, isWithdrawal ? std::string() : request.body, requestId, who.author};
-    m_hooks.publish(record, [this, record, reply](const platform::PublishResult &result) {
+    m_hooks.publish(record, [this, record, reply](const decision::PublishAnswer &result) {
         const AdminResponse response = answerOf(result, record.requestId);
-        const bool isAccepted = result.state == PublishState::Accepted;
+        const bool isAccepted = result.kind == PublishState::Accepted;
         m_timeline.record(isAccepted ? EventKind::DocumentPublished : EventKind::DocumentRejected, record.requestId, record.document + " by " + record.author);
         m_log.forRequest(record.requestId).info("{} publishes {} on {}: status {}", record.author, record.document, record.baseVersion, response.status);
         reply(response);
