--- a/src/auburndrum/cli/adminclient.cpp
+++ b/src/auburndrum/cli/adminclient.cpp
@@ -45,7 +45,8 @@
     request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
     const char *person = std::getenv("USER");
     request.setRawHeader("X-Operator", person == nullptr ? QByteArray() : QByteArray(person));
-    const std::unique_ptr<QNetworkReply> reply(manager.sendCustomRequest(request, QByteArray::fromStdString(call.method), QByteArray::fromStdString(call.body)));
+    const std::unique_ptr<QNetworkReply> reply(
+        manager.sendCustomRequest(request, QByteArray::fromStdString(call.method), QByteArray::fromStdString(call.body)));
     QEventLoop loop;
     QObject::connect(reply.get(), &QNetworkReply::finished, &loop, &QEventLoop::quit);
     if (!reply->isFinished()) {
--- a/src/auburndrum/cli/timelinemerge.cpp
+++ b/src/auburndrum/cli/timelinemerge.cpp
@@ -75,7 +75,8 @@
 {
     std::string text;
     for (const MergedEvent &it : events) {
-        text += fmt::format("{} {:<12} {:<24} {:<32} {}", clockText(it.event.time.wall), it.process, toText(it.event.kind), it.event.requestId, it.event.detail);
+        text
+            += fmt::format("{} {:<12} {:<24} {:<32} {}", clockText(it.event.time.wall), it.process, toText(it.event.kind), it.event.requestId, it.event.detail);
         text.erase(text.find_last_not_of(' ') + 1);
         text += '\n';
     }
