--- a/include/auburndrum/decision/publishcall.h
+++ b/include/auburndrum/decision/publishcall.h
@@ -14,7 +14,7 @@
     enum class Kind {
         Accepted,
         Beaten, ///< another version had replaced the base
-        Refused, ///< nothing was sent to the log
+        Refused, ///< nothing of this attempt is in the log or comes there; an earlier one with the same id may
         Unknown, ///< it may be in the log or come there; ask again by the request id
     };
     Kind kind = Kind::Unknown;
