Hold overload at the entry: limits that count to the first token, credit for unused share

The concurrency limit now counts from dispatch to first token, which an entry sees without lag, one for each server and one for the service; a wait above a fifth of the deadline shrinks it.

The fair queue gives an organisation credit for up to 10 s of unused share, and putBack() undoes its pop wholly: it left the virtual time behind, so that every look at a busy service made all organisations due. The new test failed against that.

Ruled out: comparing a first token with twice its prediction plus 0.5 s (a cached prompt's prediction is too short a measure).

--- a/bench/policy/entry.cpp
+++ b/bench/policy/entry.cpp
@@ -74,6 +74,16 @@
     return m_limits[server];
 }
 
+decision::ConcurrencyLimit &Entry::serviceLimit()
+{
+    return m_serviceLimit;
+}
+
+std::chrono::nanoseconds Entry::allowedWait() const
+{
+    return m_profile.deadline / 5;
+}
+
 Knowledge &Entry::knowledge()
 {
     return *m_knowledge;
--- a/bench/policy/entry.h
+++ b/bench/policy/entry.h
@@ -67,6 +67,10 @@
     decision::RouteResult<decision::Placement> choose(const Request &request, Instant now, absl::BitGenRef random);
 
     ServerLimits &limits(decision::ServerId server);
+    decision::ConcurrencyLimit &serviceLimit();
+
+    /// Longest wait for a first token after dispatch that counts as healthy.
+    std::chrono::nanoseconds allowedWait() const;
     Knowledge &knowledge();
     decision::FairQueue &queue();
     decision::ReturnGaps &gaps();
@@ -97,6 +101,7 @@
     decision::ReturnGaps m_gaps;
     absl::flat_hash_map<decision::ServerId, ServerLimits> m_limits;
     absl::flat_hash_map<std::uint32_t, Instant> m_lastSeen;
+    decision::ConcurrencyLimit m_serviceLimit{{.initial = 32, .min = 2}};
     std::size_t m_turn = 0;
     bool m_pumpPlanned = false;
 };
--- a/include/auburndrum/decision/concurrencylimit.h
+++ b/include/auburndrum/decision/concurrencylimit.h
@@ -13,13 +13,14 @@
     double initial = 16;
     double min = 1;
     double max = 256;
-    double tolerance = 2; ///< waits up to this many times the predicted one count as healthy
-    std::chrono::nanoseconds slack = std::chrono::milliseconds(500); ///< lateness that is never held against a server
     double backoff = 0.9; ///< factor on a late or refused request
     std::chrono::nanoseconds minDecreaseGap = std::chrono::milliseconds(500); ///< one burst of bad answers counts once
 };
 
-/// Requests at once to one backend server, learned from how its answers compare with their predictions. Not thread-safe.
+/// Requests at once that wait for their first token, learned from how long they wait. Not thread-safe.
+///
+/// Use one for each backend server and one for the whole service. It counts from dispatch to first token, which this
+/// entry sees without lag: that keeps engines' queues short where load reports come too late to.
 class ConcurrencyLimit
 {
 public:
@@ -28,8 +29,8 @@
     bool mayStart() const;
     void started();
 
-    /// Counts an ended request; grows the limit when it was used up and the answer came in time.
-    void finished(std::chrono::nanoseconds firstToken, std::chrono::nanoseconds predicted, Instant now);
+    /// Counts a first token; grows the limit when it was used up and the wait was at most @p allowed.
+    void finished(std::chrono::nanoseconds firstToken, std::chrono::nanoseconds allowed, Instant now);
 
     /// Counts a request that the server refused as overloaded, or that timed out.
     void dropped(Instant now);
--- a/include/auburndrum/decision/fairqueue.h
+++ b/include/auburndrum/decision/fairqueue.h
@@ -34,6 +34,7 @@
 struct FairQueueOptions
 {
     std::size_t limit = 1000; ///< waiting requests
+    std::chrono::milliseconds burstCredit{10000}; ///< unused share of this time back lets a burst go first
     std::chrono::milliseconds minRetryAfter{1000};
     std::chrono::milliseconds maxRetryAfter{30000};
 };
@@ -65,7 +66,7 @@
     /// Takes the request to run next; nothing when none waits or all waiting organisations are at their limit.
     std::optional<WaitingRequest> pop(Instant now);
 
-    /// Puts a popped request back in front, as when no server can take it yet.
+    /// Puts the request of the latest pop() back in front, as when no server can take it yet. Undoes that pop.
     void putBack(WaitingRequest request);
 
     /// Counts a popped request of @p organisation as ended.
@@ -99,6 +100,8 @@
     bool mayRun(const Organisation &organisation) const;
     void removed(Organisation &organisation, double cost);
     double activeShares() const;
+    double virtualRate(double shares) const;
+    double dueFrom(const Organisation &organisation) const;
     Organisation *mostOverShare();
     void countPopped(double cost, Instant now);
     std::chrono::milliseconds retryAfter(std::chrono::nanoseconds wait, std::chrono::nanoseconds allowed) const;
@@ -107,6 +110,7 @@
     Organisations m_organisations;
     std::size_t m_size = 0;
     double m_virtualTime = 0;
+    double m_virtualTimeBeforePop = 0;
     double m_costPerSecond = 0; ///< learned from pops while requests wait
     double m_windowCost = 0;
     Instant m_windowStart{};
--- a/src/auburndrum/decision/concurrencylimit.cpp
+++ b/src/auburndrum/decision/concurrencylimit.cpp
@@ -20,9 +20,9 @@
     ++m_inFlight;
 }
 
-void ConcurrencyLimit::finished(std::chrono::nanoseconds firstToken, std::chrono::nanoseconds predicted, Instant now)
+void ConcurrencyLimit::finished(std::chrono::nanoseconds firstToken, std::chrono::nanoseconds allowed, Instant now)
 {
-    const bool late = firstToken > predicted * m_options.tolerance + m_options.slack;
+    const bool late = firstToken > allowed;
     const bool usedUp = 2 * m_inFlight >= limit();
     ignored();
     if (late) {
--- a/src/auburndrum/decision/fairqueue.cpp
+++ b/src/auburndrum/decision/fairqueue.cpp
@@ -35,7 +35,7 @@
     Organisation &own = organisation(request.organisation);
     const std::uint64_t id = request.id;
     if (own.waiting.empty()) {
-        own.start = std::max(own.start, m_virtualTime);
+        own.start = dueFrom(own);
     }
     if (m_size == 0) {
         m_windowStart = now;
@@ -66,6 +66,7 @@
     if (chosen == nullptr) {
         return std::nullopt;
     }
+    m_virtualTimeBeforePop = m_virtualTime;
     m_virtualTime = std::max(m_virtualTime, chosen->start);
     WaitingRequest request = std::move(chosen->waiting.front());
     chosen->waiting.pop_front();
@@ -81,6 +82,7 @@
 {
     Organisation &it = organisation(request.organisation);
     it.start -= request.cost / it.grant.share;
+    m_virtualTime = m_virtualTimeBeforePop;
     it.running -= std::min(it.running, 1U);
     it.waitingCost += request.cost;
     m_windowCost -= request.cost;
@@ -132,12 +134,13 @@
         return std::chrono::nanoseconds(0);
     }
     const auto it = m_organisations.find(name);
-    const bool known = it != m_organisations.end();
-    const double share = known ? it->second.grant.share : QueueGrant{}.share;
-    const double ownCost = known ? it->second.waitingCost : 0;
-    const bool active = known && !it->second.waiting.empty();
-    const double shares = activeShares() + (active ? 0 : share);
-    const Seconds wait(ownCost * shares / share / m_costPerSecond);
+    if (it == m_organisations.end()) {
+        return std::chrono::nanoseconds(0);
+    }
+    const Organisation &own = it->second;
+    const double shares = activeShares() + (own.waiting.empty() ? own.grant.share : 0);
+    const double due = (own.waiting.empty() ? dueFrom(own) : own.start) + own.waitingCost / own.grant.share;
+    const Seconds wait(std::max(due - m_virtualTime, 0.0) / virtualRate(shares));
     return std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
 }
 
@@ -201,6 +204,17 @@
     return shares;
 }
 
+double FairQueue::virtualRate(double shares) const
+{
+    return m_costPerSecond / std::max(shares, 1e-9);
+}
+
+double FairQueue::dueFrom(const Organisation &organisation) const
+{
+    const double credit = Seconds(m_options.burstCredit).count() * virtualRate(activeShares() + organisation.grant.share);
+    return std::max(organisation.start, m_virtualTime - credit);
+}
+
 FairQueue::Organisation *FairQueue::mostOverShare()
 {
     Organisation *most = nullptr;
--- a/src/auburndrum/decision/fairqueue_test.cpp
+++ b/src/auburndrum/decision/fairqueue_test.cpp
@@ -112,6 +112,38 @@
     CHECK(popped(queue, 2).size() == 2);
 }
 
+TEST_CASE("putting back takes no share from organisations of lower priority")
+{
+    FairQueue queue;
+    queue.setGrant("urgent", {1.0, 0, 0});
+    queue.setGrant("plain", {1.0, 0, 9});
+    for (std::uint64_t n = 0; n < 200; ++n) {
+        queue.push(request(n, n % 2 == 0 ? "urgent" : "plain"), Start);
+    }
+    for (int n = 0; n < 1000; ++n) {
+        queue.putBack(*queue.pop(Start));
+    }
+    CHECK(popped(queue, 40)["plain"] >= 19);
+}
+
+TEST_CASE("an organisation that used less than its share sends a burst first")
+{
+    FairQueue queue;
+    Instant now = Start;
+    for (std::uint64_t n = 0; n < 500; ++n) {
+        queue.push(request(n, "large"), now);
+    }
+    for (int n = 0; n < 100; ++n) {
+        now += 100ms;
+        queue.pop(now);
+        queue.finished("large");
+    }
+    for (std::uint64_t n = 1000; n < 1005; ++n) {
+        CHECK(queue.push(request(n, "small", 1000, now + 1s), now).queued);
+    }
+    CHECK(popped(queue, 6)["small"] == 5);
+}
+
 TEST_CASE("a full queue displaces the organisation furthest above its share")
 {
     FairQueueOptions options;
