Order the fair queue by start times, so that a small share is not expired behind large ones

Virtual time is now the start of the request due soonest; priority decides among those at most one large request ahead of it.

--- a/include/auburndrum/decision/fairqueue.h
+++ b/include/auburndrum/decision/fairqueue.h
@@ -47,7 +47,7 @@
     std::optional<std::uint64_t> displaced; ///< a request of the organisation furthest above its share; refuse it as not run
 };
 
-/// Weighted fair queue over organisations for one service (WF2Q+). Not thread-safe.
+/// Weighted fair queue over organisations for one service (start-time fair queueing). Not thread-safe.
 ///
 /// An organisation that asks for less than its share waits for about one request of others, whatever they ask for.
 /// Priority orders the organisations that are within their share; it takes nobody's share away.
@@ -96,6 +96,7 @@
     using Organisations = StringMap<Organisation>;
 
     Organisation &organisation(std::string_view name);
+    Organisation *soonest();
     Organisation *next();
     bool mayRun(const Organisation &organisation) const;
     void removed(Organisation &organisation, double cost);
@@ -109,8 +110,9 @@
     FairQueueOptions m_options;
     Organisations m_organisations;
     std::size_t m_size = 0;
-    double m_virtualTime = 0;
+    double m_virtualTime = 0; ///< start of the request due soonest when one was last popped
     double m_virtualTimeBeforePop = 0;
+    double m_largestCost = 0;
     double m_costPerSecond = 0; ///< learned from pops while requests wait
     double m_windowCost = 0;
     Instant m_windowStart{};
--- a/src/auburndrum/decision/fairqueue.cpp
+++ b/src/auburndrum/decision/fairqueue.cpp
@@ -67,12 +67,12 @@
         return std::nullopt;
     }
     m_virtualTimeBeforePop = m_virtualTime;
-    m_virtualTime = std::max(m_virtualTime, chosen->start);
+    m_virtualTime = std::max(m_virtualTime, soonest()->start);
     WaitingRequest request = std::move(chosen->waiting.front());
     chosen->waiting.pop_front();
+    m_largestCost = std::max(m_largestCost, request.cost);
     chosen->start += request.cost / chosen->grant.share;
     ++chosen->running;
-    m_virtualTime += request.cost / std::max(activeShares() + (chosen->waiting.empty() ? chosen->grant.share : 0), chosen->grant.share);
     removed(*chosen, request.cost);
     countPopped(request.cost, now);
     return request;
@@ -157,26 +157,28 @@
     return m_organisations[name];
 }
 
-FairQueue::Organisation *FairQueue::next()
+FairQueue::Organisation *FairQueue::soonest()
 {
-    // First choice: due by virtual time, then priority, then earliest finish. Second: whoever is due soonest.
-    const auto before = [this](const Organisation &a, const Organisation &b) {
-        const bool aDue = a.start <= m_virtualTime;
-        const bool bDue = b.start <= m_virtualTime;
-        if (aDue != bDue) {
-            return aDue;
-        }
-        if (!aDue) {
-            return a.start < b.start;
-        }
-        if (a.grant.priority != b.grant.priority) {
-            return a.grant.priority < b.grant.priority;
-        }
-        return a.start + a.waiting.front().cost / a.grant.share < b.start + b.waiting.front().cost / b.grant.share;
-    };
     Organisation *best = nullptr;
     for (auto &[name, it] : m_organisations) {
-        if (mayRun(it) && (best == nullptr || before(it, *best))) {
+        if (mayRun(it) && (best == nullptr || it.start < best->start)) {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+FairQueue::Organisation *FairQueue::next()
+{
+    Organisation *best = soonest();
+    if (best == nullptr) {
+        return nullptr;
+    }
+    // Priority decides among those that are at most one large request ahead of the one that is due soonest.
+    const double due = best->start;
+    for (auto &[name, it] : m_organisations) {
+        const bool mayGo = mayRun(it) && it.start <= due + m_largestCost / it.grant.share;
+        if (mayGo && it.grant.priority < best->grant.priority) {
             best = &it;
         }
     }
