--- a/include/auburndrum/decision/fairqueue.h
+++ b/include/auburndrum/decision/fairqueue.h
@@ -34,6 +34,7 @@
 struct FairQueueOptions
 {
     std::size_t limit = 1000; ///< waiting requests
+    std::chrono::milliseconds burstCredit{10000}; ///< unused share of this time back lets a burst go first
     std::chrono::milliseconds minRetryAfter{1000};
     std::chrono::milliseconds maxRetryAfter{30000};
 };
@@ -46,7 +47,7 @@
     std::optional<std::uint64_t> displaced; ///< a request of the organisation furthest above its share; refuse it as not run
 };
 
-/// Weighted fair queue over organisations for one service (WF2Q+). Not thread-safe.
+/// Weighted fair queue over organisations for one service (start-time fair queueing). Not thread-safe.
 ///
 /// An organisation that asks for less than its share waits for about one request of others, whatever they ask for.
 /// Priority orders the organisations that are within their share; it takes nobody's share away.
@@ -65,7 +66,7 @@
     /// Takes the request to run next; nothing when none waits or all waiting organisations are at their limit.
     std::optional<WaitingRequest> pop(Instant now);
 
-    /// Puts a popped request back in front, as when no server can take it yet.
+    /// Puts the request of the latest pop() back in front, as when no server can take it yet. Undoes that pop.
     void putBack(WaitingRequest request);
 
     /// Counts a popped request of @p organisation as ended.
@@ -95,10 +96,13 @@
     using Organisations = StringMap<Organisation>;
 
     Organisation &organisation(std::string_view name);
+    Organisation *soonest();
     Organisation *next();
     bool mayRun(const Organisation &organisation) const;
     void removed(Organisation &organisation, double cost);
     double activeShares() const;
+    double virtualRate(double shares) const;
+    double dueFrom(const Organisation &organisation) const;
     Organisation *mostOverShare();
     void countPopped(double cost, Instant now);
     std::chrono::milliseconds retryAfter(std::chrono::nanoseconds wait, std::chrono::nanoseconds allowed) const;
@@ -106,7 +110,9 @@
     FairQueueOptions m_options;
     Organisations m_organisations;
     std::size_t m_size = 0;
-    double m_virtualTime = 0;
+    double m_virtualTime = 0; ///< start of the request due soonest when one was last popped
+    double m_virtualTimeBeforePop = 0;
+    double m_largestCost = 0;
     double m_costPerSecond = 0; ///< learned from pops while requests wait
     double m_windowCost = 0;
     Instant m_windowStart{};
--- a/src/auburndrum/decision/fairqueue.cpp
+++ b/src/auburndrum/decision/fairqueue.cpp
@@ -35,7 +35,7 @@
     Organisation &own = organisation(request.organisation);
     const std::uint64_t id = request.id;
     if (own.waiting.empty()) {
-        own.start = std::max(own.start, m_virtualTime);
+        own.start = dueFrom(own);
     }
     if (m_size == 0) {
         m_windowStart = now;
@@ -66,12 +66,13 @@
     if (chosen == nullptr) {
         return std::nullopt;
     }
-    m_virtualTime = std::max(m_virtualTime, chosen->start);
+    m_virtualTimeBeforePop = m_virtualTime;
+    m_virtualTime = std::max(m_virtualTime, soonest()->start);
     WaitingRequest request = std::move(chosen->waiting.front());
     chosen->waiting.pop_front();
+    m_largestCost = std::max(m_largestCost, request.cost);
     chosen->start += request.cost / chosen->grant.share;
     ++chosen->running;
-    m_virtualTime += request.cost / std::max(activeShares() + (chosen->waiting.empty() ? chosen->grant.share : 0), chosen->grant.share);
     removed(*chosen, request.cost);
     countPopped(request.cost, now);
     return request;
@@ -81,6 +82,7 @@
 {
     Organisation &it = organisation(request.organisation);
     it.start -= request.cost / it.grant.share;
+    m_virtualTime = m_virtualTimeBeforePop;
     it.running -= std::min(it.running, 1U);
     it.waitingCost += request.cost;
     m_windowCost -= request.cost;
@@ -132,12 +134,13 @@
         return std::chrono::nanoseconds(0);
     }
     const auto it = m_organisations.find(name);
-    const bool known = it != m_organisations.end();
-    const double share = known ? it->second.grant.share : QueueGrant{}.share;
-    const double ownCost = known ? it->second.waitingCost : 0;
-    const bool active = known && !it->second.waiting.empty();
-    const double shares = activeShares() + (active ? 0 : share);
-    const Seconds wait(ownCost * shares / share / m_costPerSecond);
+    if (it == m_organisations.end()) {
+        return std::chrono::nanoseconds(0);
+    }
+    const Organisation &own = it->second;
+    const double shares = activeShares() + (own.waiting.empty() ? own.grant.share : 0);
+    const double due = (own.waiting.empty() ? dueFrom(own) : own.start) + own.waitingCost / own.grant.share;
+    const Seconds wait(std::max(due - m_virtualTime, 0.0) / virtualRate(shares));
     return std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
 }
 
@@ -154,26 +157,28 @@
     return m_organisations[name];
 }
 
-FairQueue::Organisation *FairQueue::next()
+FairQueue::Organisation *FairQueue::soonest()
 {
-    // First choice: due by virtual time, then priority, then earliest finish. Second: whoever is due soonest.
-    const auto before = [this](const Organisation &a, const Organisation &b) {
-        const bool aDue = a.start <= m_virtualTime;
-        const bool bDue = b.start <= m_virtualTime;
-        if (aDue != bDue) {
-            return aDue;
-        }
-        if (!aDue) {
-            return a.start < b.start;
-        }
-        if (a.grant.priority != b.grant.priority) {
-            return a.grant.priority < b.grant.priority;
-        }
-        return a.start + a.waiting.front().cost / a.grant.share < b.start + b.waiting.front().cost / b.grant.share;
-    };
     Organisation *best = nullptr;
     for (auto &[name, it] : m_organisations) {
-        if (mayRun(it) && (best == nullptr || before(it, *best))) {
+        if (mayRun(it) && (best == nullptr || it.start < best->start)) {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+FairQueue::Organisation *FairQueue::next()
+{
+    Organisation *best = soonest();
+    if (best == nullptr) {
+        return nullptr;
+    }
+    // Priority decides among those that are at most one large request ahead of the one that is due soonest.
+    const double due = best->start;
+    for (auto &[name, it] : m_organisations) {
+        const bool mayGo = mayRun(it) && it.start <= due + m_largestCost / it.grant.share;
+        if (mayGo && it.grant.priority < best->grant.priority) {
             best = &it;
         }
     }
@@ -201,6 +206,17 @@
     return shares;
 }
 
+double FairQueue::virtualRate(double shares) const
+{
+    return m_costPerSecond / std::max(shares, 1e-9);
+}
+
+double FairQueue::dueFrom(const Organisation &organisation) const
+{
+    const double credit = Seconds(m_options.burstCredit).count() * virtualRate(activeShares() + organisation.grant.share);
+    return std::max(organisation.start, m_virtualTime - credit);
+}
+
 FairQueue::Organisation *FairQueue::mostOverShare()
 {
     Organisation *most = nullptr;
