--- /dev/null
+++ b/src/auburndrum/decision/linkshare_test.cpp
@@ -0,0 +1,134 @@
+#include "auburndrum/decision/configdelta.h"
+#include "auburndrum/decision/linkshare.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Capacity = 1000;
+const Instant Start{1h};
+
+MemberRecord record(const std::string &name)
+{
+    return {name, name, "zone-1", "region-1", 1, 0, Liveness::Alive, false};
+}
+
+Membership pair(const std::string &self, const std::string &other)
+{
+    MembershipOptions options;
+    options.self = record(self);
+    Membership membership(options);
+    membership.merge(record(other), Start);
+    return membership;
+}
+
+/// Moves the whole demand from "a" to "b"; "a" hears of it two seconds late. Returns the most that both used together.
+std::uint64_t mostUsedWhileDemandMoves(LinkShareOptions options)
+{
+    options.capacityBytesPerSecond = Capacity;
+    const Membership atA = pair("a", "b");
+    const Membership atB = pair("b", "a");
+    LinkShare a(options);
+    LinkShare b(options);
+    a.setOwnDemand(Capacity);
+    a.setDemand("b", 0);
+    b.setOwnDemand(0);
+    b.setDemand("a", Capacity);
+    std::uint64_t most = 0;
+    for (Instant now = Start; now < Start + 40s; now += 1s) {
+        if (now == Start + 20s) {
+            b.setOwnDemand(Capacity);
+        }
+        if (now == Start + 22s) {
+            a.setDemand("b", Capacity);
+        }
+        a.update(atA, now);
+        b.update(atB, now);
+        most = std::max(most, a.bytesPerSecond() + b.bytesPerSecond());
+    }
+    CHECK(b.bytesPerSecond() == Capacity / 2);
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a split gives small demands whole, the rest in equal parts, and never too much")
+{
+    const auto shares = splitLink(Capacity, {{"a", 100}, {"b", 5000}, {"c", 5000}});
+    CHECK(shares.at("a") == 100);
+    CHECK(shares.at("b") == 450);
+    CHECK(shares.at("c") == 450);
+    CHECK(splitLink(Capacity, {}).empty());
+}
+
+TEST_CASE("lent bytes come back without going over the link's capacity")
+{
+    CHECK(mostUsedWhileDemandMoves({}) <= Capacity);
+    LinkShareOptions broken;
+    broken.raiseAtOnce = true;
+    CHECK(mostUsedWhileDemandMoves(broken) > Capacity);
+}
+
+TEST_CASE("a dead member's share returns once the platform no longer lists it")
+{
+    Membership membership = pair("a", "b");
+    membership.mergeList({{"b", "b", "zone-1", "region-1", false}}, Start);
+    MemberRecord dead = record("b");
+    dead.liveness = Liveness::Dead;
+    membership.merge(dead, Start);
+    LinkShareOptions options;
+    options.capacityBytesPerSecond = Capacity;
+    LinkShare share(options);
+    share.setOwnDemand(Capacity);
+    Instant now = Start;
+    const auto settle = [&] {
+        for (int n = 0; n < 10; ++n) {
+            now += 1s;
+            share.update(membership, now);
+        }
+    };
+    settle();
+    CHECK(share.bytesPerSecond() == Capacity / 2);
+    membership.mergeList({}, now);
+    settle();
+    CHECK(share.bytesPerSecond() == Capacity);
+}
+
+TEST_CASE("a zone has as many configuration readers as wanted, and each sees itself as one")
+{
+    std::vector<MemberRecord> zone;
+    for (int n = 0; n < 17; ++n) {
+        zone.push_back(record("entry-" + std::to_string(n)));
+    }
+    int readers = 0;
+    for (const MemberRecord &it : zone) {
+        readers += isConfigReader(it, zone, 2) ? 1 : 0;
+    }
+    CHECK(readers == 2);
+    zone.resize(2);
+    CHECK(isConfigReader(zone[0], zone, 2));
+    CHECK(isConfigReader(zone[1], zone, 2));
+}
+
+TEST_CASE("configuration is fetched one at a time, from the furthest, and never for a lower offset")
+{
+    ConfigCatchUp catchUp;
+    catchUp.setOwnOffset(10);
+    CHECK_FALSE(catchUp.peerOffset("a", 10));
+    CHECK(catchUp.peerOffset("a", 12) == "a");
+    CHECK_FALSE(catchUp.peerOffset("b", 20));
+    catchUp.setOwnOffset(12);
+    CHECK(catchUp.fetchEnded(true) == "b");
+    CHECK_FALSE(catchUp.fetchEnded(false));
+    CHECK(catchUp.peerOffset("c", 13) == "c");
+    CHECK_FALSE(catchUp.mayAdopt(12));
+    CHECK_FALSE(catchUp.mayAdopt(11));
+    catchUp.setOwnOffset(5);
+    CHECK(catchUp.ownOffset() == 12);
+}
