--- a/include/auburndrum/caller/callercontext.h
+++ b/include/auburndrum/caller/callercontext.h
@@ -3,6 +3,7 @@
 #include "auburndrum/backend/fleet.h"
 #include "auburndrum/base/daemonmetrics.h"
 #include "auburndrum/base/timeline.h"
+#include "auburndrum/caller/admissiongate.h"
 #include "auburndrum/caller/directory.h"
 #include "auburndrum/net/httpclient.h"
 #include "auburndrum/platform/claimservice.h"
@@ -18,6 +19,7 @@
     net::HttpClient &http;
     backend::Fleet &fleet;
     platform::ClaimService &claims;
+    AdmissionGate &gate;
     Timeline &timeline;
     DaemonMetrics &metrics;
     std::function<std::shared_ptr<const Directory>()> directory;
--- a/include/auburndrum/daemon/daemon.h
+++ b/include/auburndrum/daemon/daemon.h
@@ -10,10 +10,10 @@
 #include "auburndrum/caller/doubtresolver.h"
 #include "auburndrum/daemon/directorybuilder.h"
 #include "auburndrum/daemon/workerpool.h"
-#include "auburndrum/net/httpserver.h"
 #include "auburndrum/decision/logfold.h"
 #include "auburndrum/decision/snapshotplanner.h"
 #include "auburndrum/entry/entrylink.h"
+#include "auburndrum/net/httpserver.h"
 #include "auburndrum/operator/adminapi.h"
 #include "auburndrum/operator/publishhistory.h"
 #include "auburndrum/platform/logfollower.h"
@@ -91,6 +91,7 @@
     DaemonMetrics m_metrics;
     Log m_log;
     WorkerPool m_workers;
+    caller::AdmissionGate m_gate; ///< before the client, whose calls hold tickets
     net::HttpClient m_http;
     platform::LogClient m_logClient;
     decision::LogFold m_fold;
@@ -111,6 +112,7 @@
     std::unique_ptr<entry::EntryLink> m_entries; ///< made once the own address is known
     net::Address m_address;
     QTimer m_vmTimer;
+    QTimer m_gateTimer;
     QTimer m_doubtTimer;
     QTimer m_drainTimer;
     std::vector<platform::Vm> m_vms;
--- /dev/null
+++ b/src/auburndrum/caller/admissiongate.cpp
@@ -0,0 +1,148 @@
+#include "auburndrum/caller/admissiongate.h"
+
+#include <vector>
+
+namespace auburndrum::caller {
+
+namespace {
+
+constexpr std::chrono::milliseconds ExpiredRetryAfter{1000};
+
+} // namespace
+
+AdmissionTicket::AdmissionTicket(AdmissionGate &gate,
+                                 std::string service,
+                                 std::string organisation,
+                                 std::chrono::nanoseconds allowedWait,
+                                 Instant admitted)
+    : m_gate(gate)
+    , m_service(std::move(service))
+    , m_organisation(std::move(organisation))
+    , m_allowedWait(allowedWait)
+    , m_admitted(admitted)
+{
+}
+
+AdmissionTicket::~AdmissionTicket()
+{
+    if (m_isCounted) {
+        m_gate.m_lanes.at(m_service).limit.ignored();
+    }
+    m_gate.finished(m_service, m_organisation, monotonicNow());
+}
+
+void AdmissionTicket::firstOutput(Instant now)
+{
+    if (!std::exchange(m_isCounted, false)) {
+        return;
+    }
+    m_gate.m_lanes.at(m_service).limit.finished(now - m_admitted, m_allowedWait, now);
+    m_gate.pump(m_service, now);
+}
+
+void AdmissionTicket::dropped(Instant now)
+{
+    if (std::exchange(m_isCounted, false)) {
+        m_gate.m_lanes.at(m_service).limit.dropped(now);
+    }
+}
+
+AdmissionGate::Lane &AdmissionGate::lane(const decision::ServiceDocument &service)
+{
+    const decision::FairQueueOptions options{.limit = service.queueLimit};
+    Lane &it = m_lanes.try_emplace(service.name, options).first->second;
+    for (const decision::OrganisationGrant &grant : service.organisations) {
+        it.queue.setGrant(grant.organisation, {grant.share, grant.maxConcurrent, grant.priority});
+    }
+    return it;
+}
+
+std::optional<std::uint64_t>
+AdmissionGate::enter(const decision::ServiceDocument &service, const AdmissionRequest &request, AdmissionHooks hooks, Instant now)
+{
+    Lane &it = lane(service);
+    const std::uint64_t number = ++m_lastNumber;
+    it.waiting[number] = {std::move(hooks), request.allowedWait};
+    const auto pushed = it.queue.push({number, request.organisation, request.cost, request.deadline}, now);
+    if (pushed.displaced) {
+        refuse(it, *pushed.displaced, pushed.retryAfter);
+    }
+    if (!pushed.queued) {
+        refuse(it, number, pushed.retryAfter);
+        return std::nullopt;
+    }
+    pump(service.name, now);
+    return it.waiting.contains(number) ? std::optional(number) : std::nullopt;
+}
+
+void AdmissionGate::cancel(const std::string &service, const std::string &organisation, std::uint64_t number)
+{
+    const auto it = m_lanes.find(service);
+    if (it == m_lanes.end() || it->second.waiting.erase(number) == 0) {
+        return;
+    }
+    it->second.queue.cancel(organisation, number);
+}
+
+void AdmissionGate::refuse(Lane &lane, std::uint64_t number, std::chrono::milliseconds retryAfter)
+{
+    const auto it = lane.waiting.find(number);
+    if (it == lane.waiting.end()) {
+        return;
+    }
+    const AdmissionHooks hooks = std::move(it->second.hooks);
+    lane.waiting.erase(it);
+    hooks.onRefused(retryAfter);
+}
+
+void AdmissionGate::pump(const std::string &service, Instant now)
+{
+    Lane &it = m_lanes.at(service);
+    while (!m_isClosed && it.limit.mayStart()) {
+        const auto next = it.queue.pop(now);
+        if (!next) {
+            return;
+        }
+        const auto waiting = it.waiting.find(next->id);
+        if (waiting == it.waiting.end()) {
+            it.queue.finished(next->organisation);
+            continue;
+        }
+        const Waiting admitted = std::move(waiting->second);
+        it.waiting.erase(waiting);
+        it.limit.started();
+        admitted.hooks.onAdmitted(std::make_unique<AdmissionTicket>(*this, service, next->organisation, admitted.allowedWait, now));
+    }
+}
+
+void AdmissionGate::finished(const std::string &service, const std::string &organisation, Instant now)
+{
+    m_lanes.at(service).queue.finished(organisation);
+    pump(service, now);
+}
+
+void AdmissionGate::expire(Instant now)
+{
+    for (auto &[service, it] : m_lanes) {
+        for (const decision::WaitingRequest &request : it.queue.expire(now)) {
+            refuse(it, request.id, ExpiredRetryAfter);
+        }
+        pump(service, now);
+    }
+}
+
+void AdmissionGate::close()
+{
+    m_isClosed = true;
+}
+
+std::size_t AdmissionGate::waiting() const
+{
+    std::size_t n = 0;
+    for (const auto &[service, it] : m_lanes) {
+        n += it.waiting.size();
+    }
+    return n;
+}
+
+} // namespace auburndrum::caller
--- a/src/auburndrum/caller/completioncall.cpp
+++ b/src/auburndrum/caller/completioncall.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t MaxAttempts = 4;
+constexpr int HealthyShare = 5; // of the deadline: a first token within a fifth of it is no sign of load
 constexpr qint64 MaxUnsentBytes = 4 * 1024 * 1024; // a caller that reads this much too slowly is cut
 
 QByteArray toBytes(const std::string &text)
@@ -116,6 +117,34 @@
         return;
     }
     m_context.fleet.firstAttempt(m_service->name);
+    enter();
+}
+
+void CompletionCall::enter()
+{
+    AdmissionRequest request;
+    request.organisation = m_organisation;
+    request.cost = std::max<double>(1, m_prompt.pieces.promptTokens);
+    request.deadline = m_arrived + m_service->firstTokenDeadline;
+    request.allowedWait = m_service->firstTokenDeadline / HealthyShare;
+    AdmissionHooks hooks;
+    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> ticket) {
+        self->admitted(std::move(ticket));
+    };
+    hooks.onRefused = [self = shared_from_this()](std::chrono::milliseconds retryAfter) {
+        self->m_waiting.reset();
+        self->refuseRoute({decision::RouteError::Overloaded, retryAfter});
+    };
+    m_waiting = m_context.gate.enter(*m_service, request, std::move(hooks), monotonicNow());
+    if (m_waiting) {
+        m_context.timeline.record(EventKind::RequestQueued, m_requestId);
+    }
+}
+
+void CompletionCall::admitted(std::unique_ptr<AdmissionTicket> ticket)
+{
+    m_waiting.reset();
+    m_ticket = std::move(ticket);
     attempt();
 }
 
@@ -205,6 +234,9 @@
 void CompletionCall::firstOutput()
 {
     m_hasOutput = true;
+    if (m_ticket) {
+        m_ticket->firstOutput(monotonicNow());
+    }
     const auto seconds = std::chrono::duration<double>(sinceArrival()).count();
     m_context.metrics.firstToken.with({m_service->name}).Observe(seconds);
     m_context.timeline.record(EventKind::FirstOutput, m_requestId);
@@ -275,6 +307,7 @@
         m_context.fleet.notePrefix(m_placement->server, m_prompt);
     }
     releaseServer();
+    m_ticket.reset();
     if (m_request.stream && end.kind == backend::EngineEndKind::Complete) {
         m_context.metrics.openStreams.with().Decrement();
         m_exchange->finishStream();
@@ -305,11 +338,15 @@
     m_mayHaveRun = m_mayHaveRun || !provesNotRun(end.kind);
     m_context.timeline.record(EventKind::AttemptFailed, m_requestId, m_placement->address + ": " + toText(end.kind));
     releaseServer();
+    if (m_ticket && (end.kind == backend::EngineEndKind::Refused || end.kind == backend::EngineEndKind::Broken)) {
+        m_ticket->dropped(monotonicNow());
+    }
     if (mayRetry(end)) {
         m_context.metrics.retries.with({m_service->name}).Increment();
         attempt();
         return;
     }
+    m_ticket.reset();
     if (!m_exchange->isAnswered()) {
         ApiError error = m_mayHaveRun ? brokenUpstream("The backend server's answer broke off.")
                                       : unavailable("no_backend_server",
@@ -335,11 +372,17 @@
         m_stream->cancel();
     }
     releaseServer();
+    m_ticket.reset();
+    if (m_waiting) {
+        m_context.gate.cancel(m_service->name, m_organisation, *m_waiting);
+        m_waiting.reset();
+    }
     m_context.timeline.record(EventKind::CallerGone, m_requestId);
 }
 
 void CompletionCall::fail(const ApiError &error)
 {
+    m_ticket.reset();
     const std::string service = m_service == nullptr ? "unknown" : m_service->name;
     m_context.metrics.requests.with({service, std::to_string(error.status)}).Increment();
     refuse(*m_exchange, error);
--- a/src/auburndrum/caller/completioncall.h
+++ b/src/auburndrum/caller/completioncall.h
@@ -26,6 +26,8 @@
 private:
     void prepare();
     void prepared();
+    void enter();
+    void admitted(std::unique_ptr<AdmissionTicket> ticket);
     void attempt();
     void send(const decision::Placement &placement);
     void handleAccepted(const net::HttpHead &head);
@@ -57,6 +59,8 @@
     std::vector<decision::ServerId> m_tried;
     std::optional<decision::Placement> m_placement;
     std::shared_ptr<backend::EngineStream> m_stream;
+    std::unique_ptr<AdmissionTicket> m_ticket;
+    std::optional<std::uint64_t> m_waiting; ///< number at the gate
     Instant m_arrived;
     bool m_hasOutput = false;
     bool m_mayHaveRun = false;
--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t MaxAttempts = 3;
+constexpr int HealthyShare = 5; // of the timeout: an answer within a fifth of it is no sign of load
 constexpr std::chrono::milliseconds RetryAfter{1000};
 
 std::string toString(const QByteArray &bytes)
@@ -60,6 +61,32 @@
 
 void ServiceCall::start()
 {
+    AdmissionRequest request;
+    request.organisation = m_request.organisation;
+    request.deadline = m_arrived + m_service.requestTimeout;
+    request.allowedWait = m_service.requestTimeout / HealthyShare;
+    AdmissionHooks hooks;
+    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> ticket) {
+        self->admitted(std::move(ticket));
+    };
+    hooks.onRefused = [self = shared_from_this()](std::chrono::milliseconds retryAfter) {
+        self->answer({decision::AnswerKind::NotRun, std::nullopt, retryAfter});
+    };
+    const auto waiting = m_context.gate.enter(m_service, request, std::move(hooks), monotonicNow());
+    if (!waiting) {
+        return;
+    }
+    m_exchange->setOnCallerGone([self = weak_from_this(), number = *waiting] {
+        if (const auto it = self.lock()) {
+            it->m_context.gate.cancel(it->m_service.name, it->m_request.organisation, number);
+        }
+    });
+}
+
+void ServiceCall::admitted(std::unique_ptr<AdmissionTicket> ticket)
+{
+    m_ticket = std::move(ticket);
+    m_exchange->setOnCallerGone({});
     if (isKeyed()) {
         startKeyed();
         return;
@@ -171,6 +198,9 @@
         m_context.timeline.record(EventKind::AttemptFailed, m_request.requestId, m_placement->address);
     }
     m_placement.reset();
+    if (m_ticket && end.kind == backend::PlainEndKind::Answered) {
+        m_ticket->firstOutput(monotonicNow());
+    }
     if (isKeyed()) {
         handleKeyedEnd(end);
         return;
@@ -235,6 +265,7 @@
 
 void ServiceCall::answer(const decision::CallAnswer &answer)
 {
+    m_ticket.reset();
     switch (answer.kind) {
     case decision::AnswerKind::Fresh:
     case decision::AnswerKind::Replay:
@@ -271,6 +302,7 @@
     if (isReplay) {
         headers.push_back({"Idempotent-Replayed", "true"});
     }
+    m_ticket.reset();
     m_context.metrics.requests.with({m_service.name, std::to_string(status)}).Increment();
     m_context.timeline.record(EventKind::RequestAnswered, m_request.requestId);
     m_exchange->respond(status, headers, body);
@@ -278,6 +310,7 @@
 
 void ServiceCall::fail(const ApiError &error)
 {
+    m_ticket.reset();
     m_context.metrics.requests.with({m_service.name, std::to_string(error.status)}).Increment();
     m_context.timeline.record(EventKind::RequestRefused, m_request.requestId, error.code);
     refuse(*m_exchange, error);
--- a/src/auburndrum/caller/servicecall.h
+++ b/src/auburndrum/caller/servicecall.h
@@ -32,6 +32,7 @@
     void start();
 
 private:
+    void admitted(std::unique_ptr<AdmissionTicket> ticket);
     void startKeyed();
     void startUnkeyed();
     void attempt();
@@ -54,6 +55,7 @@
     decision::Claim m_claim;
     std::vector<decision::ServerId> m_tried;
     std::optional<decision::Placement> m_placement;
+    std::unique_ptr<AdmissionTicket> m_ticket;
     Instant m_arrived;
 };
 
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -18,6 +18,7 @@
 constexpr int WorkerThreads = 2;
 constexpr std::chrono::milliseconds VmListInterval{1000};
 constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::chrono::milliseconds GateInterval{20};
 constexpr std::chrono::milliseconds DoubtInterval{5000};
 constexpr std::chrono::milliseconds DoubtMargin{5000}; // behind a claim's deadline, for its own process to settle it
 constexpr std::chrono::milliseconds MaxSnapshotDelay{60000}; // long enough that one of the entries goes first
@@ -61,6 +62,8 @@
 {
     backend::FleetOptions it;
     it.router.place = {settings.zone, settings.region};
+    // A quiet service must be able to retry a handful of failures at once.
+    it.retries.perSecond = 10;
     return it;
 }
 
@@ -122,6 +125,7 @@
     , m_callerContext{m_http,
                       m_fleet,
                       m_claims,
+                      m_gate,
                       m_timeline,
                       m_metrics,
                       [this] {
@@ -149,6 +153,9 @@
 {
     connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::readVms);
     connect(&m_vmTimer, &QTimer::timeout, this, &Daemon::appendSnapshot);
+    connect(&m_gateTimer, &QTimer::timeout, this, [this] {
+        m_gate.expire(monotonicNow());
+    });
     connect(&m_doubtTimer, &QTimer::timeout, this, &Daemon::resolveDoubts);
     connect(&m_drainTimer, &QTimer::timeout, this, &Daemon::finishDrain);
     m_registry.onScrape([this] {
@@ -156,7 +163,10 @@
     });
 }
 
-Daemon::~Daemon() = default;
+Daemon::~Daemon()
+{
+    m_gate.close();
+}
 
 bool Daemon::start()
 {
@@ -171,6 +181,7 @@
     readVms();
     m_vmTimer.start(VmListInterval);
     m_doubtTimer.start(DoubtInterval);
+    m_gateTimer.start(GateInterval);
     m_watch.start();
     return true;
 }
@@ -369,7 +380,8 @@
     }
     m_timeline.record(EventKind::SnapshotAppended, {}, std::to_string(m_fold.offset()));
     // A lost reply needs no care: a second snapshot is harmless, and a missing one is planned again.
-    m_logClient.append(decision::encodeEntry({m_fold.snapshot()}), [](const platform::AppendResult &) { });
+    m_logClient.append(decision::encodeEntry({m_fold.snapshot()}), [](const platform::AppendResult &) {
+    });
 }
 
 void Daemon::handleCut(std::uint64_t first)
