--- /dev/null
+++ b/src/auburndrum/operator/claimresolution_test.cpp
@@ -0,0 +1,52 @@
+#include "auburndrum/operator/claimresolution.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::operators;
+using namespace std::chrono_literals;
+
+namespace {
+
+const decision::ClaimKey Key{"ordering", "kattila", "k1"};
+const WallTime Deadline{1000ms};
+
+/// A ledger with one open claim.
+decision::ClaimLedger openClaim()
+{
+    decision::ClaimLedger ledger;
+    ledger.apply(1, WallTime{500ms}, decision::Claim{Key, "f", "i", "n1", Deadline});
+    return ledger;
+}
+
+} // namespace
+
+TEST_CASE("a claim past its deadline is in doubt, and a finding settles it")
+{
+    auto ledger = openClaim();
+    REQUIRE(doubtsOf(ledger, Deadline + 1ms).size() == 1);
+    CHECK(doubtsOf(ledger, Deadline + 1ms)[0].nonce == "n1");
+    const auto record = resolutionRecord(ledger, {.key = Key, .ran = true, .status = 201}, Deadline + 1ms);
+    REQUIRE(record.has_value());
+    const auto &outcome = std::get<decision::OutcomeBatchRecord>(*record).outcomes.at(0);
+    CHECK(outcome.source == decision::OutcomeSource::Operator);
+    CHECK(ledger.apply(outcome));
+    CHECK(doubtsOf(ledger, Deadline + 1ms).empty());
+    CHECK_FALSE(resolutionRecord(ledger, {.key = Key, .ran = false}, Deadline + 1ms).has_value());
+}
+
+TEST_CASE("a finding that the call did not run frees the key")
+{
+    auto ledger = openClaim();
+    const auto record = resolutionRecord(ledger, {.key = Key, .ran = false}, Deadline + 1ms);
+    REQUIRE(record.has_value());
+    CHECK(ledger.apply(std::get<decision::ReleaseRecord>(*record).releases.at(0)));
+    CHECK(ledger.find(Key) == nullptr);
+}
+
+TEST_CASE("a claim that its holder may still run can't be resolved, nor one that doesn't exist")
+{
+    const auto ledger = openClaim();
+    CHECK_FALSE(resolutionRecord(ledger, {.key = Key, .ran = false}, Deadline).has_value());
+    CHECK_FALSE(resolutionRecord(ledger, {.key = {"ordering", "poyta", "k1"}, .ran = false}, Deadline + 1ms).has_value());
+}
