--- a/src/auburndrum/operator/publishhistory.cpp
+++ b/src/auburndrum/operator/publishhistory.cpp
@@ -25,15 +25,14 @@
 
 void PublishHistory::dropOldest(const std::string &document)
 {
-    // By value: the argument may be an element of m_order.
-    const std::string name = document;
-    const auto it = m_versions.find(name);
+    const auto it = m_versions.find(document);
     m_bytes -= it->second.front().body.size();
     it->second.pop_front();
-    m_order.erase(std::find(m_order.begin(), m_order.end(), name));
     if (it->second.empty()) {
         m_versions.erase(it);
     }
+    // Last, because the argument may be the element that goes.
+    m_order.erase(std::find(m_order.begin(), m_order.end(), document));
 }
 
 std::vector<PublishedVersion> PublishHistory::versions(const std::string &document) const
