Count only documents as configuration towards peers, and end a client with calls under way

Cause: every claim moved the offset that peers hurry for; a client destroyed with calls under way called back into its half-destroyed pool (entries' bench crashed); the gate's test let a dropped ticket admit into a vector under destruction.

--- a/include/auburndrum/daemon/daemon.h
+++ b/include/auburndrum/daemon/daemon.h
@@ -121,6 +121,7 @@
     Instant m_drainDeadline{};
     bool m_isCaughtUp = false;
     bool m_directoryStale = true;
+    std::uint64_t m_documentOffset = 0; ///< of the last record that changed a document
 };
 
 } // namespace auburndrum::daemon
--- a/src/auburndrum/backend/enginestream.cpp
+++ b/src/auburndrum/backend/enginestream.cpp
@@ -23,7 +23,7 @@
 
 std::shared_ptr<EngineStream> EngineStream::start(net::HttpClient &http, EngineAttempt attempt, EngineHooks hooks)
 {
-    const std::shared_ptr<EngineStream> it(new EngineStream(http, std::move(attempt), std::move(hooks)));
+    std::shared_ptr<EngineStream> it(new EngineStream(http, std::move(attempt), std::move(hooks)));
     it->send();
     return it;
 }
--- a/src/auburndrum/caller/admissiongate_test.cpp
+++ b/src/auburndrum/caller/admissiongate_test.cpp
@@ -19,6 +19,12 @@
     int refused = 0;
     Instant now = monotonicNow();
 
+    ~Bench()
+    {
+        // Tickets go before the gate, and each lets the next request in.
+        gate.close();
+    }
+
     std::optional<std::uint64_t> enter(const std::string &organisation)
     {
         AdmissionHooks hooks;
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -273,6 +273,7 @@
     }
     m_follower.rewindTo(m_fold.offset() + 1);
     m_directoryStale = true;
+    m_documentOffset = m_fold.offset();
     // Records that this process didn't see one by one may have decided its own claims.
     m_claims.reconcile();
     handleCaughtUp();
@@ -347,6 +348,7 @@
         m_snapshots.snapshotSeen(monotonicNow(), record.offset);
     }
     if (!entry.documents.empty()) {
+        m_documentOffset = record.offset;
         keepHistory(record);
     }
     for (const std::string &it : entry.documents) {
@@ -365,7 +367,8 @@
 {
     rebuildDirectory();
     m_publisher.handleFolded();
-    m_entries->setConfigOffset(m_fold.offset());
+    // Only documents count here: peers would hurry for every claim otherwise.
+    m_entries->setConfigOffset(m_documentOffset);
     if (m_fold.isSearching() || std::exchange(m_isCaughtUp, true)) {
         return;
     }
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -52,6 +52,7 @@
 void ClientConnection::retire()
 {
     m_socket.disconnect(this);
+    m_onReleased = [](ClientConnection *, bool) { };
 }
 
 bool ClientConnection::isUsable() const
