--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -1,22 +1,17 @@
 #include "servicecall.h"
 
 #include "auburndrum/base/randomid.h"
-
-#include <nlohmann/json.hpp>
+#include "outcomelookup.h"
 
 #include <QCryptographicHash>
-#include <QUrl>
 
 namespace auburndrum::caller {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::size_t MaxAttempts = 3;
+constexpr int HealthyShare = 5; // of the timeout: an answer within a fifth of it is no sign of load
 constexpr std::chrono::milliseconds RetryAfter{1000};
-constexpr std::chrono::milliseconds LookupTimeout{2000};
-constexpr int StatusOk = 200;
 
 std::string toString(const QByteArray &bytes)
 {
@@ -66,6 +61,32 @@
 
 void ServiceCall::start()
 {
+    AdmissionRequest request;
+    request.organisation = m_request.organisation;
+    request.deadline = m_arrived + m_service.requestTimeout;
+    request.allowedWait = m_service.requestTimeout / HealthyShare;
+    AdmissionHooks hooks;
+    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> ticket) {
+        self->admitted(std::move(ticket));
+    };
+    hooks.onRefused = [self = shared_from_this()](std::chrono::milliseconds retryAfter) {
+        self->answer({decision::AnswerKind::NotRun, std::nullopt, retryAfter});
+    };
+    const auto waiting = m_context.gate.enter(m_service, request, std::move(hooks), monotonicNow());
+    if (!waiting) {
+        return;
+    }
+    m_exchange->setOnCallerGone([self = weak_from_this(), number = *waiting] {
+        if (const auto it = self.lock()) {
+            it->m_context.gate.cancel(it->m_service.name, it->m_request.organisation, number);
+        }
+    });
+}
+
+void ServiceCall::admitted(std::unique_ptr<AdmissionTicket> ticket)
+{
+    m_ticket = std::move(ticket);
+    m_exchange->setOnCallerGone({});
     if (isKeyed()) {
         startKeyed();
         return;
@@ -177,6 +198,9 @@
         m_context.timeline.record(EventKind::AttemptFailed, m_request.requestId, m_placement->address);
     }
     m_placement.reset();
+    if (m_ticket && end.kind == backend::PlainEndKind::Answered) {
+        m_ticket->firstOutput(monotonicNow());
+    }
     if (isKeyed()) {
         handleKeyedEnd(end);
         return;
@@ -234,46 +258,14 @@
 
 void ServiceCall::lookUp()
 {
-    m_tried.clear();
-    const auto placement = place();
-    if (!placement) {
-        m_context.claims.lookedUp(m_claim.nonce, std::nullopt);
-        return;
-    }
-    net::HttpCall call;
-    call.peer = net::parseAddress(placement.value().address).value_or(net::Address{});
-    call.target = QByteArray::fromStdString(m_service.lookupPath) + "?key=" + QUrl::toPercentEncoding(QString::fromUtf8(m_request.idempotencyKey))
-        + "&organisation=" + QUrl::toPercentEncoding(QString::fromStdString(m_request.organisation));
-    call.freshConnection = true;
-    call.firstByteTimeout = LookupTimeout;
-    call.idleTimeout = LookupTimeout;
-    net::HttpHooks hooks;
-    hooks.onDone = [self = shared_from_this()](const net::HttpResult &result) {
-        self->handleLookup(result);
-    };
-    m_context.http.start(call, std::move(hooks));
-}
-
-void ServiceCall::handleLookup(const net::HttpResult &result)
-{
-    std::optional<decision::Outcome> found;
-    const json body = result.failure == net::HttpFailure::None && result.head.status == StatusOk ? json::parse(toString(result.body), nullptr, false) : json();
-    if (body.is_object() && body.value("found", json()) == true && body.value("status", json()).is_number_unsigned()
-        && body.value("body", json()).is_string()) {
-        decision::Outcome it;
-        it.key = m_claim.key;
-        it.nonce = m_claim.nonce;
-        it.status = body["status"].get<std::uint32_t>();
-        it.contentType = "application/json";
-        it.body = body["body"].get<std::string>();
-        it.source = decision::OutcomeSource::Lookup;
-        found = std::move(it);
-    }
-    m_context.claims.lookedUp(m_claim.nonce, found);
+    lookUpOutcome(m_context, m_claim.key, m_claim.nonce, m_service.lookupPath, [self = shared_from_this()](const std::optional<decision::Outcome> &found) {
+        self->m_context.claims.lookedUp(self->m_claim.nonce, found);
+    });
 }
 
 void ServiceCall::answer(const decision::CallAnswer &answer)
 {
+    m_ticket.reset();
     switch (answer.kind) {
     case decision::AnswerKind::Fresh:
     case decision::AnswerKind::Replay:
@@ -310,6 +302,7 @@
     if (isReplay) {
         headers.push_back({"Idempotent-Replayed", "true"});
     }
+    m_ticket.reset();
     m_context.metrics.requests.with({m_service.name, std::to_string(status)}).Increment();
     m_context.timeline.record(EventKind::RequestAnswered, m_request.requestId);
     m_exchange->respond(status, headers, body);
@@ -317,6 +310,7 @@
 
 void ServiceCall::fail(const ApiError &error)
 {
+    m_ticket.reset();
     m_context.metrics.requests.with({m_service.name, std::to_string(error.status)}).Increment();
     m_context.timeline.record(EventKind::RequestRefused, m_request.requestId, error.code);
     refuse(*m_exchange, error);
