--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -78,6 +78,20 @@
     return pages.size() < 2 ? 0 : pages[1].toLongLong() * ::sysconf(_SC_PAGESIZE);
 }
 
+std::chrono::milliseconds ChildProcess::processorTime() const
+{
+    constexpr int UserTicks = 11; // places behind the program's name in proc(5)
+    constexpr int SystemTicks = 12;
+    QFile stat(QString("/proc/%1/stat").arg(m_process.processId()));
+    if (!stat.open(QIODevice::ReadOnly)) {
+        return {};
+    }
+    const QByteArray text = stat.readAll();
+    const QList<QByteArray> fields = text.mid(text.lastIndexOf(')') + 2).split(' ');
+    const qlonglong ticks = fields.size() > SystemTicks ? fields[UserTicks].toLongLong() + fields[SystemTicks].toLongLong() : 0;
+    return std::chrono::milliseconds(ticks * 1000 / ::sysconf(_SC_CLK_TCK));
+}
+
 QByteArray ChildProcess::errorOutput()
 {
     return m_process.readAllStandardError();
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -7,6 +7,7 @@
 #include <QString>
 #include <QStringList>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -36,6 +37,9 @@
     /// Memory in use, by the kernel's account; 0 when it has ended.
     std::int64_t residentBytes() const;
 
+    /// Processor time used so far, by the kernel's account.
+    std::chrono::milliseconds processorTime() const;
+
     /// What it wrote to standard error.
     QByteArray errorOutput();
 
--- a/tests/process/documents.cpp
+++ b/tests/process/documents.cpp
@@ -73,6 +73,7 @@
 std::vector<std::string> documentEntries()
 {
     std::vector<std::string> out;
+    out.reserve(Organisations.size() + 3);
     for (const std::string &it : Organisations) {
         out.push_back(entryOf(organisation(it)));
     }
--- a/tests/process/lifecycle_test.cpp
+++ b/tests/process/lifecycle_test.cpp
@@ -25,6 +25,7 @@
 std::vector<PendingCallPtr> startStreams(Deployment &deployment, int daemon, int count)
 {
     std::vector<PendingCallPtr> out;
+    out.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n) {
         out.push_back(deployment.client().start(deployment.prompt(daemon, "stream " + std::to_string(n), 40, true)));
     }
