--- a/tests/process/ordering_test.cpp
+++ b/tests/process/ordering_test.cpp
@@ -248,12 +248,14 @@
     Deployment deployment({.serviceArguments = {"--call_time=10ms"}});
     REQUIRE(deployment.isServing());
     std::vector<PendingCallPtr> calls;
+    calls.reserve(20);
     for (int n = 0; n < 20; ++n) {
         calls.push_back(deployment.client().start(deployment.serviceCall(0, "ledger", "/paused", "claim-" + std::to_string(n))));
     }
     waitFor(std::chrono::milliseconds(5));
     deployment.daemon(0).sendSignal(SIGSTOP);
     std::vector<PendingCallPtr> others;
+    others.reserve(20);
     for (int n = 0; n < 20; ++n) {
         others.push_back(deployment.client().start(deployment.serviceCall(1, "ledger", "/paused", "claim-" + std::to_string(n))));
     }
--- a/tests/process/stream_test.cpp
+++ b/tests/process/stream_test.cpp
@@ -64,6 +64,7 @@
     Deployment deployment({.engineArguments = {"--max_queued=1000"}});
     REQUIRE(deployment.isServing());
     std::vector<PendingCallPtr> calls;
+    calls.reserve(Callers);
     for (int n = 0; n < Callers; ++n) {
         calls.push_back(deployment.client().start(deployment.prompt(n % 2, "caller " + std::to_string(n), 20, true)));
     }
--- a/tests/process/testclient.cpp
+++ b/tests/process/testclient.cpp
@@ -47,7 +47,7 @@
 
 PendingCallPtr TestClient::start(const net::HttpCall &call)
 {
-    const auto out = std::make_shared<PendingCall>();
+    auto out = std::make_shared<PendingCall>();
     net::HttpHooks hooks;
     hooks.onHead = [out](const net::HttpHead &head) {
         out->head = head;
