Drain until the last byte has left; let a request without room wait in front

Cause: process_lifecycle_test lost the last events of a stream under SIGTERM when five tests ran at once: the daemon counted an answer as finished when its last chunk was handed to the socket, and exited with bytes unsent. It now waits until every socket's buffer is empty. Ruled out: a lost event upstream (39 of 40 tokens and no closing mark arrived at one caller, the engine had sent all). Also: the router's 'busy' puts a request back at the head of the fair queue in place of a refusal; a service without usable servers is refused at once. Conclusion: a planned stop waits for sent bytes.

--- a/include/auburndrum/caller/admissiongate.h
+++ b/include/auburndrum/caller/admissiongate.h
@@ -35,6 +35,9 @@
     std::string m_organisation;
     std::chrono::nanoseconds m_allowedWait;
     Instant m_admitted;
+    friend class AdmissionGate;
+
+    bool m_isVoid = false; ///< the gate took the place back
     bool m_isCounted = true; ///< still counts against the service's limit
 };
 
@@ -47,10 +50,12 @@
     std::chrono::nanoseconds allowedWait{}; ///< from being sent to the first output, that counts as healthy
 };
 
-/// Hooks of a request at the gate. One of the two runs, once, at once or later.
+/// Hooks of a request at the gate, run at once or later.
 struct AdmissionHooks
 {
-    std::function<void(std::unique_ptr<AdmissionTicket>)> onAdmitted;
+    /// Takes the ticket and begins. False, with the ticket left alone, puts the request back in front: no backend
+    /// server has room for it yet.
+    std::function<bool(std::unique_ptr<AdmissionTicket> &)> onAdmitted;
     std::function<void(std::chrono::milliseconds retryAfter)> onRefused; ///< not run, and never will be
 };
 
@@ -95,6 +100,8 @@
 
     Lane &lane(const decision::ServiceDocument &service);
     void pump(const std::string &service, Instant now);
+    /// Offers a popped request its ticket. False when it went back into the queue.
+    bool admit(Lane &lane, const std::string &service, const decision::WaitingRequest &request, Instant now);
     void refuse(Lane &lane, std::uint64_t number, std::chrono::milliseconds retryAfter);
     void finished(const std::string &service, const std::string &organisation, Instant now);
 
--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -40,6 +40,8 @@
     int connectionCount() const;
     /// Requests received and not yet answered in full.
     int openExchanges() const;
+    /// Whether every answer is complete and its last byte has left this process.
+    bool isIdle() const;
 
 protected:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
--- a/src/auburndrum/caller/admissiongate.cpp
+++ b/src/auburndrum/caller/admissiongate.cpp
@@ -10,11 +10,7 @@
 
 } // namespace
 
-AdmissionTicket::AdmissionTicket(AdmissionGate &gate,
-                                 std::string service,
-                                 std::string organisation,
-                                 std::chrono::nanoseconds allowedWait,
-                                 Instant admitted)
+AdmissionTicket::AdmissionTicket(AdmissionGate &gate, std::string service, std::string organisation, std::chrono::nanoseconds allowedWait, Instant admitted)
     : m_gate(gate)
     , m_service(std::move(service))
     , m_organisation(std::move(organisation))
@@ -25,6 +21,9 @@
 
 AdmissionTicket::~AdmissionTicket()
 {
+    if (m_isVoid) {
+        return;
+    }
     if (m_isCounted) {
         m_gate.m_lanes.at(m_service).limit.ignored();
     }
@@ -57,8 +56,7 @@
     return it;
 }
 
-std::optional<std::uint64_t>
-AdmissionGate::enter(const decision::ServiceDocument &service, const AdmissionRequest &request, AdmissionHooks hooks, Instant now)
+std::optional<std::uint64_t> AdmissionGate::enter(const decision::ServiceDocument &service, const AdmissionRequest &request, AdmissionHooks hooks, Instant now)
 {
     Lane &it = lane(service);
     const std::uint64_t number = ++m_lastNumber;
@@ -108,11 +106,27 @@
             it.queue.finished(next->organisation);
             continue;
         }
-        const Waiting admitted = std::move(waiting->second);
-        it.waiting.erase(waiting);
-        it.limit.started();
-        admitted.hooks.onAdmitted(std::make_unique<AdmissionTicket>(*this, service, next->organisation, admitted.allowedWait, now));
+        if (!admit(it, service, *next, now)) {
+            return; // the next look is at the next answer, or the next expire()
+        }
+    }
+}
+
+bool AdmissionGate::admit(Lane &lane, const std::string &service, const decision::WaitingRequest &request, Instant now)
+{
+    const auto waiting = lane.waiting.find(request.id);
+    const Waiting admitted = std::move(waiting->second);
+    lane.waiting.erase(waiting);
+    lane.limit.started();
+    auto ticket = std::make_unique<AdmissionTicket>(*this, service, request.organisation, admitted.allowedWait, now);
+    if (admitted.hooks.onAdmitted(ticket)) {
+        return true;
     }
+    ticket->m_isVoid = true;
+    lane.limit.ignored();
+    lane.queue.putBack(request);
+    lane.waiting[request.id] = admitted;
+    return false;
 }
 
 void AdmissionGate::finished(const std::string &service, const std::string &organisation, Instant now)
--- a/src/auburndrum/caller/admissiongate_test.cpp
+++ b/src/auburndrum/caller/admissiongate_test.cpp
@@ -17,6 +17,7 @@
     std::vector<std::unique_ptr<AdmissionTicket>> admitted;
     std::vector<std::string> order;
     int refused = 0;
+    bool hasRoom = true;
     Instant now = monotonicNow();
 
     ~Bench()
@@ -28,9 +29,13 @@
     std::optional<std::uint64_t> enter(const std::string &organisation)
     {
         AdmissionHooks hooks;
-        hooks.onAdmitted = [this, organisation](std::unique_ptr<AdmissionTicket> ticket) {
+        hooks.onAdmitted = [this, organisation](std::unique_ptr<AdmissionTicket> &ticket) {
+            if (!hasRoom) {
+                return false;
+            }
             admitted.push_back(std::move(ticket));
             order.push_back(organisation);
+            return true;
         };
         hooks.onRefused = [this](std::chrono::milliseconds retryAfter) {
             CHECK(retryAfter > 0ms);
@@ -74,6 +79,21 @@
     CHECK((bench.order[before] == "small" || bench.order[before + 1] == "small"));
 }
 
+TEST_CASE("a request that no server has room for waits in front, and takes nobody's place")
+{
+    Bench bench;
+    bench.service.name = "menu";
+    bench.service.organisations = {{"kattila", 1, 1, 5}};
+    bench.hasRoom = false;
+    CHECK(bench.enter("kattila"));
+    CHECK(bench.gate.waiting() == 1);
+    bench.hasRoom = true;
+    bench.gate.expire(bench.now);
+    CHECK(bench.admitted.size() == 1);
+    CHECK(bench.gate.waiting() == 0);
+    CHECK(bench.refused == 0);
+}
+
 TEST_CASE("a request whose time is over is refused once, and a cancelled one never")
 {
     Bench bench;
--- a/src/auburndrum/caller/completioncall.cpp
+++ b/src/auburndrum/caller/completioncall.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t MaxAttempts = 4;
+constexpr int WaitingShare = 60; // percent of the deadline that a request may wait here; the rest is the backend server's
 constexpr int HealthyShare = 5; // of the deadline: a first token within a fifth of it is no sign of load
 constexpr qint64 MaxUnsentBytes = 4 * 1024 * 1024; // a caller that reads this much too slowly is cut
 
@@ -125,11 +126,11 @@
     AdmissionRequest request;
     request.organisation = m_organisation;
     request.cost = std::max<double>(1, m_prompt.pieces.promptTokens);
-    request.deadline = m_arrived + m_service->firstTokenDeadline;
+    request.deadline = m_arrived + m_service->firstTokenDeadline * WaitingShare / 100;
     request.allowedWait = m_service->firstTokenDeadline / HealthyShare;
     AdmissionHooks hooks;
-    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> ticket) {
-        self->admitted(std::move(ticket));
+    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> &ticket) {
+        return self->admitted(ticket);
     };
     hooks.onRefused = [self = shared_from_this()](std::chrono::milliseconds retryAfter) {
         self->m_waiting.reset();
@@ -141,14 +142,23 @@
     }
 }
 
-void CompletionCall::admitted(std::unique_ptr<AdmissionTicket> ticket)
+bool CompletionCall::admitted(std::unique_ptr<AdmissionTicket> &ticket)
 {
+    const auto placement = place();
+    if (!placement && placement.error().error == decision::RouteError::Busy) {
+        return false; // it waits here, where the fair queue orders it, and not in a server's queue
+    }
     m_waiting.reset();
     m_ticket = std::move(ticket);
-    attempt();
+    if (placement) {
+        send(placement.value());
+    } else {
+        refuseRoute(placement.error());
+    }
+    return true;
 }
 
-void CompletionCall::attempt()
+decision::RouteResult<decision::Placement> CompletionCall::place()
 {
     decision::RouteRequest route;
     route.service = m_service->name;
@@ -159,7 +169,12 @@
     route.deadline = m_service->firstTokenDeadline - sinceArrival();
     route.weights = m_service->weights;
     route.tried = m_tried;
-    const auto placement = m_context.fleet.place(route, monotonicNow());
+    return m_context.fleet.place(route, monotonicNow());
+}
+
+void CompletionCall::attempt()
+{
+    const auto placement = place();
     if (!placement) {
         refuseRoute(placement.error());
         return;
--- a/src/auburndrum/caller/completioncall.h
+++ b/src/auburndrum/caller/completioncall.h
@@ -27,8 +27,9 @@
     void prepare();
     void prepared();
     void enter();
-    void admitted(std::unique_ptr<AdmissionTicket> ticket);
+    bool admitted(std::unique_ptr<AdmissionTicket> &ticket);
     void attempt();
+    decision::RouteResult<decision::Placement> place();
     void send(const decision::Placement &placement);
     void handleAccepted(const net::HttpHead &head);
     void handleEvents(const QByteArray &events);
--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -66,8 +66,9 @@
     request.deadline = m_arrived + m_service.requestTimeout;
     request.allowedWait = m_service.requestTimeout / HealthyShare;
     AdmissionHooks hooks;
-    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> ticket) {
+    hooks.onAdmitted = [self = shared_from_this()](std::unique_ptr<AdmissionTicket> &ticket) {
         self->admitted(std::move(ticket));
+        return true;
     };
     hooks.onRefused = [self = shared_from_this()](std::chrono::milliseconds retryAfter) {
         self->answer({decision::AnswerKind::NotRun, std::nullopt, retryAfter});
--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -476,7 +476,7 @@
 
 void Daemon::finishDrain()
 {
-    if (m_server.openExchanges() == 0 && m_claims.active() == 0) {
+    if (m_server.isIdle() && m_claims.active() == 0) {
         m_timeline.record(EventKind::DrainFinished, {});
         m_log.info("drained");
         exitProcess(0);
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -52,7 +52,8 @@
 void ClientConnection::retire()
 {
     m_socket.disconnect(this);
-    m_onReleased = [](ClientConnection *, bool) { };
+    m_onReleased = [](ClientConnection *, bool) {
+    };
 }
 
 bool ClientConnection::isUsable() const
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <map>
 
 namespace auburndrum::net {
@@ -149,6 +150,13 @@
     return n;
 }
 
+bool HttpServer::isIdle() const
+{
+    return std::all_of(d->connections.begin(), d->connections.end(), [](const auto &it) {
+        return it.second->openExchanges() == 0 && it.second->unsentBytes() == 0;
+    });
+}
+
 bool HttpServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
 {
     const auto it = d->connections.find(socket);
--- a/src/auburndrum/net/httpserver_test.cpp
+++ b/src/auburndrum/net/httpserver_test.cpp
@@ -149,6 +149,21 @@
     CHECK(readUntil(socket, "\r\n\r\n").startsWith("HTTP/1.1 408"));
 }
 
+TEST_CASE("a server isn't idle while the last bytes of an answer wait to be sent")
+{
+    constexpr qsizetype AnswerBytes = 8 * 1024 * 1024; // more than the kernel takes at once
+    bool wasIdle = true;
+    std::unique_ptr<HttpServer> server;
+    server = std::make_unique<HttpServer>(HttpServerOptions{}, [&](const std::shared_ptr<Exchange> &it) {
+        it->respond(200, {}, QByteArray(AnswerBytes, 'x'));
+        wasIdle = server->isIdle();
+    });
+    const HttpResult result = call({.peer = server->listenOn(AnyLoopbackPort)});
+    CHECK(result.body.size() == AnswerBytes);
+    CHECK_FALSE(wasIdle);
+    CHECK(server->isIdle());
+}
+
 TEST_CASE("the handler hears that the caller has gone")
 {
     bool gone = false;
