--- a/include/auburndrum/operator/statusreport.h
+++ b/include/auburndrum/operator/statusreport.h
@@ -15,7 +15,6 @@
     std::string zone;
     std::string region;
     bool isLive = false;
-    std::uint64_t configOffset = 0; ///< as it last said
 };
 
 /// One backend server as this entry VM sees it.
--- a/include/auburndrum/platform/claimservice.h
+++ b/include/auburndrum/platform/claimservice.h
@@ -60,6 +60,11 @@
     void append(decision::BatchItem item);
     /// Tells how many live entry VMs append.
     void setBatchers(std::size_t n);
+    /// Time for which a key's outcome is kept.
+    std::chrono::milliseconds window() const
+    {
+        return m_ledger.window();
+    }
     /// Calls that are not settled yet.
     std::size_t active() const
     {
--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -1,6 +1,7 @@
 #include "servicecall.h"
 
 #include "auburndrum/base/randomid.h"
+#include "auburndrum/decision/idempotencykey.h"
 #include "outcomelookup.h"
 
 #include <QCryptographicHash>
@@ -97,6 +98,10 @@
 
 void ServiceCall::startKeyed()
 {
+    if (decision::isOlderThanWindow(m_request.idempotencyKey.toStdString(), m_context.claims.window(), wallNow())) {
+        answer({decision::AnswerKind::Expired, std::nullopt, {}});
+        return;
+    }
     m_claim.key = {m_service.name, m_request.organisation, toString(m_request.idempotencyKey)};
     m_claim.fingerprint = fingerprintOf(m_request.target, *m_exchange);
     m_claim.incarnation = m_request.incarnation;
--- a/src/auburndrum/cli/statustext.cpp
+++ b/src/auburndrum/cli/statustext.cpp
@@ -44,12 +44,11 @@
 
 std::string peerText(const Json &peer, bool isColoured)
 {
-    return fmt::format("  {:<12} {:<22} {:<12} {:<8} offset {}\n",
+    return fmt::format("  {:<12} {:<22} {:<12} {:<8}\n",
                        peer.value("name", ""),
                        peer.value("address", ""),
                        peer.value("zone", ""),
-                       marked(peer.value("live", false), "live", "lost", isColoured),
-                       peer.value("config_offset", 0ULL));
+                       marked(peer.value("live", false), "live", "lost", isColoured));
 }
 
 std::string backendText(const Json &backend, bool isColoured)
--- a/src/auburndrum/daemon/administration.cpp
+++ b/src/auburndrum/daemon/administration.cpp
@@ -1,4 +1,5 @@
 #include "auburndrum/daemon/daemon.h"
+#include "auburndrum/operator/claimresolution.h"
 
 namespace auburndrum::daemon {
 
@@ -8,6 +9,29 @@
 
 constexpr std::chrono::milliseconds PublishPatience{5000}; // then the operator is told how to ask again
 
+AdminOutcome outcomeOf(platform::PlatformError error)
+{
+    switch (error) {
+    case platform::PlatformError::None:
+        return AdminOutcome::Done;
+    case platform::PlatformError::NotSent:
+    case platform::PlatformError::Refused:
+        return AdminOutcome::Unavailable;
+    case platform::PlatformError::Unknown:
+    case platform::PlatformError::Cut:
+        return AdminOutcome::Unknown;
+    }
+    return AdminOutcome::Unknown;
+}
+
+const char *toText(bool isServing, bool isDraining)
+{
+    if (isServing) {
+        return "serving";
+    }
+    return isDraining ? "draining" : "finishing";
+}
+
 operators::PeerStatus peerStatus(const decision::MemberRecord &member)
 {
     operators::PeerStatus it;
@@ -59,7 +83,7 @@
     it.region = m_settings.region;
     it.address = net::toText(m_address);
     it.incarnation = m_incarnation;
-    it.phase = m_phase == Phase::Serving ? "serving" : m_phase == Phase::Draining ? "draining" : "finishing";
+    it.phase = toText(m_phase == Phase::Serving, m_phase == Phase::Draining);
     it.notReady = notReadyReasons();
     it.isPlatformUp = m_follower.isReachable();
     it.configOffset = m_fold.offset();
@@ -93,18 +117,13 @@
 
 std::vector<operators::ClaimDoubt> Daemon::doubts() const
 {
-    std::vector<operators::ClaimDoubt> list;
-    for (const decision::ClaimKey &key : m_fold.claims().inDoubt(wallNow())) {
-        const decision::ClaimState *claim = m_fold.claims().find(key);
-        list.push_back({key, claim->nonce, claim->at});
-    }
-    return list;
+    return operators::doubtsOf(m_fold.claims(), wallNow());
 }
 
 void Daemon::resolveClaim(const operators::ClaimFinding &finding, const std::string &author, const operators::AdminDone &done)
 {
-    const decision::ClaimState *claim = m_fold.claims().find(finding.key);
-    if (claim == nullptr || claim->outcome) {
+    const auto record = operators::resolutionRecord(m_fold.claims(), finding, wallNow());
+    if (!record) {
         done(AdminOutcome::NotFound);
         return;
     }
@@ -112,20 +131,10 @@
         done(AdminOutcome::Unavailable);
         return;
     }
-    if (finding.ran) {
-        decision::Outcome outcome;
-        outcome.key = finding.key;
-        outcome.nonce = claim->nonce;
-        outcome.status = finding.status;
-        outcome.contentType = finding.contentType;
-        outcome.body = finding.body;
-        outcome.source = decision::OutcomeSource::Operator;
-        m_claims.append(outcome);
-    } else {
-        m_claims.append(decision::Release{finding.key, claim->nonce});
-    }
-    m_timeline.record(EventKind::ClaimResolved, claim->nonce, author);
-    done(AdminOutcome::Done);
+    m_timeline.record(EventKind::ClaimResolved, m_fold.claims().find(finding.key)->nonce, author);
+    m_logClient.append(decision::encodeEntry({*record}), [done](const platform::AppendResult &result) {
+        done(outcomeOf(result.error));
+    });
 }
 
 void Daemon::drainVm(const std::string &vm, const operators::AdminDone &done)
--- a/src/auburndrum/operator/statusreport.cpp
+++ b/src/auburndrum/operator/statusreport.cpp
@@ -10,12 +10,7 @@
 
 Json toValue(const PeerStatus &peer)
 {
-    return Json{{"name", peer.name},
-                {"address", peer.address},
-                {"zone", peer.zone},
-                {"region", peer.region},
-                {"live", peer.isLive},
-                {"config_offset", peer.configOffset}};
+    return Json{{"name", peer.name}, {"address", peer.address}, {"zone", peer.zone}, {"region", peer.region}, {"live", peer.isLive}};
 }
 
 Json toValue(const BackendStatus &backend)
