--- a/src/auburndrum/caller/servicecall.cpp
+++ b/src/auburndrum/caller/servicecall.cpp
@@ -98,10 +98,6 @@
 
 void ServiceCall::startKeyed()
 {
-    if (decision::isOlderThanWindow(m_request.idempotencyKey.toStdString(), m_context.claims.window(), wallNow())) {
-        answer({decision::AnswerKind::Expired, std::nullopt, {}});
-        return;
-    }
     m_claim.key = {m_service.name, m_request.organisation, toString(m_request.idempotencyKey)};
     m_claim.fingerprint = fingerprintOf(m_request.target, *m_exchange);
     m_claim.incarnation = m_request.incarnation;
@@ -113,6 +109,7 @@
     options.answerTimeout = m_service.requestTimeout;
     options.retryAfter = RetryAfter;
     options.maxAttempts = MaxAttempts;
+    options.isKeyExpired = decision::isOlderThanWindow(m_claim.key.key, m_context.claims.window(), wallNow());
     options.hasLookup = !m_service.lookupPath.empty();
     m_exchange->setOnCallerGone([self = weak_from_this()] {
         if (const auto it = self.lock()) {
--- a/src/auburndrum/decision/claimcall_test.cpp
+++ b/src/auburndrum/decision/claimcall_test.cpp
@@ -11,12 +11,12 @@
 
 constexpr Instant T0{1h};
 constexpr WallTime At{std::chrono::hours(500000)};
-const ClaimKey orderKey{"orders", "lounas", "k1"};
-const Outcome soup{orderKey, "a", 200, "text/plain", "soup", "", OutcomeSource::Answer};
+const ClaimKey OrderKey{"orders", "lounas", "k1"};
+const Outcome Soup{OrderKey, "a", 200, "text/plain", "Soup", "", OutcomeSource::Answer};
 
 ClaimCall newCall(bool hasLookup = false)
 {
-    return ClaimCall({.claim = {orderKey, "print", "vm1", "a", At + 10s}, .deadline = T0 + 10s, .hasLookup = hasLookup});
+    return ClaimCall({.claim = {OrderKey, "print", "vm1", "a", At + 10s}, .deadline = T0 + 10s, .hasLookup = hasLookup});
 }
 
 ClaimCall dispatchedCall()
@@ -65,7 +65,7 @@
 TEST_CASE("an answer is passed on and recorded until the log has it")
 {
     ClaimCall call = dispatchedCall();
-    const ClaimActions actions = call.answered(T0 + 1s, soup);
+    const ClaimActions actions = call.answered(T0 + 1s, Soup);
     CHECK(answerOf(actions) == AnswerKind::Fresh);
     CHECK(find<AppendOutcomeAction>(actions) != nullptr);
     CHECK(find<AppendOutcomeAction>(call.tick(T0 + 2s)) != nullptr);
@@ -86,7 +86,7 @@
     CHECK(answerOf(newCall().start(T0, &holder, false)) == AnswerKind::MayHaveRun);
     const ClaimState other = heldBy("b", "other");
     CHECK(answerOf(newCall().start(T0, &other, true)) == AnswerKind::KeyReused);
-    holder.outcome = std::make_shared<const Outcome>(soup);
+    holder.outcome = std::make_shared<const Outcome>(Soup);
     CHECK(answerOf(newCall().start(T0, &holder, true)) == AnswerKind::Replay);
 }
 
@@ -141,7 +141,7 @@
     CHECK(answerOf(broken) == AnswerKind::MayHaveRun);
     CHECK(find<DispatchAction>(broken) == nullptr);
     CHECK(call.dispatchRefused(T0 + 2s).empty());
-    const ClaimActions late = call.answered(T0 + 3s, soup);
+    const ClaimActions late = call.answered(T0 + 3s, Soup);
     CHECK(find<AppendOutcomeAction>(late) != nullptr);
     CHECK(find<AnswerAction>(late) == nullptr);
 }
@@ -161,7 +161,7 @@
     CHECK(find<LookupAction>(call.dispatchBroken(T0 + 1s)) != nullptr);
     CHECK(call.lookedUp(T0 + 2s, std::nullopt).empty());
     CHECK(call.state() == State::InDoubt);
-    CHECK(find<AppendOutcomeAction>(call.lookedUp(T0 + 3s, soup)) != nullptr);
+    CHECK(find<AppendOutcomeAction>(call.lookedUp(T0 + 3s, Soup)) != nullptr);
 }
 
 TEST_CASE("a caller that leaves before the log has decided gets nothing run")
@@ -177,14 +177,14 @@
 TEST_CASE("a key older than the window is expired, unless its record is still there")
 {
     const ClaimState holder = heldBy("b");
-    const ClaimCallOptions options{.claim = {orderKey, "print", "vm1", "a", At}, .deadline = T0 + 10s, .isKeyExpired = true};
+    const ClaimCallOptions options{.claim = {OrderKey, "print", "vm1", "a", At}, .deadline = T0 + 10s, .isKeyExpired = true};
     CHECK(answerOf(ClaimCall(options).start(T0, nullptr, true)) == AnswerKind::Expired);
     CHECK(answerOf(ClaimCall(options).start(T0, &holder, true)) == AnswerKind::MayHaveRun);
 }
 
 TEST_CASE("look-ups are repeated and end at their limit")
 {
-    ClaimCall call({.claim = {orderKey, "print", "vm1", "a", At}, .deadline = T0 + 10s, .hasLookup = true, .maxLookups = 2});
+    ClaimCall call({.claim = {OrderKey, "print", "vm1", "a", At}, .deadline = T0 + 10s, .hasLookup = true, .maxLookups = 2});
     call.start(T0, nullptr, true);
     call.claimDecided(T0, ClaimVerdict::Won, nullptr);
     CHECK(find<LookupAction>(call.dispatchBroken(T0)) != nullptr);
--- a/src/auburndrum/decision/idempotencykey_test.cpp
+++ b/src/auburndrum/decision/idempotencykey_test.cpp
@@ -9,13 +9,13 @@
 namespace {
 
 constexpr WallTime MadeAt{std::chrono::milliseconds(0x018bcfe56800)};
-const std::string uuid7 = "018bcfe5-6800-7abc-8def-0123456789ab";
+const std::string Uuid7 = "018bcfe5-6800-7abc-8def-0123456789ab";
 
 } // namespace
 
 TEST_CASE("the time is read from a UUIDv7 and from nothing else")
 {
-    CHECK(embeddedTime(uuid7) == MadeAt);
+    CHECK(embeddedTime(Uuid7) == MadeAt);
     CHECK_FALSE(embeddedTime("018bcfe5-6800-4abc-8def-0123456789ab").has_value());
     CHECK_FALSE(embeddedTime("018bcfe5-6800-7abc-8def-0123456789ag").has_value());
     CHECK_FALSE(embeddedTime("order 17").has_value());
@@ -23,8 +23,8 @@
 
 TEST_CASE("a key is too old before its record can be gone, whatever the caller's clock")
 {
-    CHECK_FALSE(isOlderThanWindow(uuid7, 24h, MadeAt + 24h - CallerClockSkew - 1ms));
-    CHECK(isOlderThanWindow(uuid7, 24h, MadeAt + 24h - CallerClockSkew));
+    CHECK_FALSE(isOlderThanWindow(Uuid7, 24h, MadeAt + 24h - CallerClockSkew - 1ms));
+    CHECK(isOlderThanWindow(Uuid7, 24h, MadeAt + 24h - CallerClockSkew));
     CHECK_FALSE(isOlderThanWindow("order 17", 24h, MadeAt + 48h));
 }
 
--- a/src/auburndrum/decision/linkshare_test.cpp
+++ b/src/auburndrum/decision/linkshare_test.cpp
@@ -102,8 +102,10 @@
 
 TEST_CASE("a zone has as many configuration readers as wanted, and each sees itself as one")
 {
+    constexpr int Members = 17;
     std::vector<MemberRecord> zone;
-    for (int n = 0; n < 17; ++n) {
+    zone.reserve(Members);
+    for (int n = 0; n < Members; ++n) {
         zone.push_back(record("entry-" + std::to_string(n)));
     }
     int readers = 0;
--- a/src/auburndrum/decision/logrecord_test.cpp
+++ b/src/auburndrum/decision/logrecord_test.cpp
@@ -7,19 +7,19 @@
 
 namespace {
 
-const ClaimKey orderKey{"orders", "lounas", "k1"};
+const ClaimKey OrderKey{"orders", "lounas", "k1"};
 constexpr WallTime At{std::chrono::milliseconds(1700000000000)};
 
 std::vector<LogRecord> oneOfEach()
 {
-    const Claim claim{orderKey, "f", "i", "n", At};
-    const Outcome outcome{orderKey, "n", 200, "text/plain", "soup \xc3\xa4", "", OutcomeSource::Lookup};
+    const Claim claim{OrderKey, "f", "i", "n", At};
+    const Outcome outcome{OrderKey, "n", 200, "text/plain", "soup \xc3\xa4", "", OutcomeSource::Lookup};
     const LeaseRecord lease{"orders/menu", "i", "n", 3, std::chrono::seconds(15)};
     const SnapshotRecord snapshot{9, At, {{"team/a", 2, "{}"}}, {{"r", 2, true, At}}, {{claim, 4, At, {outcome}}}, {{lease, 5}}};
     return {PublishRecord{"service/menu", 7, "{\"a\":1}", "r", "ana"},
             ClaimBatchRecord{{claim}},
             OutcomeBatchRecord{{outcome}},
-            ReleaseRecord{{{orderKey, "n"}}},
+            ReleaseRecord{{{OrderKey, "n"}}},
             lease,
             snapshot};
 }
--- a/src/auburndrum/decision/orderplanner_test.cpp
+++ b/src/auburndrum/decision/orderplanner_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Instant T0{1h};
-const WantedCondition wantedV2{"v2", {}, {}};
+const WantedCondition WantedV2{"v2", {}, {}};
 
 std::vector<ServerCondition> serversAt(const std::vector<std::string> &versions)
 {
@@ -26,49 +26,49 @@
 TEST_CASE("at most two servers load at once")
 {
     OrderPlanner planner;
-    const auto orders = planner.plan(T0, 7, wantedV2, serversAt({"v1", "v1", "v1", "v1"}));
+    const auto orders = planner.plan(T0, 7, WantedV2, serversAt({"v1", "v1", "v1", "v1"}));
     REQUIRE(orders.size() == 2);
     CHECK(orders[0] == Order{"s0", OrderKind::LoadVersion, "v2", 7});
-    CHECK(planner.plan(T0 + 1s, 7, wantedV2, serversAt({"v2", "v1", "v1", "v1"})).size() == 1);
+    CHECK(planner.plan(T0 + 1s, 7, WantedV2, serversAt({"v2", "v1", "v1", "v1"})).size() == 1);
 }
 
 TEST_CASE("the last serving server is not taken")
 {
     OrderPlanner planner;
-    CHECK(planner.plan(T0, 7, wantedV2, serversAt({"v1", "v1"})).size() == 1);
+    CHECK(planner.plan(T0, 7, WantedV2, serversAt({"v1", "v1"})).size() == 1);
     CHECK(planner.blocked() == std::vector<std::string>{"s1"});
-    CHECK(planner.plan(T0 + 1s, 7, wantedV2, serversAt({"v2", "v1"})).size() == 1);
+    CHECK(planner.plan(T0 + 1s, 7, WantedV2, serversAt({"v2", "v1"})).size() == 1);
 }
 
 TEST_CASE("a server that serves nothing may always load")
 {
-    CHECK(OrderPlanner().plan(T0, 7, wantedV2, serversAt({""})).size() == 1);
+    CHECK(OrderPlanner().plan(T0, 7, WantedV2, serversAt({""})).size() == 1);
 }
 
 TEST_CASE("an order is repeated under the new fencing number until the server reports it")
 {
     OrderPlanner planner;
-    planner.plan(T0, 7, wantedV2, serversAt({"v1", "v2"}));
-    CHECK(planner.plan(T0 + 1s, 8, wantedV2, serversAt({"v1", "v2"})).empty());
-    const auto repeated = planner.plan(T0 + 2s, 8, wantedV2, serversAt({"v1", "v2"}));
+    planner.plan(T0, 7, WantedV2, serversAt({"v1", "v2"}));
+    CHECK(planner.plan(T0 + 1s, 8, WantedV2, serversAt({"v1", "v2"})).empty());
+    const auto repeated = planner.plan(T0 + 2s, 8, WantedV2, serversAt({"v1", "v2"}));
     REQUIRE(repeated.size() == 1);
     CHECK(repeated[0].fencing == 8);
-    CHECK(planner.plan(T0 + 4s, 8, wantedV2, serversAt({"v2", "v2"})).empty());
+    CHECK(planner.plan(T0 + 4s, 8, WantedV2, serversAt({"v2", "v2"})).empty());
 }
 
 TEST_CASE("a server that falls back to a stale order's version is ordered again")
 {
     OrderPlanner planner;
-    CHECK(planner.plan(T0, 7, wantedV2, serversAt({"v2", "v2"})).empty());
-    CHECK(planner.plan(T0 + 1s, 7, wantedV2, serversAt({"v1", "v2"})).size() == 1);
+    CHECK(planner.plan(T0, 7, WantedV2, serversAt({"v2", "v2"})).empty());
+    CHECK(planner.plan(T0 + 1s, 7, WantedV2, serversAt({"v1", "v2"})).size() == 1);
 }
 
 TEST_CASE("a load without effect frees its place after the time out")
 {
     OrderPlanner planner;
-    planner.plan(T0, 7, wantedV2, serversAt({"v1", "v1", "v1", "v2"}));
-    CHECK(planner.plan(T0 + 1s, 7, wantedV2, serversAt({"v1", "v1", "v1", "v2"})).empty());
-    const auto later = planner.plan(T0 + 30s, 7, wantedV2, serversAt({"v1", "v1", "v1", "v2"}));
+    planner.plan(T0, 7, WantedV2, serversAt({"v1", "v1", "v1", "v2"}));
+    CHECK(planner.plan(T0 + 1s, 7, WantedV2, serversAt({"v1", "v1", "v1", "v2"})).empty());
+    const auto later = planner.plan(T0 + 30s, 7, WantedV2, serversAt({"v1", "v1", "v1", "v2"}));
     CHECK(later.size() == 2);
 }
 
@@ -76,8 +76,8 @@
 {
     OrderPlanner planner;
     planner.staleFencing(7);
-    CHECK(planner.plan(T0, 7, wantedV2, serversAt({"v1", "v1"})).empty());
-    CHECK_FALSE(planner.plan(T0, 8, wantedV2, serversAt({"v1", "v1"})).empty());
+    CHECK(planner.plan(T0, 7, WantedV2, serversAt({"v1", "v1"})).empty());
+    CHECK_FALSE(planner.plan(T0, 8, WantedV2, serversAt({"v1", "v1"})).empty());
 }
 
 TEST_CASE("adapters and roles follow the version, leaving servers get nothing")
--- a/src/auburndrum/platform/logclient.cpp
+++ b/src/auburndrum/platform/logclient.cpp
@@ -70,7 +70,7 @@
 
 LogClient::LogClient(net::HttpClient &http, LogClientOptions options)
     : m_http(http)
-    , m_options(options)
+    , m_options(std::move(options))
 {
 }
 
--- a/tests/faultmatrix/claimmatrix_test.cpp
+++ b/tests/faultmatrix/claimmatrix_test.cpp
@@ -52,13 +52,13 @@
     totals.violations.insert(judgement.violations.begin(), judgement.violations.end());
 }
 
-const std::vector<std::chrono::milliseconds> rivalTimes = {0ms, 3ms, 700ms, 13s, 45s};
+const std::vector<std::chrono::milliseconds> RivalTimes = {0ms, 3ms, 700ms, 13s, 45s};
 
 Totals runSingles(const Mutation &mutation)
 {
     Totals totals;
     for (const Strike &it : allStrikes()) {
-        for (const auto rivalAt : rivalTimes) {
+        for (const auto rivalAt : RivalTimes) {
             add(totals, runCell({it}, rivalAt, mutation));
         }
     }
@@ -81,7 +81,7 @@
 {
     Totals totals;
     for (const Strike &it : allStrikes()) {
-        for (const auto rivalAt : rivalTimes) {
+        for (const auto rivalAt : RivalTimes) {
             const Judgement judgement = runCell({it}, rivalAt, {});
             CAPTURE(int(it.step));
             CAPTURE(int(it.fault));
--- a/tests/faultmatrix/leaseworld.cpp
+++ b/tests/faultmatrix/leaseworld.cpp
@@ -22,7 +22,7 @@
 constexpr auto OrderTimeout = 5000ms;
 constexpr auto StandbyDelay = 500ms;
 constexpr auto EndTime = 150s;
-const std::string resourceName = "orders/menu";
+const std::string ResourceName = "orders/menu";
 
 class LeaseWorld
 {
@@ -70,7 +70,7 @@
         auto newNonce = [name, count = 0]() mutable {
             return name + "/" + std::to_string(++count);
         };
-        it.holder.emplace(LeaseHolderOptions{.resource = resourceName,
+        it.holder.emplace(LeaseHolderOptions{.resource = ResourceName,
                                              .incarnation = name,
                                              .newNonce = newNonce,
                                              .orderTimeout = OrderTimeout,
@@ -170,7 +170,7 @@
             it.table.apply(it.position + 1, m_log[it.position]);
             ++it.position;
             const bool wasHolder = it.holder->fencing(m_time.now()).has_value();
-            it.holder->folded(m_time.now(), it.table.find(resourceName));
+            it.holder->folded(m_time.now(), it.table.find(ResourceName));
             it.heldSince = wasHolder ? it.heldSince : m_time.now();
         }
         return true;
--- a/tests/faultmatrix/publishworld.cpp
+++ b/tests/faultmatrix/publishworld.cpp
@@ -24,7 +24,7 @@
 constexpr auto EndTime = 200s;
 constexpr auto AskAgainAt = 120s;
 constexpr Offset FirstVersion = 1;
-const std::string documentName = "service/menu";
+const std::string DocumentName = "service/menu";
 
 class PublishWorld
 {
@@ -33,7 +33,7 @@
         : m_strikes(std::move(strikes))
         , m_mutation(mutation)
     {
-        commit({PublishRecord{documentName, 0, "first", "r0", "ana"}});
+        commit({PublishRecord{DocumentName, 0, "first", "r0", "ana"}});
         for (std::size_t it = 0; it < m_entries.size(); ++it) {
             m_time.after(0ms, [this, it] {
                 tick(it);
@@ -139,7 +139,7 @@
         }
         Entry &it = m_entries[n];
         it.attempt = ++m_attempts;
-        it.call.emplace(PublishRecord{documentName, FirstVersion, "body of " + requestId, requestId, "ana"}, m_time.now() + PublishTimeout);
+        it.call.emplace(PublishRecord{DocumentName, FirstVersion, "body of " + requestId, requestId, "ana"}, m_time.now() + PublishTimeout);
         const auto answer = it.call->start(it.fold.config(), isLogUp(n));
         if (answer) {
             judge(n, *answer);
@@ -151,7 +151,7 @@
     void append(std::size_t n, const std::string &requestId)
     {
         const PublishFault fault = strike(n, PublishStep::Append);
-        const LogRecord record = PublishRecord{documentName, FirstVersion, "body of " + requestId, requestId, "ana"};
+        const LogRecord record = PublishRecord{DocumentName, FirstVersion, "body of " + requestId, requestId, "ana"};
         if (fault == PublishFault::Refuse) {
             give(n, m_entries[n].call->appendRefused());
             return;
@@ -231,7 +231,7 @@
 
     void checkFold(Entry &entry)
     {
-        const Offset version = entry.fold.config().version(documentName);
+        const Offset version = entry.fold.config().version(DocumentName);
         check(version >= entry.lastVersion, "a version fell");
         entry.lastVersion = version;
         const auto [it, isNew] = m_versions.try_emplace(entry.fold.offset(), version);
@@ -269,7 +269,7 @@
         }
         int accepted = 0;
         for (const auto &[requestId, attempt, answer] : m_answers) {
-            const bool isInForce = whole.config().body(documentName) == "body of " + requestId;
+            const bool isInForce = whole.config().body(DocumentName) == "body of " + requestId;
             const bool isAccepted = answer.kind == PublishAnswer::Kind::Accepted;
             accepted += isAccepted ? 1 : 0;
             check(!isAccepted || isInForce, "told 'accepted', but not in force");
