--- a/tests/process/lifecycle_test.cpp
+++ b/tests/process/lifecycle_test.cpp
@@ -189,3 +189,39 @@
         return deployment.client().get(late.address(), "/readyz")->status() == 200;
     }));
 }
+
+TEST_CASE("a daemon that starts while the log is down serves from a peer's configuration, and runs no keyed call until the log is back")
+{
+    Deployment deployment({.daemons = 1, .engines = 1});
+    REQUIRE(deployment.isServing());
+    deployment.setFault(deployment.platform(), {{"mode", "refuse"}, {"path", "/v1/log"}});
+    ChildProcess late("auburndrumd",
+                      {"--listen=127.0.0.70:0",
+                       "--name=late",
+                       "--zone=uusimaa-1",
+                       "--region=uusimaa",
+                       "--peers=" + QString::fromStdString(deployment.daemon(0).addressText()),
+                       "--platform=" + QString::fromStdString(deployment.platform().addressText())});
+    REQUIRE(late.isListening());
+    CHECK(waitUntil([&] {
+        return deployment.client().get(late.address(), "/readyz")->status() == 200;
+    }));
+
+    auburndrum::net::HttpCall prompt = deployment.prompt(0, "from a peer", 3, true);
+    prompt.peer = late.address();
+    CHECK(streamText(deployment.client().call(prompt)->body) == answerText(promptHash("from a peer"), 3));
+
+    auburndrum::net::HttpCall order = deployment.serviceCall(0, "ordering", "/outage", "outage-1");
+    order.peer = late.address();
+    const PendingCallPtr refused = deployment.client().call(order);
+    CHECK(refused->status() == 503);
+    CHECK(refused->json().at("error").at("run") == "not_run");
+    CHECK_FALSE(refused->head.header("Retry-After").isEmpty());
+    CHECK(deployment.executions(deployment.ordering(), "/outage").empty());
+
+    deployment.clearFaults(deployment.platform());
+    CHECK(waitUntil([&] {
+        return deployment.client().call(order)->status() == 200;
+    }));
+    CHECK(deployment.executions(deployment.ordering(), "/outage").size() == 1);
+}
