Drain an entry VM through any other, and show members that did not answer yet

Cause: 'vm drain NAME' reached only the daemon that was asked; the status left out members that had not been heard of.

--- a/src/auburndrum/cli/ordercommands.cpp
+++ b/src/auburndrum/cli/ordercommands.cpp
@@ -10,9 +10,27 @@
 
 namespace {
 
+/// Address of the entry VM with this name as the asked daemon knows it; empty when it knows none.
+std::string addressOfEntry(const CommandContext &context, const std::string &name)
+{
+    const AdminAnswer answer = context.client.call({.path = "status"});
+    if (exitCodeOf(answer) != ExitCode::Done) {
+        return {};
+    }
+    for (const Json &it : answer.json.value("peers", Json::array())) {
+        if (it.value("name", "") == name) {
+            return it.value("address", "");
+        }
+    }
+    return {};
+}
+
 ExitCode drainVm(const CommandContext &context)
 {
-    const AdminAnswer answer = context.client.call({"POST", "vms/" + context.arguments[0] + "/drain", {}, {}});
+    const AdminCall drain{"POST", "vms/" + context.arguments[0] + "/drain", {}, {}};
+    // An entry VM stops itself: the order goes to its own daemon.
+    const std::string address = addressOfEntry(context, context.arguments[0]);
+    const AdminAnswer answer = address.empty() ? context.client.call(drain) : context.client.towards(address).call(drain);
     if (exitCodeOf(answer) == ExitCode::Done) {
         context.print(fmt::format("{} drains\n", context.arguments[0]));
     }
--- a/src/auburndrum/cli/statustext.cpp
+++ b/src/auburndrum/cli/statustext.cpp
@@ -48,7 +48,7 @@
                        peer.value("name", ""),
                        peer.value("address", ""),
                        peer.value("zone", ""),
-                       marked(peer.value("live", false), "live", "lost", isColoured));
+                       marked(peer.value("live", false), "live", "no answer", isColoured));
 }
 
 std::string backendText(const Json &backend, bool isColoured)
--- a/src/auburndrum/daemon/administration.cpp
+++ b/src/auburndrum/daemon/administration.cpp
@@ -32,14 +32,14 @@
     return isDraining ? "draining" : "finishing";
 }
 
-operators::PeerStatus peerStatus(const decision::MemberRecord &member)
+operators::PeerStatus peerStatus(const decision::Member &member, bool isLive)
 {
     operators::PeerStatus it;
-    it.name = member.name;
-    it.address = member.address;
-    it.zone = member.zone;
-    it.region = member.region;
-    it.isLive = member.state() == decision::MemberState::Alive;
+    it.name = member.record.name;
+    it.address = member.address();
+    it.zone = member.record.zone;
+    it.region = member.record.region;
+    it.isLive = isLive;
     return it;
 }
 
@@ -90,10 +90,9 @@
     it.configAge = configAge();
     it.openRequests = static_cast<std::uint64_t>(m_server.openExchanges());
     it.claimsInDoubt = doubts().size();
-    for (const decision::MemberRecord &member : m_entries->membership().usable()) {
-        if (member.name != m_settings.name) {
-            it.peers.push_back(peerStatus(member));
-        }
+    const decision::Membership &membership = m_entries->membership();
+    for (const auto &[name, member] : membership.members()) {
+        it.peers.push_back(peerStatus(member, membership.isUsable(member)));
     }
     for (const decision::Server &server : m_fleet.servers()) {
         operators::BackendStatus backend;
