--- a/src/auburndrum/decision/linkshare_test.cpp
+++ b/src/auburndrum/decision/linkshare_test.cpp
@@ -103,6 +103,7 @@
 TEST_CASE("a zone has as many configuration readers as wanted, and each sees itself as one")
 {
     std::vector<MemberRecord> zone;
+    zone.reserve(17);
     for (int n = 0; n < 17; ++n) {
         zone.push_back(record("entry-" + std::to_string(n)));
     }
