--- a/src/auburndrum/caller/servicecall.h
+++ b/src/auburndrum/caller/servicecall.h
@@ -32,6 +32,7 @@
     void start();
 
 private:
+    void admitted(std::unique_ptr<AdmissionTicket> ticket);
     void startKeyed();
     void startUnkeyed();
     void attempt();
@@ -39,7 +40,6 @@
     void handleKeyedEnd(const backend::PlainEnd &end);
     void handleUnkeyedEnd(const backend::PlainEnd &end);
     void lookUp();
-    void handleLookup(const net::HttpResult &result);
     void answer(const decision::CallAnswer &answer);
     void pass(int status, const QByteArray &contentType, const QByteArray &body, bool isReplay);
     void fail(const ApiError &error);
@@ -55,6 +55,7 @@
     decision::Claim m_claim;
     std::vector<decision::ServerId> m_tried;
     std::optional<decision::Placement> m_placement;
+    std::unique_ptr<AdmissionTicket> m_ticket;
     Instant m_arrived;
 };
 
