--- a/tests/process/lifecycle_test.cpp
+++ b/tests/process/lifecycle_test.cpp
@@ -57,6 +57,16 @@
     return runs.at("taken").get<int>() + runs.at("refused").get<int>();
 }
 
+/// Arguments of one more daemon, started after the others.
+QStringList lateArguments(Deployment &deployment)
+{
+    return {"--listen=127.0.0.70:0",
+            "--name=late",
+            "--zone=uusimaa-1",
+            "--region=uusimaa",
+            "--platform=" + QString::fromStdString(deployment.platform().addressText())};
+}
+
 /// The most that may pass from the first word of a leaving server to its last new work, with room for the list's lag and reading.
 constexpr std::chrono::milliseconds LeavingKnown{5000};
 
@@ -174,12 +184,7 @@
     Deployment deployment({.daemons = 1, .engines = 1});
     REQUIRE(deployment.isServing());
     deployment.setFault(deployment.platform(), {{"mode", "refuse"}, {"path", "/v1/log"}});
-    ChildProcess late("auburndrumd",
-                      {"--listen=127.0.0.70:0",
-                       "--name=late",
-                       "--zone=uusimaa-1",
-                       "--region=uusimaa",
-                       "--platform=" + QString::fromStdString(deployment.platform().addressText())});
+    ChildProcess late("auburndrumd", lateArguments(deployment));
     REQUIRE(late.isListening());
     waitFor(std::chrono::milliseconds(500));
     CHECK(deployment.client().get(late.address(), "/readyz")->status() == 503);
@@ -195,13 +200,8 @@
     Deployment deployment({.daemons = 1, .engines = 1});
     REQUIRE(deployment.isServing());
     deployment.setFault(deployment.platform(), {{"mode", "refuse"}, {"path", "/v1/log"}});
-    ChildProcess late("auburndrumd",
-                      {"--listen=127.0.0.70:0",
-                       "--name=late",
-                       "--zone=uusimaa-1",
-                       "--region=uusimaa",
-                       "--peers=" + QString::fromStdString(deployment.daemon(0).addressText()),
-                       "--platform=" + QString::fromStdString(deployment.platform().addressText())});
+    const QString peers = "--peers=" + QString::fromStdString(deployment.daemon(0).addressText());
+    ChildProcess late("auburndrumd", lateArguments(deployment) + QStringList{peers});
     REQUIRE(late.isListening());
     CHECK(waitUntil([&] {
         return deployment.client().get(late.address(), "/readyz")->status() == 200;
