--- a/src/auburndrum/daemon/daemon.cpp
+++ b/src/auburndrum/daemon/daemon.cpp
@@ -52,12 +52,6 @@
     return std::chrono::milliseconds(absl::Uniform<std::int64_t>(random, 0, MaxSnapshotDelay.count()));
 }
 
-/// Entry VMs that append to the log now, this one included.
-std::size_t countLive(const decision::Membership &membership)
-{
-    return std::max<std::size_t>(1, membership.usable().size());
-}
-
 backend::FleetOptions fleetOptions(const Settings &settings)
 {
     backend::FleetOptions it;
@@ -186,55 +180,6 @@
     return true;
 }
 
-void Daemon::startEntryLink()
-{
-    entry::EntryLinkOptions options;
-    options.self.name = m_settings.name;
-    options.self.address = net::toText(m_address);
-    options.self.zone = m_settings.zone;
-    options.self.region = m_settings.region;
-    options.self.incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-    options.fleetSecret = m_settings.fleetSecret;
-    for (const SocketAddress &it : m_settings.peers) {
-        options.seeds.push_back(toText(it));
-    }
-    entry::EntryLinkHooks hooks;
-    hooks.onMemberChange = [this](const decision::MemberRecord &it) {
-        const bool isGone = it.state() == decision::MemberState::Dead;
-        m_timeline.record(isGone ? EventKind::PeerLost : EventKind::PeerBack, {}, it.name);
-        m_claims.setBatchers(countLive(m_entries->membership()));
-    };
-    hooks.onLeavingServer = [this](const decision::LeavingServer &it) {
-        m_fleet.markLeaving(it.server, it.incarnation);
-    };
-    hooks.onSupplanted = [this] {
-        m_log.error("another process runs as {}", m_settings.name);
-    };
-    hooks.config.isWanted = [this] {
-        return !isLogUp();
-    };
-    hooks.config.provideFold = [this]() -> std::optional<std::string> {
-        return m_isCaughtUp ? std::optional(decision::encodeEntry({m_fold.snapshot()})) : std::nullopt;
-    };
-    hooks.config.apply = [this](const entry::ConfigTransfer &it) {
-        return adoptFold(it);
-    };
-    hooks.timelineReport = [this](const std::string &filterJson) {
-        return timelineReport(filterJson);
-    };
-    m_entries = std::make_unique<entry::EntryLink>(m_http, std::move(options), std::move(hooks));
-    m_entries->start();
-}
-
-std::vector<std::string> Daemon::liveNames() const
-{
-    std::vector<std::string> names;
-    for (const decision::MemberRecord &it : m_entries->membership().usable()) {
-        names.push_back(it.name);
-    }
-    return names;
-}
-
 void Daemon::resolveDoubts()
 {
     if (isLogUp()) {
@@ -242,58 +187,6 @@
     }
 }
 
-void Daemon::keepHistory(const platform::StoredRecord &record)
-{
-    const auto entry = decision::decodeEntry(record.value);
-    if (!entry) {
-        return;
-    }
-    for (const decision::LogRecord &it : entry.value().records) {
-        const auto *publish = std::get_if<decision::PublishRecord>(&it);
-        if (publish != nullptr && m_fold.config().version(publish->document) == record.offset) {
-            m_history.add(record.offset, record.at, *publish);
-        }
-    }
-}
-
-bool Daemon::isLogUp() const
-{
-    return m_isCaughtUp && m_follower.isReachable();
-}
-
-bool Daemon::adoptFold(const entry::ConfigTransfer &transfer)
-{
-    const auto records = decision::decodeEntry(transfer.text);
-    if (!transfer.isWhole || !records || records.value().records.size() != 1) {
-        return false;
-    }
-    const auto *snapshot = std::get_if<decision::SnapshotRecord>(&records.value().records.front());
-    if (snapshot == nullptr || !m_fold.adopt(*snapshot)) {
-        return false;
-    }
-    m_follower.rewindTo(m_fold.offset() + 1);
-    m_directoryStale = true;
-    m_documentOffset = m_fold.offset();
-    // Records that this process didn't see one by one may have decided its own claims.
-    m_claims.reconcile();
-    handleCaughtUp();
-    m_log.info("took a peer's fold at log offset {}", m_fold.offset());
-    return true;
-}
-
-std::string Daemon::timelineReport(const std::string &filterJson) const
-{
-    const json filter = json::parse(filterJson, nullptr, false);
-    TimelineFilter wanted;
-    if (filter.is_object()) {
-        wanted.requestId = filter.value("request", std::string());
-        if (filter.contains("since_ms") && filter["since_ms"].is_number_integer()) {
-            wanted.since = WallTime(std::chrono::milliseconds(filter["since_ms"].get<std::int64_t>()));
-        }
-    }
-    return toJson(TimelineReport{m_settings.name, m_settings.zone, m_timeline.dropped(), m_timeline.events(wanted)});
-}
-
 void Daemon::handle(const std::shared_ptr<net::Exchange> &exchange)
 {
     if (handleObservation(*exchange) || m_entries->handle(exchange) || m_adminApi.handle(exchange) || m_callerApi.handle(exchange)) {
@@ -336,70 +229,6 @@
     return reasons;
 }
 
-void Daemon::fold(const platform::StoredRecord &record)
-{
-    const decision::FoldedEntry entry = m_fold.feed(record.offset, record.at, record.value);
-    const bool isFound = entry.result == decision::FeedResult::Found;
-    if (isFound || entry.result == decision::FeedResult::Gap) {
-        m_follower.rewindTo(m_fold.offset() + 1);
-    }
-    m_directoryStale = m_directoryStale || isFound;
-    if (entry.hasSnapshot) {
-        m_snapshots.snapshotSeen(monotonicNow(), record.offset);
-    }
-    if (!entry.documents.empty()) {
-        m_documentOffset = record.offset;
-        keepHistory(record);
-    }
-    for (const std::string &it : entry.documents) {
-        m_directoryStale = true;
-        m_timeline.record(EventKind::DocumentInForce, {}, it);
-    }
-    for (const decision::ClaimDecision &it : entry.decisions) {
-        m_claims.tookClaim(it);
-    }
-    for (const std::string &it : entry.settled) {
-        m_claims.tookSettlement(it);
-    }
-}
-
-void Daemon::handleCaughtUp()
-{
-    rebuildDirectory();
-    m_publisher.handleFolded();
-    // Only documents count here: peers would hurry for every claim otherwise.
-    m_entries->setConfigOffset(m_documentOffset);
-    if (m_fold.isSearching() || std::exchange(m_isCaughtUp, true)) {
-        return;
-    }
-    m_timeline.record(EventKind::DaemonReady, {});
-    m_log.info("ready at log offset {}", m_fold.offset());
-}
-
-void Daemon::appendSnapshot()
-{
-    if (!m_isCaughtUp || !m_follower.isReachable() || !m_fold.mayWriteSnapshot() || !m_snapshots.isDue(monotonicNow(), m_fold.offset())) {
-        return;
-    }
-    m_timeline.record(EventKind::SnapshotAppended, {}, std::to_string(m_fold.offset()));
-    // A lost reply needs no care: a second snapshot is harmless, and a missing one is planned again.
-    m_logClient.append(decision::encodeEntry({m_fold.snapshot()}), [](const platform::AppendResult &) {
-    });
-}
-
-void Daemon::handleCut(std::uint64_t first)
-{
-    m_log.warning("log is cut before {}, looking for a snapshot", first);
-    m_fold.searchSnapshot();
-}
-
-void Daemon::rebuildDirectory()
-{
-    if (std::exchange(m_directoryStale, false)) {
-        m_directory = m_directoryBuilder.build(m_fold.config());
-    }
-}
-
 void Daemon::readVms()
 {
     platform::readVmList(m_http, toNet(m_settings.platform), [this](platform::PlatformError error, const std::vector<platform::Vm> &vms) {
