Set only the asking organisation's grant at the gate

Only the one that asks is needed. Ruled out: setting them when the directory changes, which needs the gate to hear of documents; the gate would then keep grants of withdrawn services. One difference: a changed share or limit reaches an organisation's waiting requests with its own next request, no longer with anybody's.

--- a/include/auburndrum/caller/admissiongate.h
+++ b/include/auburndrum/caller/admissiongate.h
@@ -98,7 +98,7 @@
         std::map<std::uint64_t, Waiting> waiting;
     };
 
-    Lane &lane(const decision::ServiceDocument &service);
+    Lane &lane(const decision::ServiceDocument &service, const std::string &organisation);
     void pump(const std::string &service, Instant now);
     /// Offers a popped request its ticket. False when it went back into the queue.
     bool admit(Lane &lane, const std::string &service, const decision::WaitingRequest &request, Instant now);
--- a/src/auburndrum/caller/admissiongate.cpp
+++ b/src/auburndrum/caller/admissiongate.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/caller/admissiongate.h"
 
+#include "auburndrum/caller/directory.h"
+
 #include <vector>
 
 namespace auburndrum::caller {
@@ -46,19 +48,20 @@
     }
 }
 
-AdmissionGate::Lane &AdmissionGate::lane(const decision::ServiceDocument &service)
+AdmissionGate::Lane &AdmissionGate::lane(const decision::ServiceDocument &service, const std::string &organisation)
 {
     const decision::FairQueueOptions options{.limit = service.queueLimit};
     Lane &it = m_lanes.try_emplace(service.name, options).first->second;
-    for (const decision::OrganisationGrant &grant : service.organisations) {
-        it.queue.setGrant(grant.organisation, {grant.share, grant.maxConcurrent, grant.priority});
+    // Only who asks: a service may have thousands of organisations.
+    if (const decision::OrganisationGrant *grant = grantOf(service, organisation)) {
+        it.queue.setGrant(organisation, {grant->share, grant->maxConcurrent, grant->priority});
     }
     return it;
 }
 
 std::optional<std::uint64_t> AdmissionGate::enter(const decision::ServiceDocument &service, const AdmissionRequest &request, AdmissionHooks hooks, Instant now)
 {
-    Lane &it = lane(service);
+    Lane &it = lane(service, request.organisation);
     const std::uint64_t number = ++m_lastNumber;
     it.waiting[number] = {std::move(hooks), request.allowedWait};
     const auto pushed = it.queue.push({number, request.organisation, request.cost, request.deadline}, now);
