--- a/include/auburndrum/backend/enginestream.h
+++ b/include/auburndrum/backend/enginestream.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "auburndrum/backend/eventsplitter.h"
+#include "auburndrum/net/eventsplitter.h"
 #include "auburndrum/net/httpclient.h"
 
 #include <chrono>
@@ -87,7 +87,7 @@
     net::HttpClient &m_http;
     EngineAttempt m_attempt;
     EngineHooks m_hooks;
-    EventSplitter m_splitter;
+    net::EventSplitter m_splitter;
     net::HttpCallHandle m_call;
     std::uint64_t m_eventsAtResume = 0;
     std::uint32_t m_resumes = 0;
--- /dev/null
+++ b/include/auburndrum/decision/traffic/promptmemory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "auburndrum/decision/traffic/prompt.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <list>
+#include <string_view>
+
+namespace auburndrum::decision {
+
+/// @brief Which prompt parts one engine probably still caches, from the requests that were sent to it.
+///
+/// Least recently used parts are forgotten past a number of tokens, as the engine does. Not thread-safe.
+class PromptMemory
+{
+public:
+    explicit PromptMemory(std::uint64_t capacityTokens = 0);
+
+    void setCapacity(std::uint64_t tokens);
+    /// Counts the parts as cached under `scope`, which keeps organisations apart that share no cache.
+    void remember(std::string_view scope, const Prompt &prompt);
+    /// Tokens at the start of the prompt that are probably cached.
+    std::uint32_t cachedTokens(std::string_view scope, const Prompt &prompt) const;
+    void clear();
+
+private:
+    struct Part
+    {
+        std::uint64_t key = 0;
+        std::uint32_t tokens = 0;
+    };
+
+    void shrink();
+
+    std::uint64_t m_capacity;
+    std::uint64_t m_tokens = 0;
+    std::list<Part> m_parts; // most recently used first
+    absl::flat_hash_map<std::uint64_t, std::list<Part>::iterator> m_index;
+};
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "auburndrum/base/time.h"
+#include "auburndrum/decision/circuitbreaker.h"
+#include "auburndrum/decision/traffic/backendlist.h"
+#include "auburndrum/decision/traffic/configuration.h"
+#include "auburndrum/decision/traffic/promptmemory.h"
+
+#include <absl/random/bit_gen_ref.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburndrum::decision {
+
+/// Load that a backend server told with an answer; it counts the requests of all entry VMs.
+struct LoadReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// Options of a ServerChooser.
+struct ServerChooserOptions
+{
+    std::string zone; ///< of this entry VM
+    std::map<std::string, std::string, std::less<>> regionOfZone;
+    /// Extra cost of a server in another zone: the way there and back within a region, a few milliseconds as measured on the platform.
+    std::chrono::microseconds zoneCost{3000};
+    std::chrono::microseconds regionCost{25000}; ///< the same between regions
+    std::chrono::milliseconds reportAge{2000}; ///< an older load report says nothing of the present
+    std::chrono::milliseconds refusalPause{200}; ///< a server that refused for want of room gets nothing new for so long
+    std::chrono::milliseconds oldWeightsLimit{5000}; ///< servers with older weights get nothing new once newer ones were named so long ago
+    double startReadRate = 30; ///< prompt tokens per millisecond of an engine, until it is learned
+    double memoryShare = 0.6; ///< part of an engine's memory that cached prompts are taken to fill
+};
+
+/// What a request asks of the chooser.
+struct ServerQuery
+{
+    std::string_view service;
+    const Prompt *prompt = nullptr; ///< null for plain services
+    std::string_view scope; ///< whose cached prompt parts may be shared
+    std::string_view key; ///< spreads requests without prompt; may be empty
+    std::uint64_t newestWeights = 0; ///< named version of the prompt's model; 0 when none is known
+    Instant weightsNamedAt{}; ///< when this process learned of it
+    std::vector<std::string> tried; ///< servers that this request was sent to
+};
+
+/// Where a request goes and what was believed of that server.
+struct ServerChoice
+{
+    std::string id;
+    std::string address;
+    std::chrono::microseconds expectedWait{}; ///< until the request's prompt is read, or a slot is free
+    std::uint32_t unreadTokens = 0; ///< of the prompt, that are probably not cached there
+    std::uint32_t running = 0; ///< own and reported requests there
+    std::chrono::milliseconds reportAge{-1}; ///< negative: it has reported no load
+    std::chrono::milliseconds entryAge{}; ///< since its entry in the list changed
+    std::uint64_t weights = 0; ///< version of the prompt's model there; 0 when unknown
+};
+
+/// Why there is no choice.
+enum class NoServer : std::uint8_t {
+    None, ///< the service has no server that takes requests
+    AllTried,
+    AllBroken, ///< failing or silent ones only
+    AllFull,
+    OldWeights, ///< only servers whose weights are out of date
+};
+
+const char *toText(NoServer reason);
+
+/// @brief Chooses the backend server of each request, from the list, reported loads and what this process sent.
+///
+/// Requests with one home key prefer one server, by rendezvous hash, so that entry VMs agree without a message; load,
+/// distance and cached prompt parts decide by estimated time. Not thread-safe.
+class ServerChooser
+{
+public:
+    ServerChooser(ServerChooserOptions options, const BackendList &servers);
+
+    void configure(const Configuration &configuration);
+
+    /// The server for this request, or why there is none.
+    std::optional<ServerChoice> choose(const ServerQuery &query, Instant now, NoServer &reason) const;
+
+    /// A request was sent; `prompt` is null for plain services.
+    void sent(const ServerChoice &choice, std::string_view scope, const Prompt *prompt, Instant now);
+    /// Its first event or its whole answer has come after `elapsed`.
+    void answered(const ServerChoice &choice, std::chrono::microseconds elapsed);
+    /// The request no longer uses the server. `hadAnswer`: answered() was called for it.
+    void ended(const ServerChoice &choice, bool hadAnswer);
+
+    void reported(std::string_view id, const LoadReport &load, Instant now);
+    void succeeded(std::string_view id);
+    void failed(std::string_view id, Instant now, absl::BitGenRef random);
+    /// The server refused a request without running it.
+    void refused(std::string_view id, Instant now);
+    /// Forgets a server that is gone or was started again.
+    void forget(std::string_view id);
+
+    std::uint32_t running(std::string_view id) const;
+
+private:
+    struct Load
+    {
+        std::uint32_t own = 0; ///< requests of this process that it has
+        double ownUnread = 0; ///< prompt tokens of those without a first event
+        LoadReport report;
+        std::uint32_t ownAtReport = 0;
+        std::optional<Instant> reportedAt;
+        std::optional<Instant> fullUntil;
+        CircuitBreaker breaker;
+        PromptMemory memory;
+    };
+
+    const Load *find(std::string_view id) const;
+    Load &load(std::string_view id);
+    ServerChoice assess(const ServerQuery &query, const BackendList::Entry &entry, bool isHome, Instant now) const;
+    std::chrono::microseconds distance(const std::string &zone) const;
+
+    ServerChooserOptions m_options;
+    const BackendList &m_servers;
+    std::map<std::string, EngineTraits, std::less<>> m_engines; ///< by service
+    std::map<std::string, Load, std::less<>> m_loads;
+    double m_readRate; ///< prompt tokens per millisecond
+    std::chrono::microseconds m_plainTime{50000}; ///< moving mean of a plain answer; starts at a common value
+};
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "auburndrum/base/time.h"
+#include "auburndrum/gateway/recordstore.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <map>
+#include <set>
+
+namespace auburndrum::gateway {
+
+/// Options of a KeyedFeed.
+struct KeyedFeedOptions
+{
+    std::string topic;
+    std::chrono::milliseconds longRead{2000}; ///< a read without news ends after it, so that a silent connection shows
+    std::chrono::milliseconds firstPause{50}; ///< before a failed call is made again; doubles up to maxPause
+    std::chrono::milliseconds maxPause{800}; ///< short against the bounds on configurations and drains, which count from the store's return
+    std::chrono::milliseconds outageAfter{1500}; ///< without a good answer for so long the store counts as away
+    std::chrono::milliseconds outageEcho{3000}; ///< removals so soon after an outage may be lapsed entries of living servers
+};
+
+/// What a KeyedFeed tells.
+struct KeyedFeedHooks
+{
+    /// The newest value of a key; nothing when the key was dropped. `duringOutage`: the store was away just before.
+    std::function<void(const std::string &key, const std::optional<QByteArray> &value, bool duringOutage)> onChange;
+    std::function<void()> onSynced; ///< everything that the store held at one moment has been told
+    std::function<void(StoreError)> onLost; ///< the store doesn't answer
+    std::function<void()> onRegained;
+};
+
+/// @brief Follows the newest value of each key of one topic, and never goes back to an older one.
+///
+/// Reads the newest of each key once, then long reads from there. When records expired before they were read, it starts over.
+class KeyedFeed : public QObject
+{
+    Q_OBJECT
+
+public:
+    KeyedFeed(KeyedFeedOptions options, const RecordStore &store, KeyedFeedHooks hooks, QObject *parent = nullptr);
+
+    void start();
+    bool isSynced() const
+    {
+        return m_synced;
+    }
+    /// When the store last answered; nothing before the first answer.
+    std::optional<Instant> lastAnswerAt() const
+    {
+        return m_lastAnswerAt;
+    }
+
+private:
+    void readPage(const std::string &afterKey);
+    void takePage(const StoreResult<NewestPage> &result);
+    void finishSnapshot();
+    void readOn();
+    void takeBatch(const StoreResult<RecordBatch> &result);
+    void apply(const StoreRecord &record);
+    void answered();
+    void failed(StoreError error);
+    bool isAfterOutage() const;
+
+    KeyedFeedOptions m_options;
+    const RecordStore &m_store;
+    KeyedFeedHooks m_hooks;
+    QTimer m_retry;
+    std::map<std::string, std::uint64_t> m_offsets; ///< of the newest record told of each key, dropped ones too
+    std::set<std::string> m_present; ///< keys that have a value
+    std::set<std::string> m_pageKeys; ///< keys seen in the snapshot being read
+    std::optional<std::uint64_t> m_snapshotEnd; ///< end of the topic when the snapshot began
+    std::uint64_t m_next = 0;
+    bool m_synced = false;
+    bool m_lost = false;
+    std::chrono::milliseconds m_pause;
+    std::optional<Instant> m_lastAnswerAt;
+    std::optional<Instant> m_regainedAt; ///< after the last outage
+};
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/include/auburndrum/gateway/wire.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "auburndrum/decision/traffic/prompt.h"
+#include "auburndrum/decision/traffic/serverchooser.h"
+#include "auburndrum/net/header.h"
+#include "auburndrum/net/requestparser.h"
+#include "auburndrum/net/responseparser.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburndrum::gateway {
+
+/// What a caller's request says besides its body.
+struct RequestFacts
+{
+    std::string id; ///< of this one attempt of the caller; never used again
+    std::string host;
+    std::string apiKey; ///< empty when it carries none
+    std::optional<std::chrono::milliseconds> patience; ///< how long the caller waits
+    std::optional<decision::Prompt> prompt;
+    std::string lastEventId; ///< the caller resumes a stream behind this event; empty for a new one
+};
+
+/// What the gateway sets on a request that it passes on.
+struct ForwardFacts
+{
+    std::string serverId; ///< any other backend server refuses the request
+    std::chrono::milliseconds timeLeft{0};
+    std::string organisation; ///< empty when the request carries no API key
+    std::string cacheScope; ///< cached prompt parts are shared within it; empty for the common one
+    std::string lastEventId; ///< the answer goes on behind this event; empty for a whole one
+    std::optional<std::uint64_t> weights; ///< a server with other weights refuses the request
+};
+
+/// What a backend server's answer says besides its body.
+struct AnswerFacts
+{
+    std::string requestId; ///< empty when it names none
+    bool isSealed = false; ///< bears the server's signature
+    bool hasNotRun = false; ///< the server states that it did not and will not run the request
+    bool isEncoded = false; ///< the body is not the server's own bytes
+    bool isEventStream = false;
+    std::optional<decision::LoadReport> load;
+};
+
+/// How the deployment's messages are read and written. Every hook must be set.
+struct Wire
+{
+    std::function<RequestFacts(const net::RequestHead &)> readRequest;
+    std::function<std::vector<net::Header>(const net::RequestHead &, const ForwardFacts &)> forwardHeaders;
+    std::function<AnswerFacts(const net::HttpHead &)> readAnswer;
+    std::function<std::vector<net::Header>(const net::HttpHead &)> answerHeaders;
+};
+
+} // namespace auburndrum::gateway
--- a/include/auburndrum/backend/eventsplitter.h
+++ b/include/auburndrum/net/eventsplitter.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace auburndrum::backend {
+namespace auburndrum::net {
 
 /// Cuts a stream of server-sent events into whole events, without reading what is in them.
 class EventSplitter
@@ -25,6 +25,8 @@
     }
     /// Drops an event that is only partly there, before the stream is resumed.
     void dropPartial();
+    /// Hands out the event that is only partly there, when the stream ended whole behind it.
+    QByteArray takePartial();
     /// Bytes of an event that is only partly there.
     qsizetype partialBytes() const
     {
@@ -37,4 +39,4 @@
     bool m_done = false;
 };
 
-} // namespace auburndrum::backend
+} // namespace auburndrum::net
--- a/include/auburndrum/net/exchange.h
+++ b/include/auburndrum/net/exchange.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "auburndrum/net/header.h"
+#include "auburndrum/net/requestparser.h"
 
 #include <QByteArray>
 #include <QHostAddress>
-#include <QUrl>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -22,11 +23,10 @@
 public:
     struct Request
     {
-        QByteArray method;
-        QUrl url;
-        std::vector<Header> headers;
-        QByteArray body;
+        RequestHead head;
+        QByteArray body; ///< what had arrived when the handler was called
         QHostAddress remoteAddress;
+        std::chrono::steady_clock::time_point arrivedAt; ///< when its first byte was read
     };
 
     Exchange(Request request, std::weak_ptr<ServerConnection> connection);
@@ -34,7 +34,7 @@
 
     const QByteArray &method() const
     {
-        return m_request.method;
+        return m_request.head.method;
     }
     QByteArray path() const;
     /// Value of a query item; empty when it is absent.
@@ -42,6 +42,10 @@
     /// The whole query as it was sent, without the question mark.
     QByteArray rawQuery() const;
     QByteArray header(const QByteArray &name) const;
+    const RequestHead &head() const
+    {
+        return m_request.head;
+    }
     const QByteArray &body() const
     {
         return m_request.body;
@@ -50,6 +54,20 @@
     {
         return m_request.remoteAddress;
     }
+    std::chrono::steady_clock::time_point arrivedAt() const
+    {
+        return m_request.arrivedAt;
+    }
+
+    /// Whether the whole request had arrived when the handler was called, or has since.
+    bool isBodyComplete() const
+    {
+        return m_bodyComplete;
+    }
+    /// Sets what takes the parts of a body that was not complete when the handler was called; `last` marks its end.
+    void setOnBodyPart(std::function<void(const QByteArray &part, bool last)> hook);
+    /// Stops and resumes reading of the body, so that a slow reader slows the caller.
+    void setBodyPaused(bool paused);
 
     /// Sends a whole answer.
     void respond(int status, const std::vector<Header> &headers, const QByteArray &body);
@@ -73,6 +91,8 @@
     qint64 unsentBytes() const;
     /// Sets what runs when the caller's connection closes before the answer is complete.
     void setOnCallerGone(std::function<void()> hook);
+    /// Sets what runs each time that the network has taken bytes of the answer.
+    void setOnBytesSent(std::function<void()> hook);
 
 private:
     friend class ServerConnection;
@@ -88,7 +108,10 @@
     Request m_request;
     std::weak_ptr<ServerConnection> m_connection;
     State m_state = State::Waiting;
+    bool m_bodyComplete = true;
     std::function<void()> m_onCallerGone;
+    std::function<void()> m_onBytesSent;
+    std::function<void(const QByteArray &, bool)> m_onBodyPart;
 };
 
 } // namespace auburndrum::net
--- a/include/auburndrum/net/httpclient.h
+++ b/include/auburndrum/net/httpclient.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace auburndrum::net {
 
@@ -35,9 +36,13 @@
     QByteArray method = "GET";
     QByteArray target = "/";
     std::vector<Header> headers;
-    QByteArray body;
+    QByteArray host; ///< value of the Host field; the peer's address when empty
+    QByteArray body; ///< the whole body, or its beginning when `bodyFollows`
+    bool bodyFollows = false; ///< the rest comes through HttpCallHandle::writeBody()
+    std::optional<qint64> bodyLength; ///< of a body that follows; chunked when unknown
     bool freshConnection = false; ///< true: never on a kept-alive connection, so that a failed connect proves that nothing was sent
     qint64 maxBodyBytes = 64 * 1024 * 1024;
+    std::chrono::milliseconds maxReuseAge{20000}; ///< a connection kept idle for longer is not used
     std::chrono::milliseconds connectTimeout{1000};
     std::chrono::milliseconds firstByteTimeout{30000};
     std::chrono::milliseconds idleTimeout{30000};
@@ -48,6 +53,7 @@
 {
     HttpFailure failure = HttpFailure::None;
     bool sent = false; ///< true when a byte of the request may have reached the peer
+    bool reused = false; ///< true when the connection had carried another call before
     HttpHead head;
     QByteArray body; ///< whole body when no onBody hook took it
 };
@@ -55,6 +61,7 @@
 /// What a caller of HttpClient wants to hear. All run on the client's thread.
 struct HttpHooks
 {
+    std::function<bool(const HttpHead &)> isForCall; ///< optional; false for an answer to some other call, which is skipped
     std::function<void(const HttpHead &)> onHead; ///< optional
     std::function<void(const QByteArray &)> onBody; ///< optional; takes each part of the body, at most once per turn of the event loop
     std::function<void(const HttpResult &)> onDone; ///< exactly once
@@ -71,6 +78,12 @@
 
     /// Ends the call with HttpFailure::Cancelled and closes its connection. Does nothing when it has ended.
     void cancel();
+    /// Sends more of a body that follows; `last` ends it. Dropped when the call has ended.
+    void writeBody(const QByteArray &part, bool last);
+    /// Bytes of the request that the network has not taken yet.
+    qint64 unsentBytes() const;
+    /// Stops and resumes reading of the answer, so that a slow caller slows the peer.
+    void setReadingPaused(bool paused);
 
 private:
     std::weak_ptr<ClientConnection> m_connection;
@@ -92,6 +105,8 @@
     HttpCallHandle start(const HttpCall &call, HttpHooks hooks);
     /// Drops kept-alive connections to `peer`.
     void forget(const Address &peer);
+    /// Connections made so far.
+    std::uint64_t connectionsMade() const;
 
 private:
     class Private;
--- a/include/auburndrum/net/responseparser.h
+++ b/include/auburndrum/net/responseparser.h
@@ -37,6 +37,8 @@
     bool finishAtClose();
     bool isDone() const;
     bool keepsAlive() const;
+    /// Bytes behind the end of the answer; empties them.
+    QByteArray takeRest();
 
 private:
     class Private;
--- a/include/auburndrum/daemon/shutdownsignal.h
+++ b/include/auburndrum/net/shutdownsignal.h
@@ -7,7 +7,7 @@
 
 class QSocketNotifier;
 
-namespace auburndrum::daemon {
+namespace auburndrum::net {
 
 /// @brief Turns SIGTERM and SIGINT into calls on the event loop.
 class ShutdownSignal : public QObject
@@ -22,4 +22,4 @@
     int m_descriptor = -1;
 };
 
-} // namespace auburndrum::daemon
+} // namespace auburndrum::net
--- a/src/auburndrum/daemon/main.cpp
+++ b/src/auburndrum/daemon/main.cpp
@@ -1,7 +1,7 @@
 #include "auburndrum/base/log.h"
 #include "auburndrum/base/settings.h"
 #include "auburndrum/daemon/daemon.h"
-#include "auburndrum/daemon/shutdownsignal.h"
+#include "auburndrum/net/shutdownsignal.h"
 
 #include <QCoreApplication>
 
@@ -42,7 +42,7 @@
     QCoreApplication app(argc, argv);
     // Before any worker thread starts, so that all of them block the signals.
     auburndrum::daemon::Daemon *running = nullptr;
-    const auburndrum::daemon::ShutdownSignal shutdownSignal([&running] {
+    const auburndrum::net::ShutdownSignal shutdownSignal([&running] {
         if (running != nullptr) {
             running->shutDown();
         }
--- /dev/null
+++ b/src/auburndrum/decision/traffic/prompt.cpp
@@ -0,0 +1,16 @@
+#include "auburndrum/decision/traffic/prompt.h"
+
+namespace auburndrum::decision {
+
+const std::string &homeKey(const Prompt &prompt)
+{
+    static const std::string None;
+    if (prompt.parts.empty()) {
+        return None;
+    }
+    // The last part is the request's own when others stand before it.
+    const std::size_t n = prompt.parts.size() > 1 ? prompt.parts.size() - 2 : 0;
+    return prompt.parts[n].id;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/traffic/promptmemory.cpp
@@ -0,0 +1,72 @@
+#include "auburndrum/decision/traffic/promptmemory.h"
+
+#include <xxhash.h>
+
+namespace auburndrum::decision {
+
+namespace {
+
+std::uint64_t partKey(std::string_view scope, std::string_view id)
+{
+    return XXH3_64bits_withSeed(id.data(), id.size(), XXH3_64bits(scope.data(), scope.size()));
+}
+
+} // namespace
+
+PromptMemory::PromptMemory(std::uint64_t capacityTokens)
+    : m_capacity(capacityTokens)
+{
+}
+
+void PromptMemory::setCapacity(std::uint64_t tokens)
+{
+    m_capacity = tokens;
+    shrink();
+}
+
+void PromptMemory::remember(std::string_view scope, const Prompt &prompt)
+{
+    // Backwards, so that the first parts are the last to be forgotten: later ones are of no use without them.
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+        const std::uint64_t key = partKey(scope, part->id);
+        const auto known = m_index.find(key);
+        if (known != m_index.end()) {
+            m_parts.splice(m_parts.begin(), m_parts, known->second);
+            continue;
+        }
+        m_parts.push_front({key, part->tokens});
+        m_index[key] = m_parts.begin();
+        m_tokens += part->tokens;
+    }
+    shrink();
+}
+
+std::uint32_t PromptMemory::cachedTokens(std::string_view scope, const Prompt &prompt) const
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart &it : prompt.parts) {
+        if (!m_index.contains(partKey(scope, it.id))) {
+            break;
+        }
+        tokens += it.tokens;
+    }
+    return tokens;
+}
+
+void PromptMemory::clear()
+{
+    m_parts.clear();
+    m_index.clear();
+    m_tokens = 0;
+}
+
+void PromptMemory::shrink()
+{
+    while (m_tokens > m_capacity && !m_parts.empty()) {
+        m_tokens -= m_parts.back().tokens;
+        m_index.erase(m_parts.back().key);
+        m_parts.pop_back();
+    }
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -0,0 +1,255 @@
+#include "auburndrum/decision/traffic/serverchooser.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr double LearnShare = 0.05; // weight of one more observation in a moving mean
+constexpr double RunningCostTokens = 150; // a running request slows the others by about this much reading
+constexpr double MeanWaitingTokens = 2000; // of a request that waits at an engine, whose size nobody tells
+constexpr std::uint32_t MinLearnTokens = 2000; // smaller prompts measure the way, not the reading
+
+std::uint64_t rank(std::string_view server, std::string_view key)
+{
+    return XXH3_64bits_withSeed(server.data(), server.size(), XXH3_64bits(key.data(), key.size()));
+}
+
+} // namespace
+
+const char *toText(NoServer reason)
+{
+    switch (reason) {
+    case NoServer::None:
+        return "no server";
+    case NoServer::AllTried:
+        return "all servers tried";
+    case NoServer::AllBroken:
+        return "all servers failing";
+    case NoServer::AllFull:
+        return "all servers full";
+    case NoServer::OldWeights:
+        return "all servers have old weights";
+    }
+    return "unknown";
+}
+
+ServerChooser::ServerChooser(ServerChooserOptions options, const BackendList &servers)
+    : m_options(std::move(options))
+    , m_servers(servers)
+    , m_readRate(m_options.startReadRate)
+{
+}
+
+void ServerChooser::configure(const Configuration &configuration)
+{
+    m_engines.clear();
+    for (const auto &[name, service] : configuration.services) {
+        if (service.engine) {
+            m_engines[name] = *service.engine;
+        }
+    }
+}
+
+const ServerChooser::Load *ServerChooser::find(std::string_view id) const
+{
+    const auto it = m_loads.find(id);
+    return it == m_loads.end() ? nullptr : &it->second;
+}
+
+ServerChooser::Load &ServerChooser::load(std::string_view id)
+{
+    const auto it = m_loads.find(id);
+    return it == m_loads.end() ? m_loads[std::string(id)] : it->second;
+}
+
+microseconds ServerChooser::distance(const std::string &zone) const
+{
+    if (zone == m_options.zone) {
+        return microseconds(0);
+    }
+    const auto here = m_options.regionOfZone.find(m_options.zone);
+    const auto there = m_options.regionOfZone.find(zone);
+    const bool isNear = here != m_options.regionOfZone.end() && there != m_options.regionOfZone.end() && here->second == there->second;
+    return isNear ? m_options.zoneCost : m_options.regionCost;
+}
+
+ServerChoice ServerChooser::assess(const ServerQuery &query, const BackendList::Entry &entry, bool isHome, Instant now) const
+{
+    static const Load Unknown;
+    const Load *known = find(entry.server.id);
+    const Load &load = known == nullptr ? Unknown : *known;
+
+    ServerChoice choice;
+    choice.id = entry.server.id;
+    choice.address = entry.server.address;
+    choice.entryAge = std::chrono::floor<std::chrono::milliseconds>(now - entry.changedAt);
+    std::uint32_t others = 0;
+    std::uint32_t waiting = 0;
+    if (load.reportedAt) {
+        choice.reportAge = std::chrono::floor<std::chrono::milliseconds>(now - *load.reportedAt);
+        if (choice.reportAge < m_options.reportAge) {
+            others = load.report.running + load.report.waiting - std::min(load.report.running + load.report.waiting, load.ownAtReport);
+            waiting = load.report.waiting;
+        }
+    }
+    choice.running = load.own + others;
+    if (query.prompt == nullptr) {
+        const std::uint32_t slots = std::max<std::uint32_t>(1, entry.server.parallelRequests);
+        const double turns = static_cast<double>(choice.running) / slots;
+        // Part of a turn already costs: some servers slow down when nearly full.
+        choice.expectedWait = std::chrono::floor<microseconds>(m_plainTime * (turns < 1 ? turns * turns * 0.5 : turns - 0.5));
+        return choice;
+    }
+    const auto version = entry.server.weightVersions.find(query.prompt->model);
+    choice.weights = version == entry.server.weightVersions.end() ? 0 : version->second;
+    std::uint32_t cached = load.memory.cachedTokens(query.scope, *query.prompt);
+    if (isHome && query.prompt->parts.size() > 1) {
+        // Other entry VMs send the same parts there.
+        cached = std::max(cached, query.prompt->inputTokens - std::min(query.prompt->inputTokens, query.prompt->parts.back().tokens));
+    }
+    choice.unreadTokens = query.prompt->inputTokens - std::min(query.prompt->inputTokens, cached);
+    const double ahead = load.ownUnread + waiting * MeanWaitingTokens + choice.running * RunningCostTokens;
+    choice.expectedWait = microseconds(static_cast<std::int64_t>((ahead + choice.unreadTokens) / m_readRate * 1000));
+    return choice;
+}
+
+std::optional<ServerChoice> ServerChooser::choose(const ServerQuery &query, Instant now, NoServer &reason) const
+{
+    reason = NoServer::None;
+    const std::string_view key = query.prompt != nullptr ? std::string_view(homeKey(*query.prompt)) : query.key;
+    std::vector<const BackendList::Entry *> candidates;
+    const BackendList::Entry *home = nullptr;
+    for (const BackendList::Entry *it : m_servers.ofService(query.service)) {
+        if (!BackendList::isUsable(*it)) {
+            continue;
+        }
+        if (std::find(query.tried.begin(), query.tried.end(), it->server.id) != query.tried.end()) {
+            reason = std::max(reason, NoServer::AllTried);
+            continue;
+        }
+        const Load *load = find(it->server.id);
+        if (load != nullptr && !load->breaker.mayTry(now)) {
+            reason = std::max(reason, NoServer::AllBroken);
+            continue;
+        }
+        if (load != nullptr && load->fullUntil && now < *load->fullUntil) {
+            reason = std::max(reason, NoServer::AllFull);
+            continue;
+        }
+        if (query.prompt != nullptr && query.newestWeights > 0) {
+            const auto version = it->server.weightVersions.find(query.prompt->model);
+            const bool isOld = version != it->server.weightVersions.end() && version->second < query.newestWeights;
+            if (isOld && now - query.weightsNamedAt >= m_options.oldWeightsLimit) {
+                reason = std::max(reason, NoServer::OldWeights);
+                continue;
+            }
+        }
+        candidates.push_back(it);
+        if (home == nullptr || rank(it->server.id, key) > rank(home->server.id, key)) {
+            home = it;
+        }
+    }
+    std::optional<ServerChoice> best;
+    microseconds bestCost{};
+    bool bestIsNew = false;
+    for (const BackendList::Entry *it : candidates) {
+        const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == home, now);
+        const microseconds cost = choice.expectedWait + distance(it->server.zone);
+        const bool isNew = choice.weights >= query.newestWeights;
+        const bool isBetter = !best || (isNew && !bestIsNew) || (isNew == bestIsNew && cost < bestCost);
+        if (isBetter) {
+            best = choice;
+            bestCost = cost;
+            bestIsNew = isNew;
+        }
+    }
+    return best;
+}
+
+void ServerChooser::sent(const ServerChoice &choice, std::string_view scope, const Prompt *prompt, Instant now)
+{
+    Load &it = load(choice.id);
+    ++it.own;
+    it.breaker.began(now);
+    if (prompt == nullptr) {
+        return;
+    }
+    it.ownUnread += choice.unreadTokens;
+    const BackendList::Entry *entry = m_servers.find(choice.id);
+    const auto engine = entry == nullptr ? m_engines.end() : m_engines.find(entry->server.service);
+    if (engine != m_engines.end()) {
+        it.memory.setCapacity(static_cast<std::uint64_t>(engine->second.memoryTokens * m_options.memoryShare));
+    }
+    it.memory.remember(scope, *prompt);
+}
+
+void ServerChooser::answered(const ServerChoice &choice, microseconds elapsed)
+{
+    Load &it = load(choice.id);
+    it.ownUnread = std::max(0.0, it.ownUnread - choice.unreadTokens);
+    if (choice.unreadTokens >= MinLearnTokens && elapsed.count() > 0) {
+        const double rate = choice.unreadTokens * 1000.0 / static_cast<double>(elapsed.count());
+        m_readRate += (rate - m_readRate) * LearnShare;
+    } else if (choice.unreadTokens == 0) {
+        m_plainTime += std::chrono::floor<microseconds>((elapsed - m_plainTime) * LearnShare);
+    }
+}
+
+void ServerChooser::ended(const ServerChoice &choice, bool hadAnswer)
+{
+    const auto it = m_loads.find(choice.id);
+    if (it == m_loads.end()) {
+        return; // forgotten meanwhile
+    }
+    if (it->second.own > 0) {
+        --it->second.own;
+    }
+    if (!hadAnswer) {
+        it->second.ownUnread = std::max(0.0, it->second.ownUnread - choice.unreadTokens);
+    }
+}
+
+void ServerChooser::reported(std::string_view id, const LoadReport &report, Instant now)
+{
+    Load &it = load(id);
+    it.report = report;
+    it.ownAtReport = it.own;
+    it.reportedAt = now;
+}
+
+void ServerChooser::succeeded(std::string_view id)
+{
+    load(id).breaker.succeeded();
+}
+
+void ServerChooser::failed(std::string_view id, Instant now, absl::BitGenRef random)
+{
+    load(id).breaker.failed(now, random);
+}
+
+void ServerChooser::refused(std::string_view id, Instant now)
+{
+    load(id).fullUntil = now + m_options.refusalPause;
+}
+
+void ServerChooser::forget(std::string_view id)
+{
+    const auto it = m_loads.find(id);
+    if (it != m_loads.end()) {
+        m_loads.erase(it);
+    }
+}
+
+std::uint32_t ServerChooser::running(std::string_view id) const
+{
+    const Load *it = find(id);
+    return it == nullptr ? 0 : it->own;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -0,0 +1,484 @@
+#include "forwardedrequest.h"
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Several times the longest way between regions; a server that doesn't answer by then is silent, and nothing was sent to it.
+constexpr milliseconds ConnectTimeout{400};
+// A kept connection may have died without notice: younger ones are surer.
+constexpr milliseconds MaxReuseAge{8000};
+constexpr milliseconds MaxReuseAgeOnce{3000}; // for requests that can't be sent again
+constexpr milliseconds LeastUsefulTime{50}; // with less left a further attempt can't bring an answer
+constexpr milliseconds RetryAfter{500}; // until a caller that was turned away is to come back
+constexpr std::uint32_t MaxSends = 4; // of one request, those that reached no server included
+constexpr int SilenceInPauses = 4; // a stream counts as broken after so many of the longest pauses that are on time
+constexpr int SilenceInTargets = 2; // an answer that may be repeated is given up after so many target latencies
+constexpr qint64 PauseAboveBytes = 256 * 1024; // waiting for a slow caller; its server is slowed down above it
+
+/// The id of the last event in a run of whole events; empty when none has one.
+std::string lastIdIn(const QByteArray &events)
+{
+    const auto at = events.startsWith("id:") && events.lastIndexOf("\nid:") < 0 ? 0 : events.lastIndexOf("\nid:") + 1;
+    if (!QByteArrayView(events).sliced(at).startsWith("id:")) {
+        return {};
+    }
+    const auto begin = at + 3;
+    const auto end = events.indexOf('\n', begin);
+    return events.mid(begin, end < 0 ? -1 : end - begin).trimmed().toStdString();
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses by which a caller is told that its request has not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+ForwardedRequest::ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange)
+    : m_state(state)
+    , m_exchange(std::move(exchange))
+{
+}
+
+void ForwardedRequest::start()
+{
+    m_facts = m_state.wire.readRequest(m_exchange->head());
+    m_record.id = m_facts.id;
+    m_record.arrivedAt = m_exchange->arrivedAt();
+    m_configuration = m_state.configuration;
+    if (!m_configuration) {
+        refuse(503, "no configuration yet");
+        return;
+    }
+    m_record.configuration = m_configuration->version;
+    m_record.configurationAge = std::chrono::floor<milliseconds>(monotonicNow() - m_state.configurationAt);
+    m_route = m_configuration->findRoute(m_facts.host, m_exchange->path().toStdString());
+    if (m_route == nullptr) {
+        refuse(404, "no such route");
+        return;
+    }
+    m_record.route = m_route->name;
+    if (!authorise()) {
+        refuse(401, "unknown API key");
+        return;
+    }
+    chooseService();
+    const milliseconds patience = std::min(m_facts.patience.value_or(m_route->timeout), m_route->timeout);
+    m_record.patience = patience;
+    m_deadline = m_record.arrivedAt + patience;
+    m_lastEventId = m_facts.lastEventId;
+    m_state.retryAllowance(m_service).countRequest(monotonicNow());
+
+    const auto self = shared_from_this();
+    m_exchange->setOnCallerGone([self] {
+        self->handleCallerGone();
+    });
+    m_exchange->setOnBodyPart([self](const QByteArray &part, bool last) {
+        self->m_bodyRepeatable = false;
+        if (self->m_attempt) {
+            self->m_attempt->call.writeBody(part, last);
+            self->m_exchange->setBodyPaused(self->m_attempt->call.unsentBytes() > PauseAboveBytes);
+        }
+    });
+    m_exchange->setOnBytesSent([self] {
+        if (self->m_attempt && self->m_exchange->unsentBytes() <= PauseAboveBytes / 2) {
+            self->m_attempt->call.setReadingPaused(false);
+        }
+    });
+    m_timer.setSingleShot(true);
+    QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] {
+        handleTimeout();
+    });
+    m_timer.start(std::max(milliseconds(0), timeLeft()));
+    attempt();
+}
+
+bool ForwardedRequest::authorise()
+{
+    if (!m_configuration->needsKeys || m_route->isPublic) {
+        return true;
+    }
+    m_organisation = m_configuration->findOrganisation(m_facts.apiKey);
+    if (m_organisation != nullptr) {
+        m_record.organisation = m_organisation->name;
+    }
+    return m_organisation != nullptr;
+}
+
+void ForwardedRequest::chooseService()
+{
+    std::uint32_t total = 0;
+    for (const decision::RouteTarget &it : m_route->targets) {
+        total += it.weight;
+    }
+    std::uint32_t pick = total == 0 ? 0 : absl::Uniform<std::uint32_t>(m_state.random, 0, total);
+    m_service = m_route->targets.front().service;
+    for (const decision::RouteTarget &it : m_route->targets) {
+        if (pick < it.weight) {
+            m_service = it.service;
+            break;
+        }
+        pick -= it.weight;
+    }
+    m_record.service = m_service;
+}
+
+void ForwardedRequest::attempt()
+{
+    decision::ServerQuery query;
+    query.service = m_service;
+    query.prompt = m_facts.prompt ? &*m_facts.prompt : nullptr;
+    query.scope = m_organisation != nullptr && m_organisation->isDedicated ? std::string_view(m_organisation->name) : std::string_view();
+    query.key = m_facts.id;
+    query.tried = m_tried;
+    if (m_facts.prompt) {
+        const auto weights = m_state.weights.find(m_facts.prompt->model);
+        if (weights != m_state.weights.end()) {
+            query.newestWeights = weights->second.version;
+            query.weightsNamedAt = weights->second.namedAt;
+        }
+    }
+    decision::NoServer reason = decision::NoServer::None;
+    const auto choice = m_state.chooser.choose(query, monotonicNow(), reason);
+    m_record.noServer = choice ? "" : decision::toText(reason);
+    m_record.serversKnown = m_state.servers.ofService(m_service).size();
+    if (!choice) {
+        concludeWithoutAnswer();
+        return;
+    }
+    send(*choice);
+}
+
+net::HttpCall ForwardedRequest::makeCall(const decision::ServerChoice &choice) const
+{
+    ForwardFacts facts;
+    facts.serverId = choice.id;
+    facts.timeLeft = timeLeft();
+    if (m_organisation != nullptr) {
+        facts.organisation = m_organisation->name;
+        facts.cacheScope = m_organisation->isDedicated ? m_organisation->name : std::string();
+    }
+    facts.lastEventId = m_lastEventId;
+
+    net::HttpCall call;
+    call.peer = net::parseAddress(choice.address).value_or(net::Address{});
+    call.method = m_exchange->method();
+    call.target = m_exchange->head().target;
+    call.host = QByteArray::fromStdString(m_facts.host);
+    call.headers = m_state.wire.forwardHeaders(m_exchange->head(), facts);
+    call.body = m_exchange->body();
+    call.bodyFollows = !m_exchange->isBodyComplete();
+    call.bodyLength = m_exchange->head().bodyLength;
+    call.maxReuseAge = m_route->mayRepeat() ? MaxReuseAge : MaxReuseAgeOnce;
+    call.connectTimeout = std::min(ConnectTimeout, facts.timeLeft);
+    call.firstByteTimeout = facts.timeLeft;
+    call.idleTimeout = facts.timeLeft;
+    if (m_route->mayRepeat() && m_arrivals + 1 < m_route->maxServers) {
+        call.firstByteTimeout = std::min(facts.timeLeft, m_route->targetLatency * SilenceInTargets);
+        if (m_route->isResumable) {
+            call.idleTimeout = std::min(facts.timeLeft, m_route->longestPause * SilenceInPauses);
+        }
+    }
+    return call;
+}
+
+void ForwardedRequest::send(const decision::ServerChoice &choice)
+{
+    const Instant now = monotonicNow();
+    ++m_sends;
+    m_tried.push_back(choice.id);
+    m_attempt.emplace();
+    m_attempt->choice = choice;
+    m_attempt->sentAt = now;
+    const bool isDedicated = m_organisation != nullptr && m_organisation->isDedicated;
+    m_state.chooser.sent(choice, isDedicated ? m_organisation->name : std::string(), m_facts.prompt ? &*m_facts.prompt : nullptr, now);
+    const auto self = shared_from_this();
+    net::HttpHooks hooks;
+    hooks.isForCall = [self](const net::HttpHead &head) {
+        const AnswerFacts facts = self->m_state.wire.readAnswer(head);
+        return facts.requestId.empty() || facts.requestId == self->m_facts.id;
+    };
+    hooks.onHead = [self](const net::HttpHead &head) {
+        self->handleHead(head);
+    };
+    hooks.onBody = [self](const QByteArray &part) {
+        self->handleBody(part);
+    };
+    hooks.onDone = [self](const net::HttpResult &result) {
+        self->handleDone(result);
+    };
+    m_attempt->call = m_state.client.start(makeCall(choice), std::move(hooks));
+}
+
+bool ForwardedRequest::isEventStream() const
+{
+    return m_route->kind == decision::RequestKind::Streaming && m_attempt->head && isSuccess(m_attempt->head->status) && m_attempt->facts.isSealed
+        && !m_attempt->facts.isEncoded;
+}
+
+void ForwardedRequest::handleHead(const net::HttpHead &head)
+{
+    m_attempt->head = head;
+    m_attempt->facts = m_state.wire.readAnswer(head);
+    if (m_attempt->facts.load) {
+        m_state.chooser.reported(m_attempt->choice.id, *m_attempt->facts.load, monotonicNow());
+    }
+}
+
+void ForwardedRequest::handleBody(const QByteArray &part)
+{
+    if (m_concluded || !m_attempt || !m_attempt->head) {
+        return;
+    }
+    if (isEventStream()) {
+        handleEvents(part);
+        return;
+    }
+    m_attempt->body += part;
+}
+
+void ForwardedRequest::handleEvents(const QByteArray &part)
+{
+    const QByteArray events = m_attempt->events.feed(part);
+    if (events.isEmpty()) {
+        return;
+    }
+    if (!m_attempt->hadAnswer) {
+        m_attempt->hadAnswer = true;
+        m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
+    }
+    passOn(events);
+    const std::string id = lastIdIn(events);
+    if (!id.empty()) {
+        m_lastEventId = id;
+    }
+}
+
+void ForwardedRequest::passOn(const QByteArray &bytes)
+{
+    if (!m_streaming) {
+        m_streaming = true;
+        m_record.firstByteAt = monotonicNow();
+        m_exchange->startStream(m_attempt->head->status, m_state.wire.answerHeaders(*m_attempt->head));
+    }
+    m_exchange->writeChunk(bytes);
+    if (m_exchange->unsentBytes() > PauseAboveBytes) {
+        m_attempt->call.setReadingPaused(true);
+    }
+}
+
+void ForwardedRequest::handleDone(const net::HttpResult &result)
+{
+    if (m_concluded || !m_attempt) {
+        return;
+    }
+    if (result.failure != net::HttpFailure::None) {
+        handleBrokenAnswer(result);
+        return;
+    }
+    handleWholeAnswer();
+}
+
+void ForwardedRequest::handleWholeAnswer()
+{
+    const net::HttpHead head = *m_attempt->head;
+    const AnswerFacts facts = m_attempt->facts;
+    const std::string server = m_attempt->choice.id;
+    if (facts.hasNotRun) {
+        m_state.chooser.refused(server, monotonicNow());
+        leaveServer("not_run");
+        retryOrConclude(false, head.status != 421); // 421: another server has its address
+        return;
+    }
+    const bool isUnusable = facts.isEncoded || (isSuccess(head.status) && !facts.isSealed) || (promisesNotRun(head.status) && !facts.isSealed);
+    if (isUnusable) {
+        m_state.chooser.failed(server, monotonicNow(), m_state.random);
+        leaveServer("unusable_answer");
+        retryOrConclude(true, true);
+        return;
+    }
+    if (!isSuccess(head.status)) {
+        const QByteArray body = m_attempt->body;
+        leaveServer("server_failure");
+        m_serverFailure.emplace(head, body);
+        if (head.status >= 500) {
+            retryOrConclude(true, true);
+            return;
+        }
+        concludeWithoutAnswer();
+        return;
+    }
+    m_state.chooser.succeeded(server);
+    if (isEventStream()) {
+        finishStream();
+        return;
+    }
+    m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
+    m_attempt->hadAnswer = true;
+    const QByteArray body = m_attempt->body;
+    leaveServer("served");
+    m_record.firstByteAt = monotonicNow();
+    answerWith(head, body);
+    conclude(Outcome::Served, head.status, "");
+}
+
+void ForwardedRequest::finishStream()
+{
+    const QByteArray rest = m_attempt->events.takePartial();
+    if (!rest.isEmpty() || !m_streaming) {
+        passOn(rest);
+    }
+    const int status = m_attempt->head->status;
+    leaveServer("served");
+    m_exchange->finishStream();
+    conclude(Outcome::Served, status, "");
+}
+
+void ForwardedRequest::handleBrokenAnswer(const net::HttpResult &result)
+{
+    // A kept connection that its server closed under the request says nothing of the server's health.
+    if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
+        m_state.chooser.failed(m_attempt->choice.id, monotonicNow(), m_state.random);
+    }
+    m_attempt->events.dropPartial();
+    leaveServer(net::toText(result.failure));
+    retryOrConclude(result.sent, result.sent);
+}
+
+void ForwardedRequest::leaveServer(const char *result)
+{
+    if (!m_attempt) {
+        return;
+    }
+    m_record.attempts.push_back({m_attempt->choice, result, std::chrono::floor<milliseconds>(monotonicNow() - m_attempt->sentAt)});
+    m_state.chooser.ended(m_attempt->choice, m_attempt->hadAnswer);
+    m_attempt.reset();
+}
+
+bool ForwardedRequest::mayTryAgain(bool arrived)
+{
+    if (m_sends >= MaxSends || !m_bodyRepeatable || timeLeft() < LeastUsefulTime) {
+        return false;
+    }
+    if (m_arrivals >= m_route->maxServers) {
+        return false;
+    }
+    // What never arrived costs no server anything.
+    return !arrived || m_state.retryAllowance(m_service).tryTake(monotonicNow());
+}
+
+void ForwardedRequest::retryOrConclude(bool mayHaveRun, bool arrived)
+{
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    if (arrived) {
+        ++m_arrivals;
+    }
+    const bool isAllowed = !m_mayHaveRun || m_route->mayRepeat();
+    const bool isResumeAllowed = !m_streaming || m_route->isResumable;
+    if (isAllowed && isResumeAllowed && mayTryAgain(arrived)) {
+        attempt();
+        return;
+    }
+    concludeWithoutAnswer();
+}
+
+void ForwardedRequest::concludeWithoutAnswer()
+{
+    if (m_streaming) {
+        cutStream("the stream broke and can't be resumed");
+        return;
+    }
+    if (m_serverFailure) {
+        const auto [head, body] = *m_serverFailure;
+        answerWith(head, body);
+        conclude(Outcome::ServerFailure, head.status, "the backend server failed");
+        return;
+    }
+    if (m_mayHaveRun) {
+        refuse(502, "no usable answer; the request may have run");
+        return;
+    }
+    refuse(503, m_record.noServer.empty() ? "no backend server took the request" : "no backend server to send to");
+}
+
+void ForwardedRequest::answerWith(const net::HttpHead &head, const QByteArray &body)
+{
+    m_exchange->respond(head.status, m_state.wire.answerHeaders(head), body);
+}
+
+void ForwardedRequest::refuse(int status, const char *reason)
+{
+    std::vector<net::Header> headers;
+    if (promisesNotRun(status)) {
+        headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(RetryAfter).count())});
+    }
+    const nlohmann::json body = {{"error", reason}};
+    m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
+    const bool isRejection = status == 401 || status == 404;
+    const Outcome outcome = isRejection ? Outcome::Rejected : promisesNotRun(status) ? Outcome::Refused : status == 504 ? Outcome::TimedOut : Outcome::Failed;
+    conclude(outcome, status, reason);
+}
+
+void ForwardedRequest::cutStream(const char *reason)
+{
+    m_exchange->abort();
+    conclude(Outcome::Cut, 0, reason);
+}
+
+void ForwardedRequest::handleTimeout()
+{
+    if (m_concluded) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (m_attempt) {
+        m_mayHaveRun = true;
+        net::HttpCallHandle call = m_attempt->call;
+        leaveServer("out_of_time");
+        call.cancel();
+    }
+    if (m_streaming) {
+        cutStream("out of time");
+        return;
+    }
+    refuse(m_mayHaveRun ? 504 : 503, "out of time");
+}
+
+void ForwardedRequest::handleCallerGone()
+{
+    if (m_concluded) {
+        return;
+    }
+    if (m_attempt) {
+        net::HttpCallHandle call = m_attempt->call;
+        leaveServer("caller_gone");
+        call.cancel();
+    }
+    conclude(Outcome::CallerGone, 0, "the caller closed its connection");
+}
+
+void ForwardedRequest::conclude(Outcome outcome, int status, const char *reason)
+{
+    m_concluded = true;
+    m_timer.stop();
+    m_record.retriesLeft = m_service.empty() ? 0 : m_state.retryAllowance(m_service).left(monotonicNow());
+    report(m_state, m_record, outcome, status, reason);
+}
+
+milliseconds ForwardedRequest::timeLeft() const
+{
+    return std::chrono::floor<milliseconds>(m_deadline - monotonicNow());
+}
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -0,0 +1,249 @@
+#include "auburndrum/gateway/gateway.h"
+
+#include "forwardedrequest.h"
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr qint64 StreamBodiesOver = 256 * 1024; // larger bodies are passed on as they arrive, and can't be sent again
+constexpr milliseconds ExpiryInterval{250}; // of a check for lapsed entries; short against their grace of 2 s
+constexpr milliseconds StopCheckInterval{50};
+// The balancer asks once a second and takes an entry VM out after two misses; until then it still sends new connections.
+constexpr milliseconds BalancerLag{2600};
+constexpr milliseconds StopMargin{500}; // before the process is killed
+
+decision::ServerChooserOptions chooserOptions(const GatewayOptions &options)
+{
+    decision::ServerChooserOptions it;
+    it.zone = options.zone;
+    it.regionOfZone = options.regionOfZone;
+    it.oldWeightsLimit = options.weightsTime / 2;
+    return it;
+}
+
+net::HttpServerOptions callerOptions(const decision::CallerLimits &limits, int maxConnections)
+{
+    net::HttpServerOptions it;
+    it.maxHeaderBytes = limits.maxHeaderBytes;
+    it.maxBodyBytes = limits.maxBodyBytes;
+    it.maxConnections = maxConnections;
+    it.requestTimeout = limits.headerTimeout;
+    it.bodyTimeout = limits.idleTimeout;
+    it.idleTimeout = limits.idleTimeout;
+    it.streamBodiesOver = StreamBodiesOver;
+    return it;
+}
+
+std::string_view toView(const QByteArray &bytes)
+{
+    return {bytes.constData(), static_cast<std::size_t>(bytes.size())};
+}
+
+} // namespace
+
+Gateway::Gateway(GatewayOptions options, Wire wire, RecordReaders readers, RecordStore store, QObject *parent)
+    : QObject(parent)
+    , m_options(std::move(options))
+    , m_readers(std::move(readers))
+    , m_store(std::move(store))
+    , m_state(chooserOptions(m_options), {.vm = m_options.vm, .write = m_options.writeLog}, std::move(wire), m_options.retries)
+    , m_callers(callerOptions({}, m_options.maxConnections),
+                [this](const std::shared_ptr<net::Exchange> &exchange) {
+                    std::make_shared<ForwardedRequest>(m_state, exchange)->start();
+                })
+    , m_readiness({},
+                  [this](const std::shared_ptr<net::Exchange> &exchange) {
+                      handleReadiness(exchange);
+                  })
+    , m_operatorFeed({.topic = m_options.operatorTopic},
+                     m_store,
+                     feedHooks(m_options.operatorTopic,
+                               [this](const std::string &key, const std::optional<QByteArray> &value, bool /*duringOutage*/) {
+                                   takeOperatorRecord(key, value);
+                               }))
+    , m_backendFeed({.topic = m_options.backendTopic},
+                    m_store,
+                    feedHooks(m_options.backendTopic, [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
+                        takeBackendRecord(key, value, duringOutage);
+                    }))
+{
+    connect(&m_expiry, &QTimer::timeout, this, &Gateway::expireServers);
+    connect(&m_stopCheck, &QTimer::timeout, this, &Gateway::finishStop);
+}
+
+Gateway::~Gateway() = default;
+
+KeyedFeedHooks Gateway::feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange)
+{
+    KeyedFeedHooks hooks;
+    hooks.onChange = std::move(onChange);
+    hooks.onSynced = [this, topic] {
+        m_state.log.write(LineWeight::Notable, "topic_synced", {{"topic", topic}, {"servers_known", m_state.servers.size()}});
+    };
+    hooks.onLost = [this, topic](StoreError error) {
+        m_state.log.write(LineWeight::Notable, "dependency_lost", {{"dependency", "store"}, {"topic", topic}, {"error", toText(error)}});
+    };
+    hooks.onRegained = [this, topic] {
+        m_state.log.write(LineWeight::Notable, "dependency_regained", {{"dependency", "store"}, {"topic", topic}});
+    };
+    return hooks;
+}
+
+bool Gateway::start()
+{
+    const net::Address callers = m_callers.listenOn(m_options.callers);
+    const net::Address readiness = m_readiness.listenOn(m_options.readiness);
+    m_state.log.write(LineWeight::Notable,
+                      "start",
+                      {{"zone", m_options.zone}, {"callers", net::toText(callers)}, {"readiness", net::toText(readiness)}});
+    if (callers.port == 0 || readiness.port == 0) {
+        return false;
+    }
+    m_operatorFeed.start();
+    m_backendFeed.start();
+    m_expiry.start(ExpiryInterval);
+    return true;
+}
+
+bool Gateway::isReady() const
+{
+    return !m_stopping && m_state.configuration && m_backendFeed.isSynced();
+}
+
+void Gateway::handleReadiness(const std::shared_ptr<net::Exchange> &exchange)
+{
+    if (exchange->path() == "/metrics") {
+        exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, QByteArray::fromStdString(m_state.registry.text()));
+        return;
+    }
+    exchange->respond(isReady() ? 200 : 503, {}, {});
+}
+
+void Gateway::takeOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
+{
+    if (!value) {
+        return;
+    }
+    std::string problem;
+    if (m_readers.isConfiguration(key)) {
+        auto configuration = m_readers.readConfiguration(toView(*value), problem);
+        if (!configuration) {
+            skipRecord(m_options.operatorTopic, key, problem);
+            return;
+        }
+        takeConfiguration(std::move(*configuration));
+        return;
+    }
+    if (!m_readers.isWeights(key)) {
+        return;
+    }
+    const auto weights = m_readers.readWeights(toView(*value), problem);
+    if (!weights) {
+        skipRecord(m_options.operatorTopic, key, problem);
+        return;
+    }
+    NewestWeights &newest = m_state.weights[weights->first];
+    if (weights->second <= newest.version) {
+        return;
+    }
+    newest = {weights->second, monotonicNow()};
+    m_state.metrics.beliefChanges.with({"weights"}).Increment();
+    m_state.log.write(LineWeight::Notable, "weights_named", {{"model", weights->first}, {"version", weights->second}});
+}
+
+void Gateway::takeConfiguration(decision::Configuration configuration)
+{
+    const std::uint64_t before = m_state.configuration ? m_state.configuration->version : 0;
+    if (configuration.version <= before) {
+        return;
+    }
+    m_state.configuration = std::make_shared<const decision::Configuration>(std::move(configuration));
+    m_state.configurationAt = monotonicNow();
+    m_state.chooser.configure(*m_state.configuration);
+    m_callers.setOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections));
+    m_state.metrics.beliefChanges.with({"configuration"}).Increment();
+    m_state.log.write(LineWeight::Notable,
+                      "configuration",
+                      {{"version", m_state.configuration->version}, {"before", before}, {"routes", m_state.configuration->routes.size()}});
+}
+
+void Gateway::takeBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage)
+{
+    const Instant now = monotonicNow();
+    decision::BackendChange change = decision::BackendChange::None;
+    if (!value) {
+        change = m_state.servers.remove(id, now, duringOutage);
+    } else {
+        std::string problem;
+        const auto server = m_readers.readBackendServer(id, toView(*value), problem);
+        if (!server) {
+            skipRecord(m_options.backendTopic, id, problem);
+            return;
+        }
+        change = m_state.servers.put(*server, now);
+    }
+    if (change == decision::BackendChange::None) {
+        return;
+    }
+    if (change == decision::BackendChange::Removed || change == decision::BackendChange::Restarted) {
+        m_state.chooser.forget(id);
+    }
+    m_state.metrics.beliefChanges.with({"backend_server"}).Increment();
+    const auto *entry = m_state.servers.find(id);
+    m_state.log.write(LineWeight::Notable,
+                      "backend_server",
+                      {{"server", id},
+                       {"change", decision::toText(change)},
+                       {"service", entry == nullptr ? "" : entry->server.service},
+                       {"address", entry == nullptr ? "" : entry->server.address},
+                       {"during_outage", duringOutage}});
+}
+
+void Gateway::expireServers()
+{
+    for (const std::string &it : m_state.servers.expire(monotonicNow())) {
+        m_state.chooser.forget(it);
+        m_state.log.write(LineWeight::Notable, "backend_server", {{"server", it}, {"change", "lapsed"}});
+    }
+}
+
+void Gateway::skipRecord(const std::string &topic, const std::string &key, const std::string &problem)
+{
+    m_state.metrics.recordsSkipped.with({topic}).Increment();
+    m_state.log.write(LineWeight::Notable, "record_skipped", {{"topic", topic}, {"key", key}, {"problem", problem}});
+}
+
+void Gateway::stop(std::function<void()> onStopped)
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_stopAt = monotonicNow();
+    m_onStopped = std::move(onStopped);
+    m_state.log.write(LineWeight::Notable, "stop", {{"open_requests", m_callers.openExchanges()}});
+    m_callers.closeAfterAnswers();
+    m_stopCheck.start(StopCheckInterval);
+}
+
+void Gateway::finishStop()
+{
+    const auto elapsed = monotonicNow() - m_stopAt;
+    if (elapsed < BalancerLag) {
+        return;
+    }
+    m_callers.closeIdle();
+    const bool isDone = m_callers.isIdle() && m_callers.connectionCount() == 0;
+    if (!isDone && elapsed < m_options.stopGrace - StopMargin) {
+        return;
+    }
+    m_stopCheck.stop();
+    m_state.log.write(LineWeight::Notable, "stopped", {{"open_requests", m_callers.openExchanges()}});
+    m_state.log.flush();
+    m_onStopped();
+}
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -0,0 +1,30 @@
+#include "auburndrum/gateway/gatewaymetrics.h"
+
+namespace auburndrum::gateway {
+
+namespace {
+
+// Seconds; from an answer within the zone to the longest deadline in use.
+const std::vector<double> LatencyBuckets = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15};
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics(Metrics &metrics)
+    : requests(metrics.counters({.name = "auburndrum_gateway_requests_total", .help = "Requests by final outcome.", .labels = {"route", "outcome"}}))
+    , attempts(metrics.counters(
+          {.name = "auburndrum_gateway_attempts_total", .help = "Attempts at backend servers by outcome.", .labels = {"service", "outcome"}}))
+    , firstByteSeconds(metrics.histograms({.name = "auburndrum_gateway_first_byte_seconds",
+                                           .help = "From a request's first byte to its answer's first.",
+                                           .labels = {"route"},
+                                           .buckets = LatencyBuckets}))
+    , wholeSeconds(metrics.histograms({.name = "auburndrum_gateway_whole_seconds",
+                                       .help = "From a request's first byte to its answer's last.",
+                                       .labels = {"route"},
+                                       .buckets = LatencyBuckets}))
+    , beliefChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
+    , recordsSkipped(
+          metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
+{
+}
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -0,0 +1,93 @@
+#include "requestrecord.h"
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+double seconds(Instant::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+std::int64_t wholeMs(Instant::duration time)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time).count();
+}
+
+ordered_json toJson(const AttemptRecord &it)
+{
+    return {{"server", it.choice.id},
+            {"entry_age_ms", it.choice.entryAge.count()},
+            {"running", it.choice.running},
+            {"load_age_ms", it.choice.reportAge.count()},
+            {"wait_estimate_ms", std::chrono::floor<std::chrono::milliseconds>(it.choice.expectedWait).count()},
+            {"unread_tokens", it.choice.unreadTokens},
+            {"weights", it.choice.weights},
+            {"result", it.result},
+            {"ms", it.duration.count()}};
+}
+
+} // namespace
+
+const char *toText(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Served:
+        return "served";
+    case Outcome::ServerFailure:
+        return "server_failure";
+    case Outcome::Refused:
+        return "refused";
+    case Outcome::Failed:
+        return "failed";
+    case Outcome::TimedOut:
+        return "timed_out";
+    case Outcome::Cut:
+        return "cut";
+    case Outcome::CallerGone:
+        return "caller_gone";
+    case Outcome::Rejected:
+        return "rejected";
+    }
+    return "unknown";
+}
+
+void report(GatewayState &state, const RequestRecord &record, Outcome outcome, int status, const char *reason)
+{
+    const Instant now = monotonicNow();
+    state.metrics.requests.with({record.route, toText(outcome)}).Increment();
+    state.metrics.wholeSeconds.with({record.route}).Observe(seconds(now - record.arrivedAt));
+    if (record.firstByteAt) {
+        state.metrics.firstByteSeconds.with({record.route}).Observe(seconds(*record.firstByteAt - record.arrivedAt));
+    }
+    for (const AttemptRecord &it : record.attempts) {
+        state.metrics.attempts.with({record.service, it.result}).Increment();
+    }
+    ordered_json line = {{"request", record.id},
+                         {"outcome", toText(outcome)},
+                         {"status", status},
+                         {"reason", reason},
+                         {"route", record.route},
+                         {"organisation", record.organisation},
+                         {"service", record.service},
+                         {"ms", wholeMs(now - record.arrivedAt)},
+                         {"first_byte_ms", record.firstByteAt ? wholeMs(*record.firstByteAt - record.arrivedAt) : -1},
+                         {"patience_ms", record.patience.count()},
+                         {"configuration", record.configuration},
+                         {"configuration_age_ms", record.configurationAge.count()}};
+    ordered_json attempts = ordered_json::array();
+    for (const AttemptRecord &it : record.attempts) {
+        attempts.push_back(toJson(it));
+    }
+    line["attempts"] = std::move(attempts);
+    if (outcome != Outcome::Served) {
+        line["no_server"] = record.noServer;
+        line["servers_known"] = record.serversKnown;
+        line["retries_left"] = record.retriesLeft;
+    }
+    state.log.write(outcome == Outcome::Served ? LineWeight::Routine : LineWeight::Notable, "request", std::move(line), now);
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -1,34 +1,56 @@
 #include "clientconnection.h"
 
-#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace auburndrum::net {
 
 namespace {
 
-constexpr std::chrono::milliseconds ShortestTick{5};
-constexpr int TicksPerLimit = 4;
+constexpr qint64 SocketBufferBytes = 64 * 1024; // read ahead of the hooks while reading is paused
+constexpr int TcpUserTimeoutMs = 20000; // unacknowledged bytes for so long end the connection
 
 QByteArray requestHead(const HttpCall &call)
 {
     QByteArray buf;
     buf.reserve(512);
     buf += call.method + ' ' + call.target + " HTTP/1.1\r\n";
-    buf += "Host: " + QByteArray::fromStdString(toText(call.peer)) + "\r\n";
+    buf += "Host: " + (call.host.isEmpty() ? QByteArray::fromStdString(toText(call.peer)) : call.host) + "\r\n";
     for (const Header &it : call.headers) {
         buf += it.name + ": " + it.value + "\r\n";
     }
-    if (!call.body.isEmpty() || call.method != "GET") {
+    if (call.bodyFollows && !call.bodyLength) {
+        buf += "Transfer-Encoding: chunked\r\n";
+    } else if (call.bodyFollows) {
+        buf += "Content-Length: " + QByteArray::number(*call.bodyLength) + "\r\n";
+    } else if (!call.body.isEmpty() || call.method != "GET") {
         buf += "Content-Length: " + QByteArray::number(call.body.size()) + "\r\n";
     }
     buf += "\r\n";
     return buf;
 }
 
-std::chrono::milliseconds tickFor(const HttpCall &call)
+QByteArray asChunk(const QByteArray &part)
 {
-    const auto shortest = std::min({call.connectTimeout, call.firstByteTimeout, call.idleTimeout});
-    return std::max(ShortestTick, shortest / TicksPerLimit);
+    return QByteArray::number(part.size(), 16) + "\r\n" + part + "\r\n";
+}
+
+/// Reads "timeout=SECONDS" of a Keep-Alive field.
+std::optional<std::chrono::milliseconds> idleLimitOf(const HttpHead &head)
+{
+    for (const QByteArray &it : head.header("Keep-Alive").split(',')) {
+        const QByteArray item = it.trimmed();
+        if (!item.startsWith("timeout=")) {
+            continue;
+        }
+        bool ok = false;
+        const int seconds = item.mid(8).toInt(&ok);
+        if (ok && seconds >= 0) {
+            return std::chrono::seconds(seconds);
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -41,7 +63,8 @@
     connect(&m_socket, &QTcpSocket::readyRead, this, &ClientConnection::handleReadyRead);
     connect(&m_socket, &QTcpSocket::disconnected, this, &ClientConnection::handleDisconnected);
     connect(&m_socket, &QTcpSocket::errorOccurred, this, &ClientConnection::handleError);
-    connect(&m_tick, &QTimer::timeout, this, &ClientConnection::handleTick);
+    m_timer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, &ClientConnection::handleTimer);
 }
 
 ClientConnection::~ClientConnection()
@@ -70,18 +93,12 @@
     m_part.clear();
     m_bodyBytes = 0;
     m_answerBegan = false;
+    m_answerExceeded = false;
     m_lastProgress = std::chrono::steady_clock::now();
-    m_parser = std::make_unique<ResponseParser>(
-        [this](const HttpHead &head) {
-            m_result.head = head;
-            if (m_hooks.onHead) {
-                m_hooks.onHead(head);
-            }
-        },
-        [this](const char *data, std::size_t size) {
-            m_part.append(data, static_cast<qsizetype>(size));
-        });
-    m_tick.start(tickFor(call));
+    m_result.reused = m_connected;
+    m_paused = false;
+    makeParser();
+    m_timer.start(limitNow());
     if (m_connected) {
         sendRequest();
         return m_callNumber;
@@ -90,6 +107,80 @@
     return m_callNumber;
 }
 
+void ClientConnection::makeParser()
+{
+    m_skipsAnswer = false;
+    m_parser = std::make_unique<ResponseParser>(
+        [this](const HttpHead &head) {
+            takeHead(head);
+        },
+        [this](const char *data, std::size_t size) {
+            if (!m_skipsAnswer) {
+                m_part.append(data, static_cast<qsizetype>(size));
+            }
+        });
+}
+
+void ClientConnection::takeHead(const HttpHead &head)
+{
+    if (head.status < 200 || !m_call) {
+        m_skipsAnswer = true; // an interim answer, or a hook cancelled
+        return;
+    }
+    if (m_hooks.isForCall && !m_hooks.isForCall(head)) {
+        m_skipsAnswer = true;
+        return;
+    }
+    m_result.head = head;
+    m_peerIdleLimit = idleLimitOf(head);
+    if (m_hooks.onHead) {
+        m_hooks.onHead(head);
+    }
+}
+
+void ClientConnection::writeBody(std::uint64_t callNumber, const QByteArray &part, bool last)
+{
+    if (!m_call || callNumber != m_callNumber) {
+        return;
+    }
+    if (!m_connected) {
+        m_call->body += part;
+        m_call->bodyFollows = !last;
+        if (last) {
+            m_call->bodyLength.reset();
+        }
+        return;
+    }
+    if (m_call->bodyLength) {
+        m_socket.write(part);
+        return;
+    }
+    if (!part.isEmpty()) {
+        m_socket.write(asChunk(part));
+    }
+    if (last) {
+        m_socket.write("0\r\n\r\n");
+    }
+}
+
+qint64 ClientConnection::unsentBytes() const
+{
+    return m_socket.bytesToWrite();
+}
+
+void ClientConnection::setReadingPaused(std::uint64_t callNumber, bool paused)
+{
+    if (!m_call || callNumber != m_callNumber || m_paused == paused) {
+        return;
+    }
+    m_paused = paused;
+    m_socket.setReadBufferSize(paused ? SocketBufferBytes : 0);
+    m_lastProgress = std::chrono::steady_clock::now();
+    if (!paused) {
+        QMetaObject::invokeMethod(this, &ClientConnection::handleReadyRead, Qt::QueuedConnection);
+    }
+}
+
 void ClientConnection::cancel(std::uint64_t callNumber)
 {
     if (m_call && callNumber == m_callNumber) {
@@ -102,6 +193,7 @@
     m_connected = true;
     m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     m_socket.setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    setsockopt(static_cast<int>(m_socket.socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs, sizeof(TcpUserTimeoutMs));
     if (m_call) {
         sendRequest();
     }
@@ -113,28 +205,46 @@
     m_lastProgress = std::chrono::steady_clock::now();
     m_socket.write(requestHead(*m_call));
     if (!m_call->body.isEmpty()) {
-        m_socket.write(m_call->body);
+        const bool isChunked = m_call->bodyFollows && !m_call->bodyLength;
+        m_socket.write(isChunked ? asChunk(m_call->body) : m_call->body);
     }
 }
 
 void ClientConnection::handleReadyRead()
 {
     if (!m_call) {
-        // Bytes that nobody asked for: the connection is out of step.
-        m_socket.abort();
+        if (m_socket.bytesAvailable() > 0) {
+            // Bytes that nobody asked for: the connection is out of step.
+            m_socket.abort();
+        }
         return;
     }
-    m_answerBegan = true;
-    m_lastProgress = std::chrono::steady_clock::now();
-    if (!m_parser->feed(m_socket.readAll())) {
-        finish(HttpFailure::Malformed);
+    if (m_paused || m_socket.bytesAvailable() == 0) {
         return;
     }
-    if (!m_call) {
-        return; // a hook cancelled
+    m_lastProgress = std::chrono::steady_clock::now();
+    QByteArray bytes = m_socket.readAll();
+    while (true) {
+        if (!m_parser->feed(bytes)) {
+            finish(HttpFailure::Malformed);
+            return;
+        }
+        if (!m_call) {
+            return; // a hook cancelled
+        }
+        if (!m_skipsAnswer || !m_parser->isDone()) {
+            break;
+        }
+        bytes = m_parser->takeRest();
+        makeParser();
+        if (bytes.isEmpty()) {
+            return;
+        }
     }
+    m_answerBegan = m_answerBegan || !m_skipsAnswer;
     flushBody();
     if (m_call && m_parser->isDone()) {
+        m_answerExceeded = !m_parser->takeRest().isEmpty();
         finish(HttpFailure::None);
     }
 }
@@ -179,32 +289,41 @@
     }
 }
 
-void ClientConnection::handleTick()
+std::chrono::milliseconds ClientConnection::limitNow() const
 {
-    const auto silence = std::chrono::steady_clock::now() - m_lastProgress;
     if (!m_connected) {
-        if (silence >= m_call->connectTimeout) {
-            finish(HttpFailure::ConnectTimeout);
-        }
+        return m_call->connectTimeout;
+    }
+    return m_answerBegan ? m_call->idleTimeout : m_call->firstByteTimeout;
+}
+
+void ClientConnection::handleTimer()
+{
+    if (!m_call) {
         return;
     }
-    if (!m_answerBegan) {
-        if (silence >= m_call->firstByteTimeout) {
-            finish(HttpFailure::FirstByteTimeout);
-        }
+    if (m_paused) {
+        m_timer.start(limitNow()); // the caller is slow, not the peer
         return;
     }
-    if (silence >= m_call->idleTimeout) {
-        finish(HttpFailure::IdleTimeout);
+    const auto silence = std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_lastProgress);
+    if (silence < limitNow()) {
+        m_timer.start(limitNow() - silence);
+        return;
+    }
+    if (!m_connected) {
+        finish(HttpFailure::ConnectTimeout);
+        return;
     }
+    finish(m_answerBegan ? HttpFailure::IdleTimeout : HttpFailure::FirstByteTimeout);
 }
 
 void ClientConnection::finish(HttpFailure failure)
 {
-    m_tick.stop();
+    m_timer.stop();
     m_call.reset();
     m_result.failure = failure;
-    const bool reusable = failure == HttpFailure::None && m_parser->keepsAlive() && m_socket.state() == QAbstractSocket::ConnectedState;
+    const bool reusable = failure == HttpFailure::None && !m_answerExceeded && m_parser->keepsAlive() && m_socket.state() == QAbstractSocket::ConnectedState;
     if (!reusable) {
         // A connection that timed out or lost step is never used again.
         m_socket.disconnect(this);
--- a/src/auburndrum/backend/eventsplitter.cpp
+++ b/src/auburndrum/net/eventsplitter.cpp
@@ -1,6 +1,6 @@
-#include "auburndrum/backend/eventsplitter.h"
+#include "auburndrum/net/eventsplitter.h"
 
-namespace auburndrum::backend {
+namespace auburndrum::net {
 
 namespace {
 
@@ -40,9 +40,14 @@
     return whole;
 }
 
+QByteArray EventSplitter::takePartial()
+{
+    return std::exchange(m_partial, {});
+}
+
 void EventSplitter::dropPartial()
 {
     m_partial.clear();
 }
 
-} // namespace auburndrum::backend
+} // namespace auburndrum::net
--- a/src/auburndrum/backend/eventsplitter_test.cpp
+++ b/src/auburndrum/net/eventsplitter_test.cpp
@@ -1,8 +1,8 @@
-#include "auburndrum/backend/eventsplitter.h"
+#include "auburndrum/net/eventsplitter.h"
 
 #include <doctest/doctest.h>
 
-using auburndrum::backend::EventSplitter;
+using auburndrum::net::EventSplitter;
 
 TEST_CASE("whole events pass, whatever the parts they come in")
 {
--- a/src/auburndrum/net/exchange.cpp
+++ b/src/auburndrum/net/exchange.cpp
@@ -17,22 +17,38 @@
 
 QByteArray Exchange::path() const
 {
-    return m_request.url.path(QUrl::FullyEncoded).toUtf8();
+    const QByteArray &target = m_request.head.target;
+    const auto end = target.indexOf('?');
+    return end < 0 ? target : target.left(end);
 }
 
 QByteArray Exchange::query(const QByteArray &name) const
 {
-    return QUrlQuery(m_request.url).queryItemValue(QString::fromUtf8(name), QUrl::FullyDecoded).toUtf8();
+    return QUrlQuery(QString::fromUtf8(rawQuery())).queryItemValue(QString::fromUtf8(name), QUrl::FullyDecoded).toUtf8();
 }
 
 QByteArray Exchange::rawQuery() const
 {
-    return m_request.url.query(QUrl::FullyEncoded).toUtf8();
+    const QByteArray &target = m_request.head.target;
+    const auto end = target.indexOf('?');
+    return end < 0 ? QByteArray() : target.mid(end + 1);
 }
 
 QByteArray Exchange::header(const QByteArray &name) const
 {
-    return headerValue(m_request.headers, name);
+    return headerValue(m_request.head.headers, name);
+}
+
+void Exchange::setOnBodyPart(std::function<void(const QByteArray &, bool)> hook)
+{
+    m_onBodyPart = std::move(hook);
+}
+
+void Exchange::setBodyPaused(bool paused)
+{
+    if (const auto it = m_connection.lock()) {
+        it->setReadingPaused(paused);
+    }
 }
 
 void Exchange::respond(int status, const std::vector<Header> &headers, const QByteArray &body)
@@ -41,7 +57,7 @@
         return;
     }
     if (const auto it = m_connection.lock()) {
-        it->write(responseHead(status, headers, body.size()) + body);
+        it->write(responseHead(status, it->withConnectionHeader(headers), body.size()) + body);
     }
     complete();
 }
@@ -60,7 +76,7 @@
     }
     m_state = State::Streaming;
     if (const auto it = m_connection.lock()) {
-        it->write(responseHead(status, headers, std::nullopt));
+        it->write(responseHead(status, it->withConnectionHeader(headers), std::nullopt));
     }
 }
 
@@ -89,6 +105,8 @@
 {
     m_state = State::Done;
     m_onCallerGone = {};
+    m_onBodyPart = {};
+    m_onBytesSent = {};
     if (const auto it = m_connection.lock()) {
         it->abort();
     }
@@ -111,10 +129,17 @@
     m_onCallerGone = std::move(hook);
 }
 
+void Exchange::setOnBytesSent(std::function<void()> hook)
+{
+    m_onBytesSent = std::move(hook);
+}
+
 void Exchange::complete()
 {
     m_state = State::Done;
     m_onCallerGone = {};
+    m_onBodyPart = {};
+    m_onBytesSent = {};
     if (const auto it = m_connection.lock()) {
         it->completed(this);
     }
--- a/src/auburndrum/net/httpclient.cpp
+++ b/src/auburndrum/net/httpclient.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t IdleConnectionsPerPeer = 16;
-constexpr std::chrono::seconds IdleLimit{20}; // shorter than the servers' own limit, so that a kept connection is rarely stale
+constexpr std::chrono::seconds PeerIdleMargin{1}; // a peer names its limit in whole seconds; the request also takes time to arrive
 
 struct IdleConnection
 {
@@ -59,6 +59,26 @@
     }
 }
 
+void HttpCallHandle::writeBody(const QByteArray &part, bool last)
+{
+    if (const auto it = m_connection.lock()) {
+        it->writeBody(m_callNumber, part, last);
+    }
+}
+
+qint64 HttpCallHandle::unsentBytes() const
+{
+    const auto it = m_connection.lock();
+    return it ? it->unsentBytes() : 0;
+}
+
+void HttpCallHandle::setReadingPaused(bool paused)
+{
+    if (const auto it = m_connection.lock()) {
+        it->setReadingPaused(m_callNumber, paused);
+    }
+}
+
 class HttpClient::Private
 {
 public:
@@ -66,22 +86,26 @@
     void release(ClientConnection *connection, bool reusable);
     void forget(const Address &peer);
 
+    std::uint64_t made = 0;
+
 private:
-    std::shared_ptr<ClientConnection> takeIdle(const std::string &key);
+    std::shared_ptr<ClientConnection> takeIdle(const std::string &key, std::chrono::milliseconds maxAge);
 
     std::map<std::string, std::vector<IdleConnection>> m_idle;
     std::map<ClientConnection *, std::shared_ptr<ClientConnection>> m_busy;
 };
 
-std::shared_ptr<ClientConnection> HttpClient::Private::takeIdle(const std::string &key)
+std::shared_ptr<ClientConnection> HttpClient::Private::takeIdle(const std::string &key, std::chrono::milliseconds maxAge)
 {
     auto &list = m_idle[key];
-    const auto oldest = std::chrono::steady_clock::now() - IdleLimit;
+    const auto now = std::chrono::steady_clock::now();
+    // The newest first: its peer is the least likely to have given it up.
     while (!list.empty()) {
-        IdleConnection it = std::move(list.back());
+        const IdleConnection it = std::move(list.back());
         list.pop_back();
-        if (it.since < oldest || !it.connection->isUsable()) {
-            it.connection.reset();
+        const auto limit = it.connection->peerIdleLimit();
+        const auto age = now - it.since;
+        if (age >= maxAge || (limit && age + PeerIdleMargin >= *limit) || !it.connection->isUsable()) {
             continue;
         }
         return it.connection;
@@ -93,9 +117,10 @@
 {
     std::shared_ptr<ClientConnection> it;
     if (!call.freshConnection) {
-        it = takeIdle(toText(call.peer));
+        it = takeIdle(toText(call.peer), call.maxReuseAge);
     }
     if (!it) {
+        ++made;
         it = std::shared_ptr<ClientConnection>(new ClientConnection(call.peer,
                                                                     [this](ClientConnection *connection, bool reusable) {
                                                                         release(connection, reusable);
@@ -146,6 +171,11 @@
     return {it, it->start(call, std::move(hooks))};
 }
 
+std::uint64_t HttpClient::connectionsMade() const
+{
+    return d->made;
+}
+
 void HttpClient::forget(const Address &peer)
 {
     d->forget(peer);
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -3,8 +3,6 @@
 #include "responsehead.h"
 #include "serverconnection.h"
 
-#include <QHttpServerRequest>
-#include <QMetaEnum>
 #include <QTcpServer>
 
 #include <netinet/in.h>
@@ -19,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TcpUserTimeout{20000}; // unacknowledged bytes for so long end the connection
+constexpr int ListenBacklog = 512; // connections that wait for accept; a full queue costs a caller seconds
 
 void setTcpOptions(qintptr descriptor)
 {
@@ -28,22 +27,17 @@
     setsockopt(static_cast<int>(descriptor), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
 }
 
-QByteArray methodText(QHttpServerRequest::Method method)
-{
-    const char *key = QMetaEnum::fromType<QHttpServerRequest::Method>().valueToKey(static_cast<int>(method));
-    return key ? QByteArray(key).toUpper() : QByteArray("UNKNOWN");
-}
-
-/// Makes a guarded socket for each connection before Qt's HTTP server sees it.
+/// Makes a guarded socket of each connection.
 class GuardedTcpServer : public QTcpServer
 {
 public:
-    using AcceptHook = std::function<bool(QTcpSocket *)>;
+    using AcceptHook = std::function<void(QTcpSocket *)>;
 
     GuardedTcpServer(AcceptHook onAccept, QObject *parent)
         : QTcpServer(parent)
         , m_onAccept(std::move(onAccept))
     {
+        setListenBacklogSize(ListenBacklog);
     }
 
 protected:
@@ -55,10 +49,8 @@
             return;
         }
         setTcpOptions(descriptor);
-        if (!m_onAccept(socket)) {
-            return;
-        }
-        addPendingConnection(socket);
+        QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+        m_onAccept(socket);
     }
 
 private:
@@ -76,32 +68,35 @@
     {
     }
 
-    bool accept(QTcpSocket *socket);
+    void accept(QTcpSocket *socket);
 
     HttpServerOptions options;
     Handler handler;
     std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> connections;
+    GuardedTcpServer *server = nullptr;
+    bool closesAfterAnswers = false;
 };
 
-bool HttpServer::Private::accept(QTcpSocket *socket)
+void HttpServer::Private::accept(QTcpSocket *socket)
 {
     if (connections.size() >= static_cast<std::size_t>(options.maxConnections)) {
         const QByteArray body = options.errorBody ? options.errorBody(503, "Too many connections.") : QByteArray();
         socket->write(responseHead(503, {{"Content-Type", "application/json"}, {"Retry-After", "1"}, {"Connection", "close"}}, body.size()) + body);
-        QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
         socket->disconnectFromHost();
-        return false;
+        return;
+    }
+    const auto connection = std::make_shared<ServerConnection>(socket, options, handler);
+    if (closesAfterAnswers) {
+        connection->closeAfterAnswer();
     }
-    socket->setReadBufferSize(options.maxHeaderBytes + options.maxBodyBytes + 1024);
-    connections[socket] = std::make_shared<ServerConnection>(socket, options, handler);
+    connections[socket] = connection;
     QObject::connect(socket, &QObject::destroyed, socket, [this, socket] {
         connections.erase(socket);
     });
-    return true;
 }
 
 HttpServer::HttpServer(HttpServerOptions options, Handler handler, QObject *parent)
-    : QAbstractHttpServer(parent)
+    : QObject(parent)
     , d(std::make_unique<Private>(std::move(options), std::move(handler)))
 {
 }
@@ -116,23 +111,48 @@
 
 Address HttpServer::listenOn(const Address &address)
 {
-    auto *server = new GuardedTcpServer(
+    d->server = new GuardedTcpServer(
         [this](QTcpSocket *socket) {
-            return d->accept(socket);
+            d->accept(socket);
         },
         this);
-    if (!server->listen(address.host, address.port)) {
-        delete server;
+    if (!d->server->listen(address.host, address.port)) {
+        delete std::exchange(d->server, nullptr);
         return {address.host, 0};
     }
-    bind(server);
-    return {server->serverAddress(), server->serverPort()};
+    return {d->server->serverAddress(), d->server->serverPort()};
 }
 
 void HttpServer::stopListening()
 {
-    for (QTcpServer *it : servers()) {
-        it->close();
+    if (d->server != nullptr) {
+        d->server->close();
+    }
+}
+
+void HttpServer::setOptions(HttpServerOptions options)
+{
+    d->options = std::move(options);
+}
+
+const HttpServerOptions &HttpServer::options() const
+{
+    return d->options;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    d->closesAfterAnswers = true;
+    for (const auto &[socket, connection] : d->connections) {
+        connection->closeAfterAnswer();
+    }
+}
+
+void HttpServer::closeIdle()
+{
+    const auto all = d->connections; // closing changes the map
+    for (const auto &[socket, connection] : all) {
+        connection->closeIfIdle();
     }
 }
 
@@ -157,28 +177,4 @@
     });
 }
 
-bool HttpServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
-{
-    const auto it = d->connections.find(socket);
-    if (it == d->connections.end()) {
-        return false;
-    }
-    Exchange::Request copy;
-    copy.method = methodText(request.method());
-    copy.url = request.url();
-    copy.body = request.body();
-    copy.remoteAddress = request.remoteAddress();
-    for (const auto &[name, value] : request.headers()) {
-        copy.headers.push_back({name, value});
-    }
-    const auto connection = it->second;
-    connection->take(std::move(copy));
-    return true;
-}
-
-void HttpServer::missingHandler(const QHttpServerRequest & /*request*/, QTcpSocket *socket)
-{
-    socket->abort();
-}
-
 } // namespace auburndrum::net
--- a/src/auburndrum/net/responseparser.cpp
+++ b/src/auburndrum/net/responseparser.cpp
@@ -52,6 +52,11 @@
         return true;
     }
 
+    QByteArray takeRest()
+    {
+        return std::exchange(m_pending, {});
+    }
+
     bool finishAtClose()
     {
         if (is_done()) {
@@ -136,6 +141,11 @@
     return d->is_done();
 }
 
+QByteArray ResponseParser::takeRest()
+{
+    return d->takeRest();
+}
+
 bool ResponseParser::keepsAlive() const
 {
     return d->keep_alive();
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -2,18 +2,12 @@
 
 #include "responsehead.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 namespace auburndrum::net {
 
 namespace {
 
-namespace http = boost::beast::http;
-
-constexpr std::size_t MaxPipelinedRequests = 4;
 constexpr std::chrono::milliseconds RejectLinger{500}; // time for the caller to read the refusal before the close
+constexpr qint64 SocketBufferBytes = 64 * 1024; // read ahead of the handler; a caller that sends more waits
 
 } // namespace
 
@@ -22,10 +16,16 @@
     , m_options(options)
     , m_handler(handler)
 {
+    socket->setReadBufferSize(SocketBufferBytes);
     m_timer.setSingleShot(true);
     connect(&m_timer, &QTimer::timeout, this, &ServerConnection::handleTimer);
     connect(socket, &QTcpSocket::readyRead, this, &ServerConnection::handleReadyRead);
     connect(socket, &QTcpSocket::disconnected, this, &ServerConnection::handleDisconnected);
+    connect(socket, &QTcpSocket::bytesWritten, this, [this] {
+        if (m_exchange && m_exchange->m_onBytesSent) {
+            m_exchange->m_onBytesSent();
+        }
+    });
     m_timer.start(m_options.idleTimeout);
 }
 
@@ -46,127 +46,223 @@
     }
 }
 
-void ServerConnection::handleReadyRead()
+std::vector<Header> ServerConnection::withConnectionHeader(std::vector<Header> headers) const
 {
-    if (m_rejected) {
-        return;
+    if (m_closeAfterAnswer) {
+        headers.push_back({"Connection", "close"});
     }
-    if (m_requestBytes == 0) {
-        m_timer.start(m_options.requestTimeout);
+    return headers;
+}
+
+void ServerConnection::closeAfterAnswer()
+{
+    m_closeAfterAnswer = true;
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0) {
+        m_socket->disconnectFromHost();
     }
-    // Runs before Qt's HTTP server reads: what can be peeked now is new.
-    const QByteArray bytes = m_socket->peek(m_socket->bytesAvailable());
-    m_requestBytes += bytes.size();
-    if (!m_headComplete) {
-        inspectHead(bytes);
+}
+
+void ServerConnection::setReadingPaused(bool paused)
+{
+    m_paused = paused;
+    if (!paused) {
+        QMetaObject::invokeMethod(
+            this,
+            [self = shared_from_this()] {
+                self->readRequests();
+            },
+            Qt::QueuedConnection);
     }
-    if (!m_rejected && m_requestBytes > m_options.maxHeaderBytes + m_options.maxBodyBytes) {
-        reject(413, "The request body is larger than allowed.");
+}
+
+void ServerConnection::handleReadyRead()
+{
+    if (m_rejected) {
+        m_socket->readAll();
+        return;
     }
+    readRequests();
 }
 
-void ServerConnection::inspectHead(const QByteArray &bytes)
+void ServerConnection::readRequests()
 {
-    m_head += bytes.left(m_options.maxHeaderBytes + 1 - m_head.size());
-    const auto end = m_head.indexOf("\r\n\r\n");
-    if (end < 0) {
-        if (m_head.size() > m_options.maxHeaderBytes) {
-            reject(431, "The request header is larger than allowed.");
+    const auto self = shared_from_this(); // a hook may drop the last other reference
+    // The next request waits until the one before it is answered.
+    while (isOpen() && !m_paused && (!m_exchange || m_parser)) {
+        const QByteArray more = m_socket->readAll();
+        m_input += more;
+        const qsizetype before = m_input.size();
+        if (before == 0) {
+            return;
         }
-        return;
+        feedParser();
+        if (m_input.size() == before && more.isEmpty()) {
+            return; // a header that is only partly there
+        }
+    }
+}
+
+void ServerConnection::feedParser()
+{
+    if (!m_parser) {
+        m_firstByteAt = std::chrono::steady_clock::now();
+        m_headSeen = false;
+        m_timer.start(m_options.requestTimeout);
+        m_parser.emplace(m_options.maxHeaderBytes, m_options.maxBodyBytes, [this](const char *data, std::size_t size) {
+            m_body.append(data, static_cast<qsizetype>(size));
+        });
     }
-    m_headComplete = true;
-    http::request_parser<http::empty_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_options.maxHeaderBytes + 4));
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    boost::beast::error_code ec;
-    parser.put(boost::asio::buffer(m_head.constData(), static_cast<std::size_t>(end + 4)), ec);
-    if (ec) {
+    RequestParser::Error error = RequestParser::Error::None;
+    const qsizetype used = m_parser->feed(m_input, error);
+    m_input.remove(0, used);
+    if (error == RequestParser::Error::Malformed) {
         reject(400, "The request is not well-formed HTTP.");
         return;
     }
-    if (parser.content_length().value_or(0) > static_cast<std::uint64_t>(m_options.maxBodyBytes)) {
+    if (error == RequestParser::Error::HeaderTooLarge || (!m_parser->hasHead() && m_input.size() > m_options.maxHeaderBytes)) {
+        reject(431, "The request header is larger than allowed.");
+        return;
+    }
+    if (error == RequestParser::Error::BodyTooLarge) {
         reject(413, "The request body is larger than allowed.");
         return;
     }
-    if (parser.get()[http::field::expect] == "100-continue") {
-        m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (!m_parser->hasHead()) {
+        return;
+    }
+    if (!m_headSeen && !acceptHead()) {
+        return;
     }
+    deliverBody();
 }
 
-void ServerConnection::reject(int status, const QByteArray &message)
+bool ServerConnection::acceptHead()
 {
-    if (!isOpen()) {
-        return;
+    m_headSeen = true;
+    const RequestHead &head = m_parser->head();
+    m_keepsAlive = m_parser->keepsAlive();
+    if (head.bodyLength.value_or(0) > m_options.maxBodyBytes) {
+        reject(413, "The request body is larger than allowed.");
+        return false;
     }
-    const QByteArray body = m_options.errorBody ? m_options.errorBody(status, message) : message;
-    m_socket->write(responseHead(status, {{"Content-Type", "application/json"}, {"Connection", "close"}}, body.size()) + body);
-    m_rejected = true;
-    // Nothing more is kept of what the caller sends; the connection lives on briefly so that the refusal can be read.
-    QObject::disconnect(m_socket, &QTcpSocket::readyRead, nullptr, nullptr);
-    if (m_socket->isTransactionStarted()) {
-        m_socket->commitTransaction();
+    if (headerValue(head.headers, "Expect").compare("100-continue", Qt::CaseInsensitive) == 0) {
+        m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    m_socket->readAll();
-    connect(m_socket, &QTcpSocket::readyRead, this, [this] {
-        m_socket->readAll();
-    });
-    m_timer.start(RejectLinger);
+    if (m_options.bodyTimeout) {
+        m_timer.start(*m_options.bodyTimeout);
+    }
+    return true;
 }
 
-void ServerConnection::take(Exchange::Request request)
+void ServerConnection::deliverBody()
 {
-    m_requestBytes = 0;
-    m_head.clear();
-    m_headComplete = false;
-    m_timer.stop();
-    if (m_rejected) {
+    const bool isDone = m_parser->isDone();
+    if (!m_begun) {
+        if (!isDone && m_body.size() <= m_options.streamBodiesOver) {
+            return;
+        }
+        beginExchange(isDone);
         return;
     }
-    if (m_exchanges.size() >= MaxPipelinedRequests) {
-        abort();
+    m_timer.start(m_options.idleTimeout);
+    const QByteArray part = std::exchange(m_body, {});
+    const auto exchange = m_exchange; // empty when the request was answered before its end
+    if (isDone) {
+        finishRequest();
+    }
+    if (!exchange) {
         return;
     }
-    m_exchanges.push_back(std::make_shared<Exchange>(std::move(request), weak_from_this()));
-    runNext();
+    exchange->m_bodyComplete = isDone;
+    if (exchange->m_onBodyPart && (isDone || !part.isEmpty())) {
+        const auto hook = exchange->m_onBodyPart;
+        hook(part, isDone);
+    }
 }
 
-void ServerConnection::runNext()
+void ServerConnection::beginExchange(bool isComplete)
 {
-    if (m_running || m_exchanges.empty() || !isOpen()) {
-        return;
+    Exchange::Request request{m_parser->head(), std::exchange(m_body, {}), m_socket->peerAddress(), m_firstByteAt};
+    m_exchange = std::make_shared<Exchange>(std::move(request), weak_from_this());
+    m_exchange->m_bodyComplete = isComplete;
+    m_begun = true;
+    m_timer.stop();
+    const auto exchange = m_exchange;
+    if (isComplete) {
+        finishRequest();
+    } else {
+        m_timer.start(m_options.idleTimeout);
     }
-    m_running = true;
-    const auto it = m_exchanges.front();
-    m_handler(it);
+    m_handler(exchange);
 }
 
-void ServerConnection::completed(Exchange *exchange)
+void ServerConnection::finishRequest()
 {
-    if (m_exchanges.empty() || m_exchanges.front().get() != exchange) {
-        return;
+    m_parser.reset();
+    m_begun = false;
+    m_timer.stop();
+    if (!m_exchange) {
+        becomeIdle();
     }
-    const auto done = m_exchanges.front();
-    m_exchanges.pop_front();
-    m_running = false;
-    if (!isOpen()) {
+}
+
+void ServerConnection::becomeIdle()
+{
+    if (m_closeAfterAnswer || !m_keepsAlive) {
+        m_socket->disconnectFromHost();
         return;
     }
-    if (m_exchanges.empty()) {
-        m_timer.start(m_options.idleTimeout);
-    }
+    m_timer.start(m_options.idleTimeout);
     // The next request may wait already, here or unread in the socket.
     QMetaObject::invokeMethod(
         this,
         [self = shared_from_this()] {
-            self->runNext();
-            if (self->isOpen() && self->m_exchanges.empty() && self->m_socket->bytesAvailable() > 0) {
-                Q_EMIT self->m_socket->readyRead();
-            }
+            self->readRequests();
         },
         Qt::QueuedConnection);
 }
 
+void ServerConnection::completed(Exchange *exchange)
+{
+    if (m_exchange.get() != exchange) {
+        return;
+    }
+    const auto done = std::exchange(m_exchange, {});
+    m_paused = false;
+    if (!isOpen()) {
+        return;
+    }
+    if (!m_parser) {
+        becomeIdle();
+        return;
+    }
+    // Answered before its body had arrived: the rest is read and dropped.
+    setReadingPaused(false);
+}
+
+void ServerConnection::reject(int status, const QByteArray &message)
+{
+    if (!isOpen()) {
+        return;
+    }
+    if (m_begun) {
+        abort(); // its answer is under way already
+        return;
+    }
+    const QByteArray body = m_options.errorBody ? m_options.errorBody(status, message) : message;
+    m_socket->write(responseHead(status, {{"Content-Type", "application/json"}, {"Connection", "close"}}, body.size()) + body);
+    m_rejected = true;
+    // Nothing more is kept of what the caller sends; the connection lives on briefly so that the refusal can be read.
+    m_parser.reset();
+    m_input.clear();
+    m_socket->readAll();
+    m_timer.start(RejectLinger);
+}
+
 void ServerConnection::abort()
 {
     if (m_socket) {
@@ -179,11 +275,11 @@
     if (!m_socket) {
         return;
     }
-    if (m_rejected) {
-        m_socket->disconnectFromHost();
+    if (m_begun) {
+        abort(); // the caller stopped sending in the middle of a body
         return;
     }
-    if (m_requestBytes > 0) {
+    if (m_parser && !m_rejected) {
         reject(408, "The request did not arrive in time.");
         return;
     }
@@ -193,14 +289,13 @@
 void ServerConnection::handleDisconnected()
 {
     m_timer.stop();
-    const auto waiting = std::exchange(m_exchanges, {});
-    for (const auto &it : waiting) {
-        if (it->m_state == Exchange::State::Done || !it->m_onCallerGone) {
-            continue;
-        }
-        const auto hook = std::exchange(it->m_onCallerGone, {});
-        hook();
+    m_parser.reset();
+    const auto exchange = std::exchange(m_exchange, {});
+    if (!exchange || exchange->m_state == Exchange::State::Done || !exchange->m_onCallerGone) {
+        return;
     }
+    const auto hook = std::exchange(exchange->m_onCallerGone, {});
+    hook();
 }
 
 } // namespace auburndrum::net
--- a/src/auburndrum/daemon/shutdownsignal.cpp
+++ b/src/auburndrum/net/shutdownsignal.cpp
@@ -1,4 +1,4 @@
-#include "auburndrum/daemon/shutdownsignal.h"
+#include "auburndrum/net/shutdownsignal.h"
 
 #include <QSocketNotifier>
 
@@ -6,7 +6,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
-namespace auburndrum::daemon {
+namespace auburndrum::net {
 
 ShutdownSignal::ShutdownSignal(std::function<void()> onSignal, QObject *parent)
     : QObject(parent)
@@ -35,4 +35,4 @@
     }
 }
 
-} // namespace auburndrum::daemon
+} // namespace auburndrum::net
