--- a/include/auburndrum/base/time.h
+++ b/include/auburndrum/base/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace auburndrum {
 
@@ -16,6 +17,14 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Reads a monotonic clock that also counts while the VM is suspended. For leases, which run out meanwhile.
+inline Instant suspendAwareNow()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /// Reads this VM's wall clock, in whole milliseconds.
 inline WallTime wallNow()
 {
--- a/include/auburndrum/decision/traffic/configuration.h
+++ b/include/auburndrum/decision/traffic/configuration.h
@@ -67,6 +67,17 @@
     std::optional<EngineTraits> engine; ///< absent for plain services
 };
 
+/// A store of cached prompts, which engines fill and read.
+struct PromptStoreTraits
+{
+    std::string address; ///< IP:PORT
+    std::string zone;
+    std::uint64_t capacityTokens = 0;
+    double bitsPerSecond = 0; ///< of its link; transfers follow one another
+    std::chrono::microseconds firstDelay{0}; ///< that each transfer waits besides
+    bool isManaged = false; ///< drops nothing by itself, and takes an address for each prompt part
+};
+
 /// Bounds on callers.
 struct CallerLimits
 {
@@ -92,6 +103,7 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::map<std::string, ServiceTraits, std::less<>> services;
+    std::vector<PromptStoreTraits> promptStores;
     CallerLimits limits;
     bool needsKeys = false; ///< requests carry an API key unless their route is public
     std::vector<Organisation> organisations;
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -4,6 +4,7 @@
 #include "auburndrum/decision/circuitbreaker.h"
 #include "auburndrum/decision/traffic/backendlist.h"
 #include "auburndrum/decision/traffic/configuration.h"
+#include "auburndrum/decision/traffic/keptprompts.h"
 #include "auburndrum/decision/traffic/promptmemory.h"
 
 #include <absl/random/bit_gen_ref.h>
@@ -36,8 +37,11 @@
     std::chrono::microseconds regionCost{25000}; ///< the same between regions
     std::chrono::milliseconds reportAge{2000}; ///< an older load report says nothing of the present
     std::chrono::milliseconds refusalPause{200}; ///< a server that refused for want of room gets nothing new for so long
+    /// A request on older weights earns a fifth less by the platform's page; a wait that makes it late costs more than that.
+    std::chrono::milliseconds oldWeightsCost{250};
     std::chrono::milliseconds oldWeightsLimit{5000}; ///< servers with older weights get nothing new once newer ones were named so long ago
     double startReadRate = 30; ///< prompt tokens per millisecond of an engine, until it is learned
+    double fetchWorth = 3; ///< a fetch may take so many times as long as reading the part, as it leaves the engine to other requests
     double memoryShare = 0.6; ///< part of an engine's memory that cached prompts are taken to fill
 };
 
@@ -46,7 +50,7 @@
 {
     std::string_view service;
     const Prompt *prompt = nullptr; ///< null for plain services
-    std::string_view scope; ///< whose cached prompt parts may be shared
+    std::string_view organisation; ///< that shares no cached prompts with others; empty for all the rest
     std::string_view key; ///< spreads requests without prompt; may be empty
     std::uint64_t newestWeights = 0; ///< named version of the prompt's model; 0 when none is known
     Instant weightsNamedAt{}; ///< when this process learned of it
@@ -64,6 +68,9 @@
     std::chrono::milliseconds reportAge{-1}; ///< negative: it has reported no load
     std::chrono::milliseconds entryAge{}; ///< since its entry in the list changed
     std::uint64_t weights = 0; ///< version of the prompt's model there; 0 when unknown
+    std::string zone;
+    std::string scope; ///< of cached prompt parts there; empty for plain services
+    std::vector<std::string> partSources; ///< where each prompt part may be fetched from; empty text for nowhere
 };
 
 /// Why there is no choice.
@@ -72,6 +79,7 @@
     AllTried,
     AllBroken, ///< failing or silent ones only
     AllFull,
+    AllLoading, ///< only servers that load weights
     OldWeights, ///< only servers whose weights are out of date
 };
 
@@ -84,7 +92,7 @@
 class ServerChooser
 {
 public:
-    ServerChooser(ServerChooserOptions options, const BackendList &servers);
+    ServerChooser(ServerChooserOptions options, const BackendList &servers, const KeptPrompts &kept);
 
     void configure(const Configuration &configuration);
 
@@ -92,7 +100,7 @@
     std::optional<ServerChoice> choose(const ServerQuery &query, Instant now, NoServer &reason) const;
 
     /// A request was sent; `prompt` is null for plain services.
-    void sent(const ServerChoice &choice, std::string_view scope, const Prompt *prompt, Instant now);
+    void sent(const ServerChoice &choice, const Prompt *prompt, Instant now);
     /// Its first event or its whole answer has come after `elapsed`.
     void answered(const ServerChoice &choice, std::chrono::microseconds elapsed);
     /// The request no longer uses the server. `hadAnswer`: answered() was called for it.
@@ -103,6 +111,8 @@
     void failed(std::string_view id, Instant now, absl::BitGenRef random);
     /// The server refused a request without running it.
     void refused(std::string_view id, Instant now);
+    /// The server loads weights of this version and refuses requests until it is done, or until `until`.
+    void setLoading(std::string_view id, Instant until, std::uint64_t version);
     /// Forgets a server that is gone or was started again.
     void forget(std::string_view id);
 
@@ -117,6 +127,8 @@
         std::uint32_t ownAtReport = 0;
         std::optional<Instant> reportedAt;
         std::optional<Instant> fullUntil;
+        Instant loadingUntil{};
+        std::uint64_t loadingVersion = 0;
         CircuitBreaker breaker;
         PromptMemory memory;
     };
@@ -124,10 +136,13 @@
     const Load *find(std::string_view id) const;
     Load &load(std::string_view id);
     ServerChoice assess(const ServerQuery &query, const BackendList::Entry &entry, bool isHome, Instant now) const;
+    /// Adds what reading the prompt takes there, in milliseconds of the engine.
+    double readTime(const ServerQuery &query, const BackendList::Entry &entry, const Load &load, bool isHome, ServerChoice &choice) const;
     std::chrono::microseconds distance(const std::string &zone) const;
 
     ServerChooserOptions m_options;
     const BackendList &m_servers;
+    const KeptPrompts &m_kept;
     std::map<std::string, EngineTraits, std::less<>> m_engines; ///< by service
     std::map<std::string, Load, std::less<>> m_loads;
     double m_readRate; ///< prompt tokens per millisecond
--- /dev/null
+++ b/include/auburndrum/gateway/enginecontrol.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "auburndrum/decision/traffic/keptprompts.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburndrum::gateway {
+
+/// What an engine reports of itself when asked.
+struct EngineReport
+{
+    std::map<std::string, std::uint64_t> weightVersions; ///< by model
+    bool isExecutingOrder = false;
+    std::uint64_t ordersAccepted = 0;
+};
+
+/// An order to load weights.
+struct WeightOrder
+{
+    std::string address; ///< IP:PORT of the engine
+    std::string serverId; ///< any other backend server refuses it
+    std::string model;
+    std::uint64_t version = 0;
+    std::string holder; ///< this entry VM
+    std::uint64_t fencing = 0;
+    std::uint64_t expectedOrders = 0; ///< the engine refuses it when it has accepted another number of orders
+};
+
+/// How an engine answered an order.
+enum class OrderAnswer {
+    Accepted,
+    AlreadyHolds,
+    Conflict, ///< another order is under way, or it has accepted others
+    StaleFencing,
+    OtherServer, ///< the address belongs to another backend server
+    Refused, ///< the order is not understood
+    Unknown, ///< no answer: it may be carried out, also later
+};
+
+const char *toText(OrderAnswer answer);
+
+/// Calls to engines and stores of cached prompts, beside requests. Every hook must be set.
+struct EngineControl
+{
+    /// Nothing when the engine doesn't answer.
+    std::function<void(const std::string &address, std::function<void(const std::optional<EngineReport> &)>)> readReport;
+    std::function<void(const WeightOrder &, std::function<void(OrderAnswer)>)> order;
+    /// Waits up to `wait` for changes since number `since`; nothing when there is no usable answer.
+    std::function<void(const std::string &address,
+                       std::uint64_t since,
+                       std::chrono::milliseconds wait,
+                       std::function<void(const std::optional<decision::KeptReport> &)>)>
+        readKeptChanges;
+    /// Reads all that is kept; nothing when there is no usable answer.
+    std::function<void(const std::string &address, std::function<void(const std::optional<decision::KeptReport> &)>)> readKept;
+    /// Frees parts of a store in one incarnation; `done` tells whether it was carried out.
+    std::function<void(const std::string &address, std::uint64_t incarnation, const std::vector<decision::KeptChange> &parts, std::function<void(bool)> done)>
+        freeKept;
+};
+
+} // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "auburndrum/gateway/gatewaystate.h"
+#include "auburndrum/gateway/keptreader.h"
 #include "auburndrum/gateway/keyedfeed.h"
 #include "auburndrum/gateway/recordstore.h"
+#include "auburndrum/gateway/weightkeeper.h"
 #include "auburndrum/net/httpserver.h"
 
 #include <QObject>
@@ -26,6 +28,7 @@
     std::string backendTopic;
     decision::RetryAllowanceOptions retries;
     std::chrono::milliseconds weightsTime{10000}; ///< after it no request may begin on older weights
+    std::chrono::milliseconds orderTurn{3000}; ///< two VMs' orders to one backend server are at least so far apart
     std::chrono::milliseconds stopGrace{8000}; ///< the process is killed so long after the signal to stop
     int maxConnections = 2048;
     std::function<void(std::string_view)> writeLog; ///< standard output when empty
@@ -50,7 +53,7 @@
     Q_OBJECT
 
 public:
-    Gateway(GatewayOptions options, Wire wire, RecordReaders readers, RecordStore store, QObject *parent = nullptr);
+    Gateway(GatewayOptions options, Wire wire, RecordReaders readers, RecordStore store, EngineControl engines, QObject *parent = nullptr);
     ~Gateway() override;
 
     /// False when an address can't be had.
@@ -72,11 +75,14 @@
     GatewayOptions m_options;
     RecordReaders m_readers;
     RecordStore m_store;
+    EngineControl m_engines;
     GatewayState m_state;
     net::HttpServer m_callers;
     net::HttpServer m_readiness;
     KeyedFeed m_operatorFeed;
     KeyedFeed m_backendFeed;
+    WeightKeeper m_weights;
+    KeptReader m_keptReader;
     QTimer m_expiry;
     QTimer m_stopCheck;
     bool m_stopping = false;
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -2,6 +2,7 @@
 
 #include "auburndrum/decision/traffic/backendlist.h"
 #include "auburndrum/decision/traffic/configuration.h"
+#include "auburndrum/decision/traffic/keptprompts.h"
 #include "auburndrum/decision/traffic/retryallowance.h"
 #include "auburndrum/decision/traffic/serverchooser.h"
 #include "auburndrum/gateway/decisionlog.h"
@@ -29,7 +30,8 @@
 {
     GatewayState(decision::ServerChooserOptions chooserOptions, DecisionLogOptions logOptions, Wire wireHooks, decision::RetryAllowanceOptions retries)
         : wire(std::move(wireHooks))
-        , chooser(std::move(chooserOptions), servers)
+        , kept({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
+        , chooser(std::move(chooserOptions), servers, kept)
         , log(std::move(logOptions))
         , metrics(registry)
         , retryOptions(retries)
@@ -45,6 +47,7 @@
     std::shared_ptr<const decision::Configuration> configuration; ///< null until the first one
     Instant configurationAt{}; ///< when it came into force here
     decision::BackendList servers;
+    decision::KeptPrompts kept;
     decision::ServerChooser chooser;
     std::map<std::string, NewestWeights> weights; ///< by model
     net::HttpClient client;
--- /dev/null
+++ b/include/auburndrum/gateway/keptreader.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "auburndrum/gateway/enginecontrol.h"
+#include "auburndrum/gateway/gatewaystate.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <map>
+#include <string>
+
+namespace auburndrum::gateway {
+
+/// Options of a KeptReader.
+struct KeptReaderOptions
+{
+    std::chrono::milliseconds wait{1000}; ///< of one question for changes; the longest that the stores allow
+    std::chrono::milliseconds retryPause{500}; ///< after a store gave no usable answer
+    std::chrono::milliseconds freeInterval{1000}; ///< between looks for parts of old weights
+    std::chrono::milliseconds freeDelay{1500}; ///< a scope must have been out of use for so long
+    std::size_t freeAtOnce = 500; ///< parts in one call
+};
+
+/// @brief Follows what the stores of cached prompts hold, and frees what was made with weights that no engine has any more.
+class KeptReader : public QObject
+{
+    Q_OBJECT
+
+public:
+    KeptReader(KeptReaderOptions options, GatewayState &state, const EngineControl &engines, QObject *parent = nullptr);
+
+    /// Follows the stores of the configuration in force, and no others.
+    void configure();
+
+private:
+    struct Followed
+    {
+        std::uint64_t since = 0;
+        std::uint64_t incarnation = 0;
+        bool isLost = false;
+        std::uint64_t round = 0; ///< answers to questions of an earlier round are dropped
+    };
+
+    void ask(const std::string &address);
+    void askAll(const std::string &address);
+    void take(const std::string &address, std::uint64_t round, const std::optional<decision::KeptReport> &report);
+    void freeStale();
+    bool isStale(std::string_view scope) const;
+
+    KeptReaderOptions m_options;
+    GatewayState &m_state;
+    const EngineControl &m_engines;
+    std::map<std::string, Followed> m_followed; ///< by address
+    std::map<std::string, Instant> m_staleSince; ///< by scope
+    QTimer m_freeTimer;
+    std::uint64_t m_rounds = 0;
+};
+
+} // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -18,7 +18,7 @@
     Unreachable, ///< no connection, or it broke: a write may still have been made
     TimedOut, ///< no answer: a write may still be made
     Refused, ///< the store turned the call away; nothing was done
-    Expired, ///< the records asked for are gone
+    Stale, ///< the answer is older than what was read before
     Conflict, ///< the condition of a write did not hold
     Malformed, ///< the answer can't be read
 };
@@ -41,6 +41,7 @@
 {
     std::vector<StoreRecord> records;
     std::uint64_t nextOffset = 0; ///< the first offset that was not read
+    bool hasGap = false; ///< records asked for are gone; `nextOffset` is the first that is still there
 };
 
 /// A page of the newest record of each key.
@@ -57,8 +58,8 @@
     std::function<void(const std::string &topic, const std::string &afterKey, std::function<void(StoreResult<NewestPage>)>)> readNewest;
     /// Answers as soon as a record is there, or with none after `wait`.
     std::function<void(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)>)> read;
-    /// Appends one record if the topic ends at `at`; answers with its offset.
-    std::function<void(const std::string &topic, std::uint64_t at, const QByteArray &record, std::function<void(StoreResult<std::uint64_t>)>)> appendAt;
+    /// Appends one record; answers with its offset.
+    std::function<void(const std::string &topic, const QByteArray &record, std::function<void(StoreResult<std::uint64_t>)>)> append;
 };
 
 } // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/wire.h
+++ b/include/auburndrum/gateway/wire.h
@@ -35,6 +35,9 @@
     std::string cacheScope; ///< cached prompt parts are shared within it; empty for the common one
     std::string lastEventId; ///< the answer goes on behind this event; empty for a whole one
     std::optional<std::uint64_t> weights; ///< a server with other weights refuses the request
+    std::vector<std::string> partSources; ///< for each prompt part the address that it may be fetched from, or empty
+    std::vector<std::string> partTargets; ///< for each prompt part the store that it is to be put in, or empty
+    bool hasManagedStores = true; ///< false: one address for the whole prompt, the first that is not empty
 };
 
 /// What a backend server's answer says besides its body.
--- /dev/null
+++ b/src/auburndrum/decision/traffic/cachescope.cpp
@@ -0,0 +1,34 @@
+#include "auburndrum/decision/traffic/cachescope.h"
+
+#include <absl/strings/numbers.h>
+
+namespace auburndrum::decision {
+
+namespace {
+
+constexpr char Separator = '|';
+
+} // namespace
+
+std::string cacheScope(std::string_view model, std::uint64_t weights, std::string_view organisation)
+{
+    std::string scope(model);
+    scope += Separator;
+    scope += std::to_string(weights);
+    scope += Separator;
+    scope += organisation;
+    return scope;
+}
+
+std::optional<std::uint64_t> weightsOfScope(std::string_view scope, std::string_view model)
+{
+    if (!scope.starts_with(model) || scope.size() <= model.size() || scope[model.size()] != Separator) {
+        return std::nullopt;
+    }
+    const std::string_view rest = scope.substr(model.size() + 1);
+    const std::string digits(rest.substr(0, rest.find(Separator)));
+    std::uint64_t version = 0;
+    return absl::SimpleAtoi(digits, &version) ? std::optional(version) : std::nullopt;
+}
+
+} // namespace auburndrum::decision
--- /dev/null
+++ b/src/auburndrum/decision/traffic/keptprompts.cpp
@@ -0,0 +1,189 @@
+#include "auburndrum/decision/traffic/keptprompts.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+constexpr std::size_t MaxRememberedSaves = 4096; // a few seconds of a busy entry VM
+
+std::uint64_t rank(std::string_view store, std::string_view part)
+{
+    return XXH3_64bits_withSeed(store.data(), store.size(), XXH3_64bits(part.data(), part.size()));
+}
+
+} // namespace
+
+KeptPrompts::KeptPrompts(KeptPromptsOptions options)
+    : m_options(std::move(options))
+{
+}
+
+void KeptPrompts::configure(const std::vector<PromptStoreTraits> &stores)
+{
+    std::map<std::string, Store, std::less<>> next;
+    for (const PromptStoreTraits &it : stores) {
+        const auto known = m_stores.find(it.address);
+        Store store = known == m_stores.end() ? Store{} : std::move(known->second);
+        store.traits = it;
+        next.emplace(it.address, std::move(store));
+    }
+    m_stores = std::move(next);
+}
+
+std::vector<std::string> KeptPrompts::addresses() const
+{
+    std::vector<std::string> list;
+    for (const auto &[address, store] : m_stores) {
+        list.push_back(address);
+    }
+    return list;
+}
+
+void KeptPrompts::keep(Store &store, const KeptChange &change)
+{
+    auto &scope = store.parts[change.scope];
+    const auto known = scope.find(change.part);
+    if (known != scope.end()) {
+        store.tokens -= known->second;
+        scope.erase(known);
+    }
+    if (change.isKept) {
+        scope[change.part] = change.tokens;
+        store.tokens += change.tokens;
+    }
+    if (scope.empty()) {
+        store.parts.erase(change.scope);
+    }
+}
+
+void KeptPrompts::take(std::string_view address, const KeptReport &report)
+{
+    const auto it = m_stores.find(address);
+    if (it == m_stores.end()) {
+        return;
+    }
+    Store &store = it->second;
+    if (store.incarnation != report.incarnation || report.isWhole) {
+        store.parts.clear();
+        store.tokens = 0;
+        store.incarnation = report.incarnation;
+    }
+    store.isReachable = true;
+    for (const KeptChange &change : report.changes) {
+        keep(store, change);
+    }
+}
+
+void KeptPrompts::lost(std::string_view address)
+{
+    const auto it = m_stores.find(address);
+    if (it != m_stores.end()) {
+        it->second.isReachable = false;
+    }
+}
+
+const std::string &KeptPrompts::regionOf(std::string_view zone) const
+{
+    static const std::string Unknown;
+    const auto it = m_options.regionOfZone.find(zone);
+    return it == m_options.regionOfZone.end() ? Unknown : it->second;
+}
+
+double KeptPrompts::distanceFactor(std::string_view from, std::string_view to) const
+{
+    if (from == to) {
+        return 1;
+    }
+    return regionOf(from) == regionOf(to) ? m_options.zoneFactor : m_options.regionFactor;
+}
+
+std::optional<KeptSource> KeptPrompts::find(std::string_view scope, const PromptPart &part, std::string_view zone, std::uint32_t tokenBytes) const
+{
+    std::optional<KeptSource> best;
+    for (const auto &[address, store] : m_stores) {
+        if (!store.isReachable || store.traits.bitsPerSecond <= 0) {
+            continue;
+        }
+        const auto parts = store.parts.find(scope);
+        if (parts == store.parts.end() || !parts->second.contains(part.id)) {
+            continue;
+        }
+        const double bits = 8.0 * part.tokens * tokenBytes;
+        const double seconds = bits / store.traits.bitsPerSecond * distanceFactor(store.traits.zone, zone);
+        const auto time = store.traits.firstDelay + std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
+        if (!best || time < best->time) {
+            best = KeptSource{address, time};
+        }
+    }
+    return best;
+}
+
+std::string KeptPrompts::placeFor(std::string_view scope, const PromptPart &part, std::string_view zone, Instant now)
+{
+    const std::string name = std::string(scope) + '/' + part.id + '@' + regionOf(zone);
+    const auto sent = m_saves.find(name);
+    if (sent != m_saves.end() && now - sent->second < m_options.saveEcho) {
+        return {};
+    }
+    const Store *best = nullptr;
+    std::uint64_t bestRank = 0;
+    for (const auto &[address, store] : m_stores) {
+        if (!store.isReachable || regionOf(store.traits.zone) != regionOf(zone)) {
+            continue;
+        }
+        const auto parts = store.parts.find(scope);
+        if (parts != store.parts.end() && parts->second.contains(part.id)) {
+            return {};
+        }
+        const auto room = static_cast<std::uint64_t>(static_cast<double>(store.traits.capacityTokens) * m_options.fillShare);
+        if (store.tokens + part.tokens > room) {
+            continue;
+        }
+        const std::uint64_t r = rank(address, part.id);
+        if (best == nullptr || r > bestRank) {
+            best = &store;
+            bestRank = r;
+        }
+    }
+    if (best == nullptr) {
+        return {};
+    }
+    if (m_saves.size() >= MaxRememberedSaves) {
+        m_saves.clear(); // the worst that follows is a part sent twice
+    }
+    m_saves[name] = now;
+    return best->traits.address;
+}
+
+std::vector<KeptChange> KeptPrompts::stale(std::string_view address, const std::function<bool(std::string_view)> &isStale, std::size_t limit) const
+{
+    std::vector<KeptChange> list;
+    const auto it = m_stores.find(address);
+    if (it == m_stores.end()) {
+        return list;
+    }
+    for (const auto &[scope, parts] : it->second.parts) {
+        if (!isStale(scope)) {
+            continue;
+        }
+        for (const auto &[id, tokens] : parts) {
+            if (list.size() >= limit) {
+                return list;
+            }
+            list.push_back({false, scope, id, tokens});
+        }
+    }
+    return list;
+}
+
+std::uint64_t KeptPrompts::tokensAt(std::string_view address) const
+{
+    const auto it = m_stores.find(address);
+    return it == m_stores.end() ? 0 : it->second.tokens;
+}
+
+} // namespace auburndrum::decision
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/decision/traffic/serverchooser.h"
 
+#include "auburndrum/decision/traffic/cachescope.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -33,15 +35,18 @@
         return "all servers failing";
     case NoServer::AllFull:
         return "all servers full";
+    case NoServer::AllLoading:
+        return "all servers load weights";
     case NoServer::OldWeights:
         return "all servers have old weights";
     }
     return "unknown";
 }
 
-ServerChooser::ServerChooser(ServerChooserOptions options, const BackendList &servers)
+ServerChooser::ServerChooser(ServerChooserOptions options, const BackendList &servers, const KeptPrompts &kept)
     : m_options(std::move(options))
     , m_servers(servers)
+    , m_kept(kept)
     , m_readRate(m_options.startReadRate)
 {
 }
@@ -88,6 +93,7 @@
     ServerChoice choice;
     choice.id = entry.server.id;
     choice.address = entry.server.address;
+    choice.zone = entry.server.zone;
     choice.entryAge = std::chrono::floor<std::chrono::milliseconds>(now - entry.changedAt);
     std::uint32_t others = 0;
     std::uint32_t waiting = 0;
@@ -108,15 +114,45 @@
     }
     const auto version = entry.server.weightVersions.find(query.prompt->model);
     choice.weights = version == entry.server.weightVersions.end() ? 0 : version->second;
-    std::uint32_t cached = load.memory.cachedTokens(query.scope, *query.prompt);
-    if (isHome && query.prompt->parts.size() > 1) {
+    choice.scope = cacheScope(query.prompt->model, choice.weights, query.organisation);
+    const double readMs = readTime(query, entry, load, isHome, choice);
+    const double aheadTokens = load.ownUnread + waiting * MeanWaitingTokens + choice.running * RunningCostTokens;
+    choice.expectedWait = microseconds(static_cast<std::int64_t>((aheadTokens / m_readRate + readMs) * 1000));
+    return choice;
+}
+
+double ServerChooser::readTime(const ServerQuery &query, const BackendList::Entry &entry, const Load &load, bool isHome, ServerChoice &choice) const
+{
+    const Prompt &prompt = *query.prompt;
+    const auto engine = m_engines.find(entry.server.service);
+    const std::uint32_t tokenBytes = engine == m_engines.end() ? 0 : engine->second.tokenBytes;
+    std::uint32_t cached = load.memory.cachedTokens(choice.scope, prompt);
+    if (isHome && prompt.parts.size() > 1) {
         // Other entry VMs send the same parts there.
-        cached = std::max(cached, query.prompt->inputTokens - std::min(query.prompt->inputTokens, query.prompt->parts.back().tokens));
+        cached = std::max(cached, prompt.inputTokens - std::min(prompt.inputTokens, prompt.parts.back().tokens));
     }
-    choice.unreadTokens = query.prompt->inputTokens - std::min(query.prompt->inputTokens, cached);
-    const double ahead = load.ownUnread + waiting * MeanWaitingTokens + choice.running * RunningCostTokens;
-    choice.expectedWait = microseconds(static_cast<std::int64_t>((ahead + choice.unreadTokens) / m_readRate * 1000));
-    return choice;
+    double ms = 0;
+    std::uint32_t seen = 0;
+    std::uint32_t unread = prompt.inputTokens;
+    choice.partSources.resize(prompt.parts.size());
+    for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
+        const PromptPart &part = prompt.parts[n];
+        const bool isCached = seen + part.tokens <= cached;
+        seen += part.tokens;
+        // The engine asks a source only for what it does not have, so naming one costs nothing.
+        const auto source = choice.weights == 0 ? std::nullopt : m_kept.find(choice.scope, part, entry.server.zone, tokenBytes);
+        const double readMs = part.tokens / m_readRate;
+        const double fetchMs = source ? std::chrono::duration<double, std::milli>(source->time).count() : readMs;
+        if (source && fetchMs < readMs * m_options.fetchWorth) {
+            choice.partSources[n] = source->address;
+        }
+        if (isCached || !choice.partSources[n].empty()) {
+            unread -= std::min(unread, part.tokens);
+            ms += isCached ? 0 : fetchMs;
+        }
+    }
+    choice.unreadTokens = unread;
+    return ms + unread / m_readRate;
 }
 
 std::optional<ServerChoice> ServerChooser::choose(const ServerQuery &query, Instant now, NoServer &reason) const
@@ -144,6 +180,11 @@
         }
         if (query.prompt != nullptr && query.newestWeights > 0) {
             const auto version = it->server.weightVersions.find(query.prompt->model);
+            const std::uint64_t has = version == it->server.weightVersions.end() ? 0 : version->second;
+            if (load != nullptr && now < load->loadingUntil && has < load->loadingVersion) {
+                reason = std::max(reason, NoServer::AllLoading);
+                continue;
+            }
             const bool isOld = version != it->server.weightVersions.end() && version->second < query.newestWeights;
             if (isOld && now - query.weightsNamedAt >= m_options.oldWeightsLimit) {
                 reason = std::max(reason, NoServer::OldWeights);
@@ -157,22 +198,21 @@
     }
     std::optional<ServerChoice> best;
     microseconds bestCost{};
-    bool bestIsNew = false;
     for (const BackendList::Entry *it : candidates) {
         const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == home, now);
-        const microseconds cost = choice.expectedWait + distance(it->server.zone);
-        const bool isNew = choice.weights >= query.newestWeights;
-        const bool isBetter = !best || (isNew && !bestIsNew) || (isNew == bestIsNew && cost < bestCost);
-        if (isBetter) {
+        microseconds cost = choice.expectedWait + distance(it->server.zone);
+        if (choice.weights < query.newestWeights) {
+            cost += m_options.oldWeightsCost;
+        }
+        if (!best || cost < bestCost) {
             best = choice;
             bestCost = cost;
-            bestIsNew = isNew;
         }
     }
     return best;
 }
 
-void ServerChooser::sent(const ServerChoice &choice, std::string_view scope, const Prompt *prompt, Instant now)
+void ServerChooser::sent(const ServerChoice &choice, const Prompt *prompt, Instant now)
 {
     Load &it = load(choice.id);
     ++it.own;
@@ -186,7 +226,7 @@
     if (engine != m_engines.end()) {
         it.memory.setCapacity(static_cast<std::uint64_t>(engine->second.memoryTokens * m_options.memoryShare));
     }
-    it.memory.remember(scope, *prompt);
+    it.memory.remember(choice.scope, *prompt);
 }
 
 void ServerChooser::answered(const ServerChoice &choice, microseconds elapsed)
@@ -238,6 +278,13 @@
     load(id).fullUntil = now + m_options.refusalPause;
 }
 
+void ServerChooser::setLoading(std::string_view id, Instant until, std::uint64_t version)
+{
+    Load &it = load(id);
+    it.loadingUntil = until;
+    it.loadingVersion = version;
+}
+
 void ServerChooser::forget(std::string_view id)
 {
     const auto it = m_loads.find(id);
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -139,7 +139,7 @@
     decision::ServerQuery query;
     query.service = m_service;
     query.prompt = m_facts.prompt ? &*m_facts.prompt : nullptr;
-    query.scope = m_organisation != nullptr && m_organisation->isDedicated ? std::string_view(m_organisation->name) : std::string_view();
+    query.organisation = m_organisation != nullptr && m_organisation->isDedicated ? std::string_view(m_organisation->name) : std::string_view();
     query.key = m_facts.id;
     query.tried = m_tried;
     if (m_facts.prompt) {
@@ -167,7 +167,9 @@
     facts.timeLeft = timeLeft();
     if (m_organisation != nullptr) {
         facts.organisation = m_organisation->name;
-        facts.cacheScope = m_organisation->isDedicated ? m_organisation->name : std::string();
+    }
+    if (m_facts.prompt) {
+        addCacheFacts(choice, facts);
     }
     facts.lastEventId = m_lastEventId;
 
@@ -193,6 +195,24 @@
     return call;
 }
 
+void ForwardedRequest::addCacheFacts(const decision::ServerChoice &choice, ForwardFacts &facts) const
+{
+    facts.cacheScope = choice.scope;
+    if (choice.weights == 0) {
+        return; // parts made with unknown weights are neither fetched nor put anywhere
+    }
+    facts.weights = choice.weights;
+    facts.partSources = choice.partSources;
+    const auto &parts = m_facts.prompt->parts;
+    facts.partTargets.resize(parts.size());
+    // The last part is the request's own; nobody else will ask for it.
+    for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+        facts.partTargets[n] = m_state.kept.placeFor(choice.scope, parts[n], choice.zone, monotonicNow());
+    }
+    const auto &stores = m_configuration->promptStores;
+    facts.hasManagedStores = stores.empty() || stores.front().isManaged;
+}
+
 void ForwardedRequest::send(const decision::ServerChoice &choice)
 {
     const Instant now = monotonicNow();
@@ -201,8 +221,7 @@
     m_attempt.emplace();
     m_attempt->choice = choice;
     m_attempt->sentAt = now;
-    const bool isDedicated = m_organisation != nullptr && m_organisation->isDedicated;
-    m_state.chooser.sent(choice, isDedicated ? m_organisation->name : std::string(), m_facts.prompt ? &*m_facts.prompt : nullptr, now);
+    m_state.chooser.sent(choice, m_facts.prompt ? &*m_facts.prompt : nullptr, now);
     const auto self = shared_from_this();
     net::HttpHooks hooks;
     hooks.isForCall = [self](const net::HttpHead &head) {
@@ -298,14 +317,14 @@
     if (facts.hasNotRun) {
         m_state.chooser.refused(server, monotonicNow());
         leaveServer("not_run");
-        retryOrConclude(false, head.status != 421); // 421: another server has its address
+        retryOrConclude(false, head.status == 421 ? Reached::OtherServer : Reached::Server);
         return;
     }
     const bool isUnusable = facts.isEncoded || (isSuccess(head.status) && !facts.isSealed) || (promisesNotRun(head.status) && !facts.isSealed);
     if (isUnusable) {
         m_state.chooser.failed(server, monotonicNow(), m_state.random);
         leaveServer("unusable_answer");
-        retryOrConclude(true, true);
+        retryOrConclude(true, Reached::Server);
         return;
     }
     if (!isSuccess(head.status)) {
@@ -313,7 +332,7 @@
         leaveServer("server_failure");
         m_serverFailure.emplace(head, body);
         if (head.status >= 500) {
-            retryOrConclude(true, true);
+            retryOrConclude(true, Reached::Server);
             return;
         }
         concludeWithoutAnswer();
@@ -353,7 +372,7 @@
     }
     m_attempt->events.dropPartial();
     leaveServer(net::toText(result.failure));
-    retryOrConclude(result.sent, result.sent);
+    retryOrConclude(result.sent, result.sent ? Reached::Server : Reached::Nobody);
 }
 
 void ForwardedRequest::leaveServer(const char *result)
@@ -366,7 +385,7 @@
     m_attempt.reset();
 }
 
-bool ForwardedRequest::mayTryAgain(bool arrived)
+bool ForwardedRequest::mayTryAgain(Reached reached)
 {
     if (m_sends >= MaxSends || !m_bodyRepeatable || timeLeft() < LeastUsefulTime) {
         return false;
@@ -375,18 +394,18 @@
         return false;
     }
     // What never arrived costs no server anything.
-    return !arrived || m_state.retryAllowance(m_service).tryTake(monotonicNow());
+    return reached == Reached::Nobody || m_state.retryAllowance(m_service).tryTake(monotonicNow());
 }
 
-void ForwardedRequest::retryOrConclude(bool mayHaveRun, bool arrived)
+void ForwardedRequest::retryOrConclude(bool mayHaveRun, Reached reached)
 {
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    if (arrived) {
+    if (reached == Reached::Server) {
         ++m_arrivals;
     }
     const bool isAllowed = !m_mayHaveRun || m_route->mayRepeat();
     const bool isResumeAllowed = !m_streaming || m_route->isResumable;
-    if (isAllowed && isResumeAllowed && mayTryAgain(arrived)) {
+    if (isAllowed && isResumeAllowed && mayTryAgain(reached)) {
         attempt();
         return;
     }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -37,11 +37,19 @@
         net::EventSplitter events;
     };
 
+    /// Whom an attempt reached.
+    enum class Reached {
+        Nobody, ///< no byte of it left
+        OtherServer, ///< one that refused it as not meant for it
+        Server,
+    };
+
     bool authorise();
     void chooseService();
     void attempt();
     void send(const decision::ServerChoice &choice);
     net::HttpCall makeCall(const decision::ServerChoice &choice) const;
+    void addCacheFacts(const decision::ServerChoice &choice, ForwardFacts &facts) const;
     void handleHead(const net::HttpHead &head);
     void handleBody(const QByteArray &part);
     void handleEvents(const QByteArray &part);
@@ -50,8 +58,8 @@
     void handleWholeAnswer();
     void handleBrokenAnswer(const net::HttpResult &result);
     void finishStream();
-    void retryOrConclude(bool mayHaveRun, bool arrived);
-    bool mayTryAgain(bool arrived);
+    void retryOrConclude(bool mayHaveRun, Reached reached);
+    bool mayTryAgain(Reached reached);
     void concludeWithoutAnswer();
     void leaveServer(const char *result);
 
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -10,6 +10,8 @@
 
 constexpr qint64 StreamBodiesOver = 256 * 1024; // larger bodies are passed on as they arrive, and can't be sent again
 constexpr milliseconds ExpiryInterval{250}; // of a check for lapsed entries; short against their grace of 2 s
+// A request sent in time must also begin in time; the record of new weights may have been read late.
+constexpr milliseconds WeightsMargin{2500};
 constexpr milliseconds StopCheckInterval{50};
 // The balancer asks once a second and takes an entry VM out after two misses; until then it still sends new connections.
 constexpr milliseconds BalancerLag{2600};
@@ -20,7 +22,7 @@
     decision::ServerChooserOptions it;
     it.zone = options.zone;
     it.regionOfZone = options.regionOfZone;
-    it.oldWeightsLimit = options.weightsTime / 2;
+    it.oldWeightsLimit = options.weightsTime - WeightsMargin;
     return it;
 }
 
@@ -44,11 +46,12 @@
 
 } // namespace
 
-Gateway::Gateway(GatewayOptions options, Wire wire, RecordReaders readers, RecordStore store, QObject *parent)
+Gateway::Gateway(GatewayOptions options, Wire wire, RecordReaders readers, RecordStore store, EngineControl engines, QObject *parent)
     : QObject(parent)
     , m_options(std::move(options))
     , m_readers(std::move(readers))
     , m_store(std::move(store))
+    , m_engines(std::move(engines))
     , m_state(chooserOptions(m_options), {.vm = m_options.vm, .write = m_options.writeLog}, std::move(wire), m_options.retries)
     , m_callers(callerOptions({}, m_options.maxConnections),
                 [this](const std::shared_ptr<net::Exchange> &exchange) {
@@ -69,6 +72,8 @@
                     feedHooks(m_options.backendTopic, [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
                         takeBackendRecord(key, value, duringOutage);
                     }))
+    , m_weights({.vm = m_options.vm, .orderTurn = m_options.orderTurn}, m_state, m_store, m_engines)
+    , m_keptReader({}, m_state, m_engines)
 {
     connect(&m_expiry, &QTimer::timeout, this, &Gateway::expireServers);
     connect(&m_stopCheck, &QTimer::timeout, this, &Gateway::finishStop);
@@ -104,6 +109,7 @@
     }
     m_operatorFeed.start();
     m_backendFeed.start();
+    m_weights.start();
     m_expiry.start(ExpiryInterval);
     return true;
 }
@@ -163,6 +169,8 @@
     m_state.configuration = std::make_shared<const decision::Configuration>(std::move(configuration));
     m_state.configurationAt = monotonicNow();
     m_state.chooser.configure(*m_state.configuration);
+    m_state.kept.configure(m_state.configuration->promptStores);
+    m_keptReader.configure();
     m_callers.setOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections));
     m_state.metrics.beliefChanges.with({"configuration"}).Increment();
     m_state.log.write(LineWeight::Notable,
--- /dev/null
+++ b/src/auburndrum/gateway/keptreader.cpp
@@ -0,0 +1,129 @@
+#include "auburndrum/gateway/keptreader.h"
+
+#include "auburndrum/decision/traffic/cachescope.h"
+
+namespace auburndrum::gateway {
+
+KeptReader::KeptReader(KeptReaderOptions options, GatewayState &state, const EngineControl &engines, QObject *parent)
+    : QObject(parent)
+    , m_options(options)
+    , m_state(state)
+    , m_engines(engines)
+{
+    connect(&m_freeTimer, &QTimer::timeout, this, &KeptReader::freeStale);
+}
+
+void KeptReader::configure()
+{
+    const std::vector<std::string> addresses = m_state.kept.addresses();
+    std::erase_if(m_followed, [&](const auto &it) {
+        return std::find(addresses.begin(), addresses.end(), it.first) == addresses.end();
+    });
+    for (const std::string &it : addresses) {
+        const auto [followed, isNew] = m_followed.try_emplace(it);
+        if (isNew) {
+            followed->second.round = ++m_rounds;
+            ask(it);
+        }
+    }
+    if (!m_followed.empty() && !m_freeTimer.isActive()) {
+        m_freeTimer.start(m_options.freeInterval);
+    }
+}
+
+void KeptReader::ask(const std::string &address)
+{
+    const auto followed = m_followed.find(address);
+    if (followed == m_followed.end()) {
+        return;
+    }
+    const std::uint64_t round = followed->second.round;
+    m_engines.readKeptChanges(address, followed->second.since, m_options.wait, [this, address, round](const auto &report) {
+        take(address, round, report);
+    });
+}
+
+void KeptReader::askAll(const std::string &address)
+{
+    const std::uint64_t round = m_followed.at(address).round;
+    m_engines.readKept(address, [this, address, round](const auto &report) {
+        take(address, round, report);
+    });
+}
+
+void KeptReader::take(const std::string &address, std::uint64_t round, const std::optional<decision::KeptReport> &report)
+{
+    const auto it = m_followed.find(address);
+    if (it == m_followed.end() || it->second.round != round) {
+        return;
+    }
+    Followed &followed = it->second;
+    if (!report) {
+        m_state.kept.lost(address);
+        if (!followed.isLost) {
+            followed.isLost = true;
+            m_state.log.write(LineWeight::Notable, "dependency_lost", {{"dependency", "prompt store"}, {"address", address}});
+        }
+        QTimer::singleShot(m_options.retryPause, this, [this, address] {
+            ask(address);
+        });
+        return;
+    }
+    if (followed.isLost) {
+        followed.isLost = false;
+        m_state.log.write(LineWeight::Notable, "dependency_regained", {{"dependency", "prompt store"}, {"address", address}});
+    }
+    const bool isOtherIncarnation = followed.incarnation != 0 && followed.incarnation != report->incarnation;
+    followed.incarnation = report->incarnation;
+    if (!report->isWhole && (report->hasGap || isOtherIncarnation)) {
+        m_state.kept.lost(address); // until all that it holds is read again
+        askAll(address);
+        return;
+    }
+    followed.since = report->next;
+    m_state.kept.take(address, *report);
+    ask(address);
+}
+
+bool KeptReader::isStale(std::string_view scope) const
+{
+    for (const auto &[model, newest] : m_state.weights) {
+        const auto version = decision::weightsOfScope(scope, model);
+        if (!version || *version >= newest.version) {
+            continue;
+        }
+        // An engine that still has the old weights may be reading the part.
+        for (const std::string &id : m_state.servers.ids()) {
+            const auto &versions = m_state.servers.find(id)->server.weightVersions;
+            const auto has = versions.find(model);
+            if (has != versions.end() && has->second <= *version) {
+                return false;
+            }
+        }
+        return true;
+    }
+    return false;
+}
+
+void KeptReader::freeStale()
+{
+    const Instant now = monotonicNow();
+    const auto isFreeable = [this, now](std::string_view scope) {
+        if (!isStale(scope)) {
+            return false;
+        }
+        const auto [since, isNew] = m_staleSince.try_emplace(std::string(scope), now);
+        return now - since->second >= m_options.freeDelay;
+    };
+    for (const auto &[address, followed] : m_followed) {
+        const auto parts = m_state.kept.stale(address, isFreeable, m_options.freeAtOnce);
+        if (parts.empty() || followed.isLost) {
+            continue;
+        }
+        m_engines.freeKept(address, followed.incarnation, parts, [this, address = address, n = parts.size()](bool isDone) {
+            m_state.log.write(LineWeight::Notable, "old_prompts_freed", {{"address", address}, {"parts", n}, {"done", isDone}});
+        });
+    }
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -13,8 +13,8 @@
         return "timed out";
     case StoreError::Refused:
         return "refused";
-    case StoreError::Expired:
-        return "expired";
+    case StoreError::Stale:
+        return "stale";
     case StoreError::Conflict:
         return "conflict";
     case StoreError::Malformed:
@@ -63,7 +63,7 @@
     answered();
     const NewestPage &page = result.value();
     if (page.endOffset < m_next) {
-        failed(StoreError::Expired); // an answer from before what was read already
+        failed(StoreError::Stale); // an answer from before what was read already
         return;
     }
     // Pages are not one moment's: what changed between them is read again from the first page's end.
@@ -107,17 +107,16 @@
 
 void KeyedFeed::takeBatch(const StoreResult<RecordBatch> &result)
 {
-    if (!result && result.error() == StoreError::Expired) {
-        answered();
-        m_synced = false;
-        start();
-        return;
-    }
     if (!result) {
         failed(result.error());
         return;
     }
     answered();
+    if (result.value().hasGap) {
+        m_synced = false;
+        start();
+        return;
+    }
     for (const StoreRecord &it : result.value().records) {
         apply(it);
     }
--- /dev/null
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -0,0 +1,345 @@
+#include "auburndrum/gateway/weightkeeper.h"
+
+#include "auburndrum/base/randomid.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using decision::LeaseRecord;
+using decision::Order;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char Resource[] = "weights";
+constexpr milliseconds LongRead{2000}; // ends by itself, so that a silent connection shows
+constexpr milliseconds RepeatInterval{1500}; // between orders that show no effect; a load takes under a second
+constexpr milliseconds LoadTimeout{4000}; // then a load that shows no effect frees its place
+constexpr milliseconds AppendTimeout{800}; // after which the topic tells whether an append came through
+
+decision::LeaseHolderOptions holderOptions(const WeightKeeperOptions &options, absl::BitGenRef random)
+{
+    decision::LeaseHolderOptions it;
+    it.resource = Resource;
+    it.incarnation = options.vm + "/" + randomId();
+    it.newNonce = randomId;
+    it.duration = options.lease;
+    it.margin = options.leaseMargin;
+    it.orderTimeout = options.orderTurn;
+    it.appendTimeout = AppendTimeout;
+    it.standbyDelay = options.standbyMin + milliseconds(absl::Uniform<std::int64_t>(random, 0, options.standbySpread.count()));
+    return it;
+}
+
+QByteArray leaseText(const LeaseRecord &lease)
+{
+    const json object = {{"holder", lease.holder}, {"nonce", lease.nonce}, {"replaces", lease.replaces}, {"duration_ms", lease.duration.count()}};
+    return QByteArray::fromStdString(object.dump());
+}
+
+/// Offsets begin at 0, which is "none" among fencing numbers.
+decision::Offset fencingOf(std::uint64_t offset)
+{
+    return static_cast<decision::Offset>(offset) + 1;
+}
+
+} // namespace
+
+const char *toText(OrderAnswer answer)
+{
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        return "accepted";
+    case OrderAnswer::AlreadyHolds:
+        return "already holds";
+    case OrderAnswer::Conflict:
+        return "conflict";
+    case OrderAnswer::StaleFencing:
+        return "stale fencing";
+    case OrderAnswer::OtherServer:
+        return "other server";
+    case OrderAnswer::Refused:
+        return "refused";
+    case OrderAnswer::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+WeightKeeper::WeightKeeper(WeightKeeperOptions options, GatewayState &state, const RecordStore &store, const EngineControl &engines, QObject *parent)
+    : QObject(parent)
+    , m_options(std::move(options))
+    , m_state(state)
+    , m_store(store)
+    , m_engines(engines)
+    , m_holder(holderOptions(m_options, state.random), suspendAwareNow())
+{
+    connect(&m_timer, &QTimer::timeout, this, &WeightKeeper::tick);
+}
+
+void WeightKeeper::start()
+{
+    m_timer.start(m_options.tick);
+}
+
+bool WeightKeeper::hasWork() const
+{
+    for (const auto &[model, newest] : m_state.weights) {
+        for (const decision::ServerCondition &it : conditions(model)) {
+            if (!it.isLeaving && it.version != std::to_string(newest.version)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::vector<decision::ServerCondition> WeightKeeper::conditions(const std::string &model) const
+{
+    std::vector<decision::ServerCondition> list;
+    for (const std::string &id : m_state.servers.ids()) {
+        const auto *entry = m_state.servers.find(id);
+        const auto version = entry->server.weightVersions.find(model);
+        if (version == entry->server.weightVersions.end()) {
+            continue;
+        }
+        decision::ServerCondition it;
+        it.server = id;
+        it.version = std::to_string(version->second);
+        it.isLeaving = entry->server.isDraining;
+        list.push_back(std::move(it));
+    }
+    // The least busy first: its load disturbs the fewest.
+    std::stable_sort(list.begin(), list.end(), [this](const auto &a, const auto &b) {
+        return m_state.chooser.running(a.server) < m_state.chooser.running(b.server);
+    });
+    return list;
+}
+
+void WeightKeeper::tick()
+{
+    if (!hasWork()) {
+        m_caughtUp = false;
+        m_loads.clear();
+        return;
+    }
+    if (!m_reading) {
+        readTopic();
+    }
+    if (!m_caughtUp) {
+        return;
+    }
+    if (const auto lease = m_holder.tick(suspendAwareNow())) {
+        appendLease(*lease);
+    }
+    planOrders();
+    askLoads();
+}
+
+void WeightKeeper::readTopic()
+{
+    m_reading = true;
+    // The first read tells what is there, the next ones wait for news.
+    m_store.read(m_options.topic, m_next, m_caughtUp ? LongRead : milliseconds(0), [this](const StoreResult<RecordBatch> &result) {
+        takeBatch(result);
+    });
+}
+
+void WeightKeeper::takeBatch(const StoreResult<RecordBatch> &result)
+{
+    m_reading = false;
+    if (!result) {
+        return; // the next tick reads again
+    }
+    for (const StoreRecord &it : result.value().records) {
+        takeRecord(it);
+    }
+    m_next = std::max(m_next, result.value().nextOffset);
+    const bool isEnd = result.value().records.empty();
+    m_caughtUp = m_caughtUp || isEnd;
+    if (hasWork()) {
+        readTopic();
+    }
+}
+
+void WeightKeeper::takeRecord(const StoreRecord &record)
+{
+    const json object = record.value ? json::parse(record.value->constBegin(), record.value->constEnd(), nullptr, false) : json();
+    if (!object.is_object()) {
+        m_state.metrics.recordsSkipped.with({m_options.topic}).Increment();
+        return;
+    }
+    if (object.contains("loading")) {
+        const auto server = object.value("loading", std::string());
+        m_state.chooser.setLoading(server, monotonicNow() + m_options.announceHold, object.value("version", std::uint64_t{0}));
+        return;
+    }
+    LeaseRecord lease;
+    lease.resource = Resource;
+    lease.holder = object.value("holder", std::string());
+    lease.nonce = object.value("nonce", std::string());
+    lease.replaces = object.value("replaces", decision::Offset{0});
+    lease.duration = milliseconds(object.value("duration_ms", std::int64_t{0}));
+    if (m_table.apply(fencingOf(record.offset), lease)) {
+        m_holder.folded(suspendAwareNow(), m_table.find(Resource));
+        m_state.log.write(LineWeight::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset)}});
+    }
+}
+
+void WeightKeeper::append(const QByteArray &record, std::function<void()> done)
+{
+    m_store.append(m_options.topic, record, [this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
+        if (!result) {
+            m_state.log.write(LineWeight::Notable, "order_append_failed", {{"error", toText(result.error())}});
+        }
+        done();
+    });
+}
+
+void WeightKeeper::appendLease(const LeaseRecord &lease)
+{
+    append(leaseText(lease), [] {
+        // The topic tells whether the record is there and in force.
+    });
+}
+
+void WeightKeeper::planOrders()
+{
+    const auto fencing = m_holder.fencing(suspendAwareNow());
+    if (!fencing) {
+        return;
+    }
+    for (const auto &[model, newest] : m_state.weights) {
+        const auto servers = conditions(model);
+        auto planner = m_planners.find(model);
+        if (planner == m_planners.end()) {
+            decision::OrderPlannerOptions options;
+            options.repeatInterval = RepeatInterval;
+            options.loadTimeout = LoadTimeout;
+            options.maxLoads = std::max<std::size_t>(1, static_cast<std::size_t>(m_options.loadShare * static_cast<double>(servers.size())));
+            planner = m_planners.emplace(model, decision::OrderPlanner(options)).first;
+        }
+        decision::WantedCondition wanted;
+        wanted.version = std::to_string(newest.version);
+        const auto orders = planner->second.plan(suspendAwareNow(), *fencing, wanted, servers);
+        if (!orders.empty()) {
+            giveOrders(model, orders);
+        }
+    }
+}
+
+void WeightKeeper::giveOrders(const std::string &model, const std::vector<Order> &orders)
+{
+    for (const Order &order : orders) {
+        if (m_ordering.contains(order.server)) {
+            continue;
+        }
+        m_ordering.insert(order.server);
+        const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}};
+        append(QByteArray::fromStdString(announcement.dump()), [this, model, order] {
+            QTimer::singleShot(m_options.announceLead, this, [this, model, order] {
+                prepareOrder(model, order);
+            });
+        });
+    }
+}
+
+void WeightKeeper::prepareOrder(const std::string &model, const Order &order)
+{
+    const auto *entry = m_state.servers.find(order.server);
+    if (entry == nullptr) {
+        m_ordering.erase(order.server);
+        return;
+    }
+    m_engines.readReport(entry->server.address, [this, model, order](const std::optional<EngineReport> &report) {
+        if (!report) {
+            m_ordering.erase(order.server);
+            m_state.log.write(LineWeight::Notable, "order_skipped", {{"server", order.server}, {"reason", "no report"}});
+            return;
+        }
+        sendOrder(model, order, *report);
+    });
+}
+
+void WeightKeeper::sendOrder(const std::string &model, const Order &order, const EngineReport &report)
+{
+    const auto *entry = m_state.servers.find(order.server);
+    const std::uint64_t version = std::stoull(order.value);
+    const auto has = report.weightVersions.find(model);
+    if (has != report.weightVersions.end() && has->second == version) {
+        m_ordering.erase(order.server);
+        takeLoaded(order.server, model, version);
+        return;
+    }
+    const auto newest = m_state.weights.find(model);
+    const bool isCurrent = newest != m_state.weights.end() && newest->second.version == version;
+    // Read again just before it leaves: the process may have stood still since the order was planned.
+    const auto fencing = m_holder.fencing(suspendAwareNow());
+    if (entry == nullptr || !fencing || !isCurrent || report.isExecutingOrder) {
+        m_ordering.erase(order.server);
+        return;
+    }
+    WeightOrder it;
+    it.address = entry->server.address;
+    it.serverId = order.server;
+    it.model = model;
+    it.version = version;
+    it.holder = m_options.vm;
+    it.fencing = static_cast<std::uint64_t>(*fencing);
+    it.expectedOrders = report.ordersAccepted;
+    m_loads[order.server] = Load{model, version, monotonicNow()};
+    m_engines.order(it, [this, it](OrderAnswer answer) {
+        m_ordering.erase(it.serverId);
+        if (answer == OrderAnswer::StaleFencing) {
+            m_planners.at(it.model).staleFencing(static_cast<decision::Offset>(it.fencing));
+        }
+        m_state.log.write(LineWeight::Notable,
+                          "weight_order",
+                          {{"server", it.serverId},
+                           {"model", it.model},
+                           {"version", it.version},
+                           {"fencing", it.fencing},
+                           {"expected_orders", it.expectedOrders},
+                           {"answer", toText(answer)}});
+    });
+}
+
+void WeightKeeper::askLoads()
+{
+    const Instant now = monotonicNow();
+    for (auto &[server, load] : m_loads) {
+        if (now - load.lastReportAt < m_options.reportInterval || m_ordering.contains(server)) {
+            continue;
+        }
+        load.lastReportAt = now;
+        const auto *entry = m_state.servers.find(server);
+        if (entry == nullptr) {
+            continue;
+        }
+        m_engines.readReport(entry->server.address, [this, server = server, load = load](const std::optional<EngineReport> &report) {
+            const auto has = report ? report->weightVersions.find(load.model) : decltype(report->weightVersions.end()){};
+            if (report && has != report->weightVersions.end() && has->second == load.version) {
+                takeLoaded(server, load.model, load.version);
+            }
+        });
+    }
+}
+
+void WeightKeeper::takeLoaded(const std::string &server, const std::string &model, std::uint64_t version)
+{
+    m_loads.erase(server);
+    const auto *entry = m_state.servers.find(server);
+    if (entry == nullptr) {
+        return;
+    }
+    decision::BackendServer loaded = entry->server;
+    loaded.weightVersions[model] = version;
+    m_state.servers.put(loaded, monotonicNow());
+    m_state.log.write(LineWeight::Notable, "weights_loaded", {{"server", server}, {"model", model}, {"version", version}});
+}
+
+} // namespace auburndrum::gateway
