Count each named version of weights from its own naming, and keep order turns per engine

NamedWeights keeps each version's own time; weights found at the start of a process count as old once some engine has newer ones. A successor waited 3 s for every engine; now only for those that the last holder announced an order to. Loads at once: a fifth of the engines, rounded (9 engines: 2, was 1).

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -5,6 +5,7 @@
 #include "auburndrum/decision/traffic/backendlist.h"
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/keptprompts.h"
+#include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/promptmemory.h"
 
 #include <absl/random/bit_gen_ref.h>
@@ -52,8 +53,7 @@
     const Prompt *prompt = nullptr; ///< null for plain services
     std::string_view organisation; ///< that shares no cached prompts with others; empty for all the rest
     std::string_view key; ///< spreads requests without prompt; may be empty
-    std::uint64_t newestWeights = 0; ///< named version of the prompt's model; 0 when none is known
-    Instant weightsNamedAt{}; ///< when this process learned of it
+    const NamedWeights *weights = nullptr; ///< of the prompt's model; null when none were named
     std::vector<std::string> tried; ///< servers that this request was sent to
 };
 
@@ -138,6 +138,7 @@
     ServerChoice assess(const ServerQuery &query, const BackendList::Entry &entry, bool isHome, Instant now) const;
     /// Adds what reading the prompt takes there, in milliseconds of the engine.
     double readTime(const ServerQuery &query, const BackendList::Entry &entry, const Load &load, bool isHome, ServerChoice &choice) const;
+    bool areWeightsOver(const ServerQuery &query, std::uint64_t version, Instant now) const;
     std::chrono::microseconds distance(const std::string &zone) const;
 
     ServerChooserOptions m_options;
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -4,6 +4,7 @@
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/keptprompts.h"
 #include "auburndrum/decision/traffic/retryallowance.h"
+#include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/serverchooser.h"
 #include "auburndrum/gateway/decisionlog.h"
 #include "auburndrum/gateway/gatewaymetrics.h"
@@ -18,13 +19,6 @@
 
 namespace auburndrum::gateway {
 
-/// Weights that the operator named for one model.
-struct NewestWeights
-{
-    std::uint64_t version = 0;
-    Instant namedAt{}; ///< when this process learned of them
-};
-
 /// What all requests of one gateway share. Lives on the event loop's thread.
 struct GatewayState
 {
@@ -49,7 +43,7 @@
     decision::BackendList servers;
     decision::KeptPrompts kept;
     decision::ServerChooser chooser;
-    std::map<std::string, NewestWeights> weights; ///< by model
+    std::map<std::string, decision::NamedWeights> weights; ///< by model
     net::HttpClient client;
     DecisionLog log;
     Metrics registry;
--- a/include/auburndrum/gateway/weightkeeper.h
+++ b/include/auburndrum/gateway/weightkeeper.h
@@ -21,8 +21,8 @@
 {
     std::string vm;
     std::string topic = "auburndrum-orders"; ///< of leases and of announced loads
-    /// Two VMs' orders to one engine are at least so far apart. A lease is waited out by it, so that a late order of the last holder can't follow.
-    std::chrono::milliseconds orderTurn{3000};
+    std::chrono::milliseconds orderTurn{3000}; ///< two VMs' orders to one engine are at least so far apart
+    std::chrono::milliseconds orderLag{1200}; ///< an order leaves so soon after its announcement, or not at all
     std::chrono::milliseconds lease{1500}; ///< several times the store's slowest answers; a dead holder's successor waits for it
     std::chrono::milliseconds leaseMargin{500}; ///< no order leaves in the lease's last part: it would arrive too late
     std::chrono::milliseconds standbyMin{100}; ///< the last holder goes first
@@ -36,7 +36,8 @@
 
 /// @brief Brings engines to the weights that the operator named, from one entry VM at a time.
 ///
-/// Whoever holds the lease in the store gives the orders; the offset of its lease record is the fencing number. The topic is read only
+/// Whoever holds the lease in the store gives the orders; the offset of its lease record is the fencing number. Each order is announced in the
+/// same topic before it leaves: others send no requests there, and a successor knows which engines it must wait for. The topic is read only
 /// while some engine has old weights, so that quiet days cost the store nothing.
 class WeightKeeper : public QObject
 {
@@ -61,11 +62,11 @@
     void takeBatch(const StoreResult<RecordBatch> &result);
     void takeRecord(const StoreRecord &record);
     void appendLease(const decision::LeaseRecord &lease);
-    void append(const QByteArray &record, std::function<void()> done);
+    void append(const QByteArray &record, std::function<void(bool isWritten)> done);
     void planOrders();
     void giveOrders(const std::string &model, const std::vector<decision::Order> &orders);
-    void prepareOrder(const std::string &model, const decision::Order &order);
-    void sendOrder(const std::string &model, const decision::Order &order, const EngineReport &report);
+    void prepareOrder(const std::string &model, const decision::Order &order, Instant announcedAt);
+    void sendOrder(const std::string &model, const decision::Order &order, const EngineReport &report, Instant announcedAt);
     void askLoads();
     void takeLoaded(const std::string &server, const std::string &model, std::uint64_t version);
     std::vector<decision::ServerCondition> conditions(const std::string &model) const;
@@ -74,10 +75,12 @@
     GatewayState &m_state;
     const RecordStore &m_store;
     const EngineControl &m_engines;
+    std::string m_incarnation;
     decision::LeaseTable m_table;
     decision::LeaseHolder m_holder;
     std::map<std::string, decision::OrderPlanner> m_planners; ///< by model
     std::map<std::string, Load> m_loads; ///< by server, ordered by this process
+    std::map<std::string, Instant> m_turns; ///< by server: when this process may order it after another one did
     std::set<std::string> m_ordering; ///< servers whose order is being prepared or sent
     QTimer m_timer;
     std::uint64_t m_next = 0; ///< offset to read from
--- /dev/null
+++ b/src/auburndrum/decision/traffic/namedweights.cpp
@@ -0,0 +1,42 @@
+#include "auburndrum/decision/traffic/namedweights.h"
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+constexpr std::size_t MaxVersions = 16; // older ones count as replaced when the oldest kept one was
+
+} // namespace
+
+bool NamedWeights::name(std::uint64_t version, Instant now, bool wasThere)
+{
+    if (version <= newest()) {
+        return false;
+    }
+    m_versions[version] = {now, wasThere};
+    if (m_versions.size() > MaxVersions) {
+        m_versions.erase(m_versions.begin());
+    }
+    return true;
+}
+
+std::uint64_t NamedWeights::newest() const
+{
+    return m_versions.empty() ? 0 : m_versions.rbegin()->first;
+}
+
+std::optional<Instant> NamedWeights::replacedSince(std::uint64_t version) const
+{
+    const auto it = m_versions.upper_bound(version);
+    return it == m_versions.end() ? std::nullopt : std::optional(it->second.learnedAt);
+}
+
+bool NamedWeights::wasReplacedBefore(std::uint64_t version) const
+{
+    const auto it = m_versions.upper_bound(version);
+    return it != m_versions.end() && it->second.wasThere;
+}
+
+} // namespace auburndrum::decision
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -121,6 +121,28 @@
     return choice;
 }
 
+bool ServerChooser::areWeightsOver(const ServerQuery &query, std::uint64_t version, Instant now) const
+{
+    const auto replacedSince = query.weights->replacedSince(version);
+    if (!replacedSince) {
+        return false;
+    }
+    if (now - *replacedSince >= m_options.oldWeightsLimit) {
+        return true;
+    }
+    if (!query.weights->wasReplacedBefore(version)) {
+        return false;
+    }
+    // Named before this process started. That some server has newer weights already shows that it was a while ago.
+    for (const BackendList::Entry *it : m_servers.ofService(query.service)) {
+        const auto has = it->server.weightVersions.find(query.prompt->model);
+        if (has != it->server.weightVersions.end() && has->second > version) {
+            return true;
+        }
+    }
+    return false;
+}
+
 double ServerChooser::readTime(const ServerQuery &query, const BackendList::Entry &entry, const Load &load, bool isHome, ServerChoice &choice) const
 {
     const Prompt &prompt = *query.prompt;
@@ -178,15 +200,14 @@
             reason = std::max(reason, NoServer::AllFull);
             continue;
         }
-        if (query.prompt != nullptr && query.newestWeights > 0) {
+        if (query.prompt != nullptr && query.weights != nullptr) {
             const auto version = it->server.weightVersions.find(query.prompt->model);
             const std::uint64_t has = version == it->server.weightVersions.end() ? 0 : version->second;
             if (load != nullptr && now < load->loadingUntil && has < load->loadingVersion) {
                 reason = std::max(reason, NoServer::AllLoading);
                 continue;
             }
-            const bool isOld = version != it->server.weightVersions.end() && version->second < query.newestWeights;
-            if (isOld && now - query.weightsNamedAt >= m_options.oldWeightsLimit) {
+            if (areWeightsOver(query, has, now)) {
                 reason = std::max(reason, NoServer::OldWeights);
                 continue;
             }
@@ -201,7 +222,7 @@
     for (const BackendList::Entry *it : candidates) {
         const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == home, now);
         microseconds cost = choice.expectedWait + distance(it->server.zone);
-        if (choice.weights < query.newestWeights) {
+        if (query.weights != nullptr && choice.weights < query.weights->newest()) {
             cost += m_options.oldWeightsCost;
         }
         if (!best || cost < bestCost) {
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -145,8 +145,7 @@
     if (m_facts.prompt) {
         const auto weights = m_state.weights.find(m_facts.prompt->model);
         if (weights != m_state.weights.end()) {
-            query.newestWeights = weights->second.version;
-            query.weightsNamedAt = weights->second.namedAt;
+            query.weights = &weights->second;
         }
     }
     decision::NoServer reason = decision::NoServer::None;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -151,11 +151,9 @@
         skipRecord(m_options.operatorTopic, key, problem);
         return;
     }
-    NewestWeights &newest = m_state.weights[weights->first];
-    if (weights->second <= newest.version) {
+    if (!m_state.weights[weights->first].name(weights->second, monotonicNow(), !m_operatorFeed.isSynced())) {
         return;
     }
-    newest = {weights->second, monotonicNow()};
     m_state.metrics.beliefChanges.with({"weights"}).Increment();
     m_state.log.write(LineWeight::Notable, "weights_named", {{"model", weights->first}, {"version", weights->second}});
 }
--- a/src/auburndrum/gateway/keptreader.cpp
+++ b/src/auburndrum/gateway/keptreader.cpp
@@ -87,9 +87,9 @@
 
 bool KeptReader::isStale(std::string_view scope) const
 {
-    for (const auto &[model, newest] : m_state.weights) {
+    for (const auto &[model, named] : m_state.weights) {
         const auto version = decision::weightsOfScope(scope, model);
-        if (!version || *version >= newest.version) {
+        if (!version || *version >= named.newest()) {
             continue;
         }
         // An engine that still has the old weights may be reading the part.
--- a/src/auburndrum/gateway/weightkeeper.cpp
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburndrum::gateway {
 
@@ -21,15 +22,15 @@
 constexpr milliseconds LoadTimeout{4000}; // then a load that shows no effect frees its place
 constexpr milliseconds AppendTimeout{800}; // after which the topic tells whether an append came through
 
-decision::LeaseHolderOptions holderOptions(const WeightKeeperOptions &options, absl::BitGenRef random)
+decision::LeaseHolderOptions holderOptions(const WeightKeeperOptions &options, const std::string &incarnation, absl::BitGenRef random)
 {
     decision::LeaseHolderOptions it;
     it.resource = Resource;
-    it.incarnation = options.vm + "/" + randomId();
+    it.incarnation = incarnation;
     it.newNonce = randomId;
     it.duration = options.lease;
     it.margin = options.leaseMargin;
-    it.orderTimeout = options.orderTurn;
+    it.orderTimeout = milliseconds(0); // turns are kept for each engine by itself
     it.appendTimeout = AppendTimeout;
     it.standbyDelay = options.standbyMin + milliseconds(absl::Uniform<std::int64_t>(random, 0, options.standbySpread.count()));
     return it;
@@ -76,7 +77,8 @@
     , m_state(state)
     , m_store(store)
     , m_engines(engines)
-    , m_holder(holderOptions(m_options, state.random), suspendAwareNow())
+    , m_incarnation(m_options.vm + "/" + randomId())
+    , m_holder(holderOptions(m_options, m_incarnation, state.random), suspendAwareNow())
 {
     connect(&m_timer, &QTimer::timeout, this, &WeightKeeper::tick);
 }
@@ -88,9 +90,9 @@
 
 bool WeightKeeper::hasWork() const
 {
-    for (const auto &[model, newest] : m_state.weights) {
+    for (const auto &[model, named] : m_state.weights) {
         for (const decision::ServerCondition &it : conditions(model)) {
-            if (!it.isLeaving && it.version != std::to_string(newest.version)) {
+            if (!it.isLeaving && it.version != std::to_string(named.newest())) {
                 return true;
             }
         }
@@ -175,6 +177,9 @@
     }
     if (object.contains("loading")) {
         const auto server = object.value("loading", std::string());
+        if (object.value("holder", std::string()) != m_incarnation) {
+            m_turns[server] = suspendAwareNow() + m_options.orderLag + m_options.orderTurn;
+        }
         m_state.chooser.setLoading(server, monotonicNow() + m_options.announceHold, object.value("version", std::uint64_t{0}));
         return;
     }
@@ -190,19 +195,19 @@
     }
 }
 
-void WeightKeeper::append(const QByteArray &record, std::function<void()> done)
+void WeightKeeper::append(const QByteArray &record, std::function<void(bool)> done)
 {
     m_store.append(m_options.topic, record, [this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
         if (!result) {
             m_state.log.write(LineWeight::Notable, "order_append_failed", {{"error", toText(result.error())}});
         }
-        done();
+        done(result.has_value());
     });
 }
 
 void WeightKeeper::appendLease(const LeaseRecord &lease)
 {
-    append(leaseText(lease), [] {
+    append(leaseText(lease), [](bool /*isWritten*/) {
         // The topic tells whether the record is there and in force.
     });
 }
@@ -213,18 +218,18 @@
     if (!fencing) {
         return;
     }
-    for (const auto &[model, newest] : m_state.weights) {
+    for (const auto &[model, named] : m_state.weights) {
         const auto servers = conditions(model);
         auto planner = m_planners.find(model);
         if (planner == m_planners.end()) {
             decision::OrderPlannerOptions options;
             options.repeatInterval = RepeatInterval;
             options.loadTimeout = LoadTimeout;
-            options.maxLoads = std::max<std::size_t>(1, static_cast<std::size_t>(m_options.loadShare * static_cast<double>(servers.size())));
+            options.maxLoads = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(m_options.loadShare * static_cast<double>(servers.size()))));
             planner = m_planners.emplace(model, decision::OrderPlanner(options)).first;
         }
         decision::WantedCondition wanted;
-        wanted.version = std::to_string(newest.version);
+        wanted.version = std::to_string(named.newest());
         const auto orders = planner->second.plan(suspendAwareNow(), *fencing, wanted, servers);
         if (!orders.empty()) {
             giveOrders(model, orders);
@@ -235,37 +240,44 @@
 void WeightKeeper::giveOrders(const std::string &model, const std::vector<Order> &orders)
 {
     for (const Order &order : orders) {
-        if (m_ordering.contains(order.server)) {
+        const auto turn = m_turns.find(order.server);
+        const bool isTurn = turn == m_turns.end() || suspendAwareNow() >= turn->second;
+        if (m_ordering.contains(order.server) || !isTurn) {
             continue;
         }
         m_ordering.insert(order.server);
-        const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}};
-        append(QByteArray::fromStdString(announcement.dump()), [this, model, order] {
-            QTimer::singleShot(m_options.announceLead, this, [this, model, order] {
-                prepareOrder(model, order);
+        const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}, {"holder", m_incarnation}};
+        append(QByteArray::fromStdString(announcement.dump()), [this, model, order](bool isWritten) {
+            if (!isWritten) {
+                m_ordering.erase(order.server); // nobody would know of the order; the planner repeats it
+                return;
+            }
+            const Instant announcedAt = suspendAwareNow();
+            QTimer::singleShot(m_options.announceLead, this, [this, model, order, announcedAt] {
+                prepareOrder(model, order, announcedAt);
             });
         });
     }
 }
 
-void WeightKeeper::prepareOrder(const std::string &model, const Order &order)
+void WeightKeeper::prepareOrder(const std::string &model, const Order &order, Instant announcedAt)
 {
     const auto *entry = m_state.servers.find(order.server);
     if (entry == nullptr) {
         m_ordering.erase(order.server);
         return;
     }
-    m_engines.readReport(entry->server.address, [this, model, order](const std::optional<EngineReport> &report) {
+    m_engines.readReport(entry->server.address, [this, model, order, announcedAt](const std::optional<EngineReport> &report) {
         if (!report) {
             m_ordering.erase(order.server);
             m_state.log.write(LineWeight::Notable, "order_skipped", {{"server", order.server}, {"reason", "no report"}});
             return;
         }
-        sendOrder(model, order, *report);
+        sendOrder(model, order, *report, announcedAt);
     });
 }
 
-void WeightKeeper::sendOrder(const std::string &model, const Order &order, const EngineReport &report)
+void WeightKeeper::sendOrder(const std::string &model, const Order &order, const EngineReport &report, Instant announcedAt)
 {
     const auto *entry = m_state.servers.find(order.server);
     const std::uint64_t version = std::stoull(order.value);
@@ -276,10 +288,11 @@
         return;
     }
     const auto newest = m_state.weights.find(model);
-    const bool isCurrent = newest != m_state.weights.end() && newest->second.version == version;
+    const bool isCurrent = newest != m_state.weights.end() && newest->second.newest() == version;
     // Read again just before it leaves: the process may have stood still since the order was planned.
     const auto fencing = m_holder.fencing(suspendAwareNow());
-    if (entry == nullptr || !fencing || !isCurrent || report.isExecutingOrder) {
+    const bool isLate = suspendAwareNow() - announcedAt > m_options.orderLag;
+    if (entry == nullptr || !fencing || !isCurrent || report.isExecutingOrder || isLate) {
         m_ordering.erase(order.server);
         return;
     }
