Reverted: follow engines' caches, and favour a prompt's home by half of its shared reading

Tried: long reads of each engine's cache changes, engines as sources for fetches, known contents in place of the assumption that a prompt's home holds it; then a bonus for the home of half the time to read the shared parts. Kept: the log tells the prompt's key and how many parts were to be fetched.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -55,6 +55,7 @@
 {
     m_facts = m_state.wire.readRequest(m_exchange->head());
     m_record.id = m_facts.id;
+    m_record.promptKey = m_facts.prompt ? decision::homeKey(*m_facts.prompt) : std::string();
     m_record.arrivedAt = m_exchange->arrivedAt();
     m_configuration = m_state.configuration;
     if (!m_configuration) {
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -1,5 +1,7 @@
 #include "requestrecord.h"
 
+#include <algorithm>
+
 namespace auburndrum::gateway {
 
 namespace {
@@ -24,6 +26,7 @@
             {"load_age_ms", it.choice.reportAge.count()},
             {"wait_estimate_ms", std::chrono::floor<std::chrono::milliseconds>(it.choice.expectedWait).count()},
             {"unread_tokens", it.choice.unreadTokens},
+            {"fetched_parts", it.choice.partSources.size() - std::count(it.choice.partSources.begin(), it.choice.partSources.end(), "")},
             {"weights", it.choice.weights},
             {"result", it.result},
             {"ms", it.duration.count()}};
@@ -72,6 +75,7 @@
                          {"route", record.route},
                          {"organisation", record.organisation},
                          {"service", record.service},
+                         {"prompt", record.promptKey},
                          {"ms", wholeMs(now - record.arrivedAt)},
                          {"first_byte_ms", record.firstByteAt ? wholeMs(*record.firstByteAt - record.arrivedAt) : -1},
                          {"patience_ms", record.patience.count()},
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -38,6 +38,7 @@
     std::string route;
     std::string organisation;
     std::string service;
+    std::string promptKey; ///< id of the prompt part that decides its home; empty without a prompt
     Instant arrivedAt{};
     std::optional<Instant> firstByteAt; ///< of the answer
     std::uint64_t configuration = 0;
