Under overload, put requests that can be on time first, and don't ask a second engine while the first is busy

Fetches between regions held the stores' links for 400 ms each, after which engines gave up waiting and read the part: first events clustered at 2 s. Now each request carries an urgency by whether it can be on time; a server that answers others counts as busy, not silent; parts are fetched within a region only.

--- a/include/auburndrum/decision/traffic/keptprompts.h
+++ b/include/auburndrum/decision/traffic/keptprompts.h
@@ -40,8 +40,7 @@
 {
     std::string zone; ///< of this entry VM
     std::map<std::string, std::string, std::less<>> regionOfZone;
-    double zoneFactor = 2; ///< a transfer takes so many times as long between zones, by the platform's page
-    double regionFactor = 10; ///< the same between regions
+    double zoneFactor = 2; ///< a transfer takes so many times as long between zones of a region, by the platform's page
     /// A part that was sent to a store is not sent again for so long, as its arrival is told late.
     std::chrono::milliseconds saveEcho{3000};
     double fillShare = 0.95; ///< of a store's room that saves may fill; several entry VMs save at once without asking each other
@@ -70,7 +69,8 @@
     /// Its changes stopped arriving.
     void lost(std::string_view address);
 
-    /// The quickest store for an engine of `zone` that has the part whole.
+    /// The quickest store for an engine of `zone` that has the part whole. Only stores of its region: between regions a transfer takes ten
+    /// times as long and keeps the store's link from all others.
     std::optional<KeptSource> find(std::string_view scope, const PromptPart &part, std::string_view zone, std::uint32_t tokenBytes) const;
     /// The store to put the part in, when an engine of `zone` reads it; empty for none. Counts the part as sent.
     std::string placeFor(std::string_view scope, const PromptPart &part, std::string_view zone, Instant now);
@@ -90,7 +90,7 @@
     };
 
     const std::string &regionOf(std::string_view zone) const;
-    double distanceFactor(std::string_view from, std::string_view to) const;
+    bool isSameRegion(std::string_view a, std::string_view b) const;
     static void keep(Store &store, const KeptChange &change);
 
     KeptPromptsOptions m_options;
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -42,7 +42,6 @@
     std::chrono::milliseconds oldWeightsCost{250};
     std::chrono::milliseconds oldWeightsLimit{5000}; ///< servers with older weights get nothing new once newer ones were named so long ago
     double startReadRate = 30; ///< prompt tokens per millisecond of an engine, until it is learned
-    double fetchWorth = 3; ///< a fetch may take so many times as long as reading the part, as it leaves the engine to other requests
     double memoryShare = 0.6; ///< part of an engine's memory that cached prompts are taken to fill
 };
 
@@ -102,7 +101,7 @@
     /// A request was sent; `prompt` is null for plain services.
     void sent(const ServerChoice &choice, const Prompt *prompt, Instant now);
     /// Its first event or its whole answer has come after `elapsed`.
-    void answered(const ServerChoice &choice, std::chrono::microseconds elapsed);
+    void answered(const ServerChoice &choice, std::chrono::microseconds elapsed, Instant now);
     /// The request no longer uses the server. `hadAnswer`: answered() was called for it.
     void ended(const ServerChoice &choice, bool hadAnswer);
 
@@ -117,6 +116,8 @@
     void forget(std::string_view id);
 
     std::uint32_t running(std::string_view id) const;
+    /// When the server last answered anything to this process; nothing before its first answer.
+    std::optional<Instant> lastAnswerAt(std::string_view id) const;
 
 private:
     struct Load
@@ -126,6 +127,7 @@
         LoadReport report;
         std::uint32_t ownAtReport = 0;
         std::optional<Instant> reportedAt;
+        std::optional<Instant> answeredAt;
         std::optional<Instant> fullUntil;
         Instant loadingUntil{};
         std::uint64_t loadingVersion = 0;
--- a/include/auburndrum/gateway/wire.h
+++ b/include/auburndrum/gateway/wire.h
@@ -33,6 +33,7 @@
     std::chrono::milliseconds timeLeft{0};
     std::string organisation; ///< empty when the request carries no API key
     std::string cacheScope; ///< cached prompt parts are shared within it; empty for the common one
+    std::optional<std::uint32_t> urgency; ///< 0 to 9; engines take the lowest first
     std::string lastEventId; ///< the answer goes on behind this event; empty for a whole one
     std::optional<std::uint64_t> weights; ///< a server with other weights refuses the request
     std::vector<std::string> partSources; ///< for each prompt part the address that it may be fetched from, or empty
--- a/src/auburndrum/decision/traffic/keptprompts.cpp
+++ b/src/auburndrum/decision/traffic/keptprompts.cpp
@@ -93,19 +93,16 @@
     return it == m_options.regionOfZone.end() ? Unknown : it->second;
 }
 
-double KeptPrompts::distanceFactor(std::string_view from, std::string_view to) const
+bool KeptPrompts::isSameRegion(std::string_view a, std::string_view b) const
 {
-    if (from == to) {
-        return 1;
-    }
-    return regionOf(from) == regionOf(to) ? m_options.zoneFactor : m_options.regionFactor;
+    return a == b || regionOf(a) == regionOf(b);
 }
 
 std::optional<KeptSource> KeptPrompts::find(std::string_view scope, const PromptPart &part, std::string_view zone, std::uint32_t tokenBytes) const
 {
     std::optional<KeptSource> best;
     for (const auto &[address, store] : m_stores) {
-        if (!store.isReachable || store.traits.bitsPerSecond <= 0) {
+        if (!store.isReachable || store.traits.bitsPerSecond <= 0 || !isSameRegion(store.traits.zone, zone)) {
             continue;
         }
         const auto parts = store.parts.find(scope);
@@ -113,7 +110,7 @@
             continue;
         }
         const double bits = 8.0 * part.tokens * tokenBytes;
-        const double seconds = bits / store.traits.bitsPerSecond * distanceFactor(store.traits.zone, zone);
+        const double seconds = bits / store.traits.bitsPerSecond * (store.traits.zone == zone ? 1.0 : m_options.zoneFactor);
         const auto time = store.traits.firstDelay + std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
         if (!best || time < best->time) {
             best = KeptSource{address, time};
@@ -132,7 +129,7 @@
     const Store *best = nullptr;
     std::uint64_t bestRank = 0;
     for (const auto &[address, store] : m_stores) {
-        if (!store.isReachable || regionOf(store.traits.zone) != regionOf(zone)) {
+        if (!store.isReachable || !isSameRegion(store.traits.zone, zone)) {
             continue;
         }
         const auto parts = store.parts.find(scope);
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -165,7 +165,7 @@
         const auto source = choice.weights == 0 ? std::nullopt : m_kept.find(choice.scope, part, entry.server.zone, tokenBytes);
         const double readMs = part.tokens / m_readRate;
         const double fetchMs = source ? std::chrono::duration<double, std::milli>(source->time).count() : readMs;
-        if (source && fetchMs < readMs * m_options.fetchWorth) {
+        if (source && fetchMs < readMs) {
             choice.partSources[n] = source->address;
         }
         if (isCached || !choice.partSources[n].empty()) {
@@ -250,9 +250,10 @@
     it.memory.remember(choice.scope, *prompt);
 }
 
-void ServerChooser::answered(const ServerChoice &choice, microseconds elapsed)
+void ServerChooser::answered(const ServerChoice &choice, microseconds elapsed, Instant now)
 {
     Load &it = load(choice.id);
+    it.answeredAt = now;
     it.ownUnread = std::max(0.0, it.ownUnread - choice.unreadTokens);
     if (choice.unreadTokens >= MinLearnTokens && elapsed.count() > 0) {
         const double rate = choice.unreadTokens * 1000.0 / static_cast<double>(elapsed.count());
@@ -314,6 +315,12 @@
     }
 }
 
+std::optional<Instant> ServerChooser::lastAnswerAt(std::string_view id) const
+{
+    const Load *it = find(id);
+    return it == nullptr ? std::nullopt : it->answeredAt;
+}
+
 std::uint32_t ServerChooser::running(std::string_view id) const
 {
     const Load *it = find(id);
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -1,5 +1,7 @@
 #include "forwardedrequest.h"
 
+#include "auburndrum/decision/traffic/urgency.h"
+
 #include <algorithm>
 
 namespace auburndrum::gateway {
@@ -102,6 +104,10 @@
         handleTimeout();
     });
     m_timer.start(std::max(milliseconds(0), timeLeft()));
+    m_silenceCheck.setSingleShot(true);
+    QObject::connect(&m_silenceCheck, &QTimer::timeout, &m_silenceCheck, [this] {
+        checkSilence();
+    });
     attempt();
 }
 
@@ -172,6 +178,11 @@
         addCacheFacts(choice, facts);
     }
     facts.lastEventId = m_lastEventId;
+    if (m_facts.prompt) {
+        const std::uint32_t priority = m_organisation != nullptr && m_organisation->priority ? *m_organisation->priority : m_route->priority;
+        const auto toTarget = m_record.arrivedAt + m_route->targetLatency - monotonicNow();
+        facts.urgency = decision::urgencyOf(priority, choice.expectedWait, std::chrono::floor<std::chrono::microseconds>(toTarget));
+    }
 
     net::HttpCall call;
     call.peer = net::parseAddress(choice.address).value_or(net::Address{});
@@ -186,11 +197,8 @@
     call.connectTimeout = std::min(ConnectTimeout, facts.timeLeft);
     call.firstByteTimeout = facts.timeLeft;
     call.idleTimeout = facts.timeLeft;
-    if (m_route->mayRepeat() && m_arrivals + 1 < m_route->maxServers) {
-        call.firstByteTimeout = std::min(facts.timeLeft, m_route->targetLatency * SilenceInTargets);
-        if (m_route->isResumable) {
-            call.idleTimeout = std::min(facts.timeLeft, m_route->longestPause * SilenceInPauses);
-        }
+    if (m_route->isResumable && m_arrivals + 1 < m_route->maxServers) {
+        call.idleTimeout = std::min(facts.timeLeft, m_route->longestPause * SilenceInPauses);
     }
     return call;
 }
@@ -238,6 +246,28 @@
         self->handleDone(result);
     };
     m_attempt->call = m_state.client.start(makeCall(choice), std::move(hooks));
+    if (m_route->mayRepeat() && m_route->maxServers > 1) {
+        m_silenceCheck.start(m_route->targetLatency * SilenceInTargets);
+    }
+}
+
+void ForwardedRequest::checkSilence()
+{
+    if (m_concluded || !m_attempt || m_attempt->head || m_arrivals + 1 >= m_route->maxServers) {
+        return;
+    }
+    // A server that answers others is busy; asking another one as well would only add to the load.
+    const auto answeredAt = m_state.chooser.lastAnswerAt(m_attempt->choice.id);
+    if (answeredAt && monotonicNow() - *answeredAt < m_route->targetLatency) {
+        m_silenceCheck.start(m_route->targetLatency / 2);
+        return;
+    }
+    const auto self = shared_from_this();
+    net::HttpCallHandle call = m_attempt->call;
+    m_state.chooser.failed(m_attempt->choice.id, monotonicNow(), m_state.random);
+    leaveServer("silent");
+    call.cancel();
+    retryOrConclude(true, Reached::Server);
 }
 
 bool ForwardedRequest::isEventStream() const
@@ -275,7 +305,7 @@
     }
     if (!m_attempt->hadAnswer) {
         m_attempt->hadAnswer = true;
-        m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
+        m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     }
     passOn(events);
     const std::string id = lastIdIn(events);
@@ -343,7 +373,7 @@
         finishStream();
         return;
     }
-    m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
+    m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     m_attempt->hadAnswer = true;
     const QByteArray body = m_attempt->body;
     leaveServer("served");
@@ -491,6 +521,7 @@
 {
     m_concluded = true;
     m_timer.stop();
+    m_silenceCheck.stop();
     m_record.retriesLeft = m_service.empty() ? 0 : m_state.retryAllowance(m_service).left(monotonicNow());
     report(m_state, m_record, outcome, status, reason);
 }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -66,6 +66,7 @@
     void refuse(int status, const char *reason);
     void answerWith(const net::HttpHead &head, const QByteArray &body);
     void cutStream(const char *reason);
+    void checkSilence();
     void handleTimeout();
     void handleCallerGone();
     void conclude(Outcome outcome, int status, const char *reason);
@@ -80,7 +81,8 @@
     RequestFacts m_facts;
     RequestRecord m_record;
     std::string m_service;
-    QTimer m_timer;
+    QTimer m_timer; ///< of the caller's patience
+    QTimer m_silenceCheck; ///< of a server that gave no answer
     Instant m_deadline{};
     std::optional<Attempt> m_attempt;
     std::vector<std::string> m_tried;
