Count replaced weights from the last moment at which they can't have been named

It now counts from the answer before the one that brought the record. A request also has to begin in time, so twice its expected wait is added. Ruled out: late loads (the engine was in the list with its true version all the while).

--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -47,10 +47,11 @@
     {
         return m_synced;
     }
-    /// When the store last answered; nothing before the first answer.
-    std::optional<Instant> lastAnswerAt() const
+    /// The latest moment at which what onChange tells now can't have been there yet: the answer before this one. A record may be read late, as
+    /// after this VM stood still.
+    Instant unseenSince() const
     {
-        return m_lastAnswerAt;
+        return m_previousAnswerAt.value_or(Instant::min());
     }
 
 private:
@@ -77,6 +78,7 @@
     bool m_lost = false;
     std::chrono::milliseconds m_pause;
     std::optional<Instant> m_lastAnswerAt;
+    std::optional<Instant> m_previousAnswerAt; ///< of the answer before the last
     std::optional<Instant> m_regainedAt; ///< after the last outage
 };
 
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -207,10 +207,6 @@
                 reason = std::max(reason, NoServer::AllLoading);
                 continue;
             }
-            if (areWeightsOver(query, has, now)) {
-                reason = std::max(reason, NoServer::OldWeights);
-                continue;
-            }
         }
         candidates.push_back(it);
         if (home == nullptr || rank(it->server.id, key) > rank(home->server.id, key)) {
@@ -221,6 +217,11 @@
     microseconds bestCost{};
     for (const BackendList::Entry *it : candidates) {
         const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == home, now);
+        // It would begin only after its wait, which the estimate tells to about a half.
+        if (query.weights != nullptr && areWeightsOver(query, choice.weights, now + 2 * choice.expectedWait)) {
+            reason = std::max(reason, NoServer::OldWeights);
+            continue;
+        }
         microseconds cost = choice.expectedWait + distance(it->server.zone);
         if (query.weights != nullptr && choice.weights < query.weights->newest()) {
             cost += m_options.oldWeightsCost;
--- /dev/null
+++ b/src/auburndrum/gateway/eventloop.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <QEventLoop>
+#include <QTimer>
+
+#include <chrono>
+#include <functional>
+
+namespace auburndrum::gateway {
+
+/// Runs the event loop until `isDone`, or for so long; true when it was done.
+inline bool runUntil(const std::function<bool()> &isDone, std::chrono::milliseconds patience = std::chrono::seconds(10))
+{
+    QEventLoop loop;
+    QTimer poll;
+    QObject::connect(&poll, &QTimer::timeout, &loop, [&] {
+        if (isDone()) {
+            loop.quit();
+        }
+    });
+    poll.start(std::chrono::milliseconds(1));
+    QTimer::singleShot(patience, &loop, &QEventLoop::quit);
+    loop.exec();
+    return isDone();
+}
+
+/// Runs the event loop for so long.
+inline void runFor(std::chrono::milliseconds time)
+{
+    runUntil(
+        [] {
+            return false;
+        },
+        time);
+}
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -0,0 +1,112 @@
+#include "fakestore.h"
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+RecordStore FakeStore::hooks()
+{
+    RecordStore it;
+    it.readNewest = [this](const std::string &topic, const std::string & /*afterKey*/, auto done) {
+        ++m_calls;
+        QTimer::singleShot(0, &m_context, [this, topic, done] {
+            if (m_error) {
+                done(failure(*m_error));
+                return;
+            }
+            NewestPage page;
+            page.endOffset = m_topics[topic].end;
+            for (const auto &[key, record] : m_topics[topic].newest) {
+                page.records.push_back(record);
+            }
+            done(page);
+        });
+    };
+    it.read = [this](const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, auto done) {
+        ++m_calls;
+        if (m_error) {
+            QTimer::singleShot(0, &m_context, [error = *m_error, done] {
+                done(failure(error));
+            });
+            return;
+        }
+        const auto waiting = std::make_shared<Waiting>(Waiting{topic, from, done});
+        m_waiting.push_back(waiting);
+        QTimer::singleShot(wait, &m_context, [this, waiting] {
+            if (waiting->done) {
+                std::exchange(waiting->done, {})(batch(waiting->topic, waiting->from));
+            }
+        });
+        QTimer::singleShot(0, &m_context, [this, topic] {
+            wake(topic);
+        });
+    };
+    it.append = [this](const std::string &topic, const QByteArray &record, auto done) {
+        ++m_calls;
+        QTimer::singleShot(0, &m_context, [this, topic, record, done] {
+            if (m_error) {
+                done(failure(*m_error));
+                return;
+            }
+            const std::uint64_t offset = m_topics[topic].end;
+            put(topic, {}, record);
+            if (!m_losesAnswers) {
+                done(offset);
+            }
+        });
+    };
+    return it;
+}
+
+void FakeStore::put(const std::string &topic, const std::string &key, const std::optional<QByteArray> &value)
+{
+    Topic &it = m_topics[topic];
+    const StoreRecord record{it.end++, key, value};
+    it.records.push_back(record);
+    if (value) {
+        it.newest[key] = record;
+    } else {
+        it.newest.erase(key);
+    }
+    wake(topic);
+}
+
+void FakeStore::forgetHistory(const std::string &topic)
+{
+    Topic &it = m_topics[topic];
+    it.records.clear();
+    it.first = it.end;
+}
+
+RecordBatch FakeStore::batch(const std::string &topic, std::uint64_t from)
+{
+    const Topic &it = m_topics[topic];
+    RecordBatch batch;
+    batch.nextOffset = std::max(from, it.end);
+    batch.hasGap = from < it.first;
+    std::copy_if(it.records.begin(), it.records.end(), std::back_inserter(batch.records), [from](const StoreRecord &record) {
+        return record.offset >= from;
+    });
+    return batch;
+}
+
+void FakeStore::wake(const std::string &topic)
+{
+    const auto waiting = m_waiting;
+    for (const auto &it : waiting) {
+        const bool hasNews = it->from < m_topics[topic].end || it->from < m_topics[topic].first;
+        if (it->topic != topic || !it->done || !hasNews) {
+            continue;
+        }
+        const auto done = std::exchange(it->done, {});
+        const RecordBatch news = batch(topic, it->from);
+        QTimer::singleShot(0, &m_context, [done, news] {
+            done(news);
+        });
+    }
+    std::erase_if(m_waiting, [](const auto &it) {
+        return !it->done;
+    });
+}
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/fakestore.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "auburndrum/gateway/recordstore.h"
+
+#include <QTimer>
+
+#include <map>
+#include <vector>
+
+namespace auburndrum::gateway {
+
+/// A store in memory that answers from the event loop, and fails on demand.
+class FakeStore
+{
+public:
+    RecordStore hooks();
+
+    /// Adds a record; no value drops the key.
+    void put(const std::string &topic, const std::string &key, const std::optional<QByteArray> &value);
+    /// Deletes all records; the newest of each key stay.
+    void forgetHistory(const std::string &topic);
+    /// Answers nothing but this error from now on; nothing set: it is well again.
+    void setError(std::optional<StoreError> error)
+    {
+        m_error = error;
+    }
+    /// Carries appends out and doesn't answer them.
+    void setLosesAnswers(bool loses)
+    {
+        m_losesAnswers = loses;
+    }
+    const std::vector<StoreRecord> &records(const std::string &topic)
+    {
+        return m_topics[topic].records;
+    }
+    int calls() const
+    {
+        return m_calls;
+    }
+
+private:
+    struct Topic
+    {
+        std::vector<StoreRecord> records;
+        std::map<std::string, StoreRecord> newest;
+        std::uint64_t first = 0; ///< offset of the oldest record that is still there
+        std::uint64_t end = 0;
+    };
+
+    struct Waiting
+    {
+        std::string topic;
+        std::uint64_t from = 0;
+        std::function<void(StoreResult<RecordBatch>)> done;
+    };
+
+    RecordBatch batch(const std::string &topic, std::uint64_t from);
+    void wake(const std::string &topic);
+
+    std::map<std::string, Topic> m_topics;
+    std::vector<std::shared_ptr<Waiting>> m_waiting;
+    std::optional<StoreError> m_error;
+    bool m_losesAnswers = false;
+    int m_calls = 0;
+    QObject m_context;
+};
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -10,8 +10,8 @@
 
 constexpr qint64 StreamBodiesOver = 256 * 1024; // larger bodies are passed on as they arrive, and can't be sent again
 constexpr milliseconds ExpiryInterval{250}; // of a check for lapsed entries; short against their grace of 2 s
-// A request sent in time must also begin in time; the record of new weights may have been read late.
-constexpr milliseconds WeightsMargin{2500};
+// A request sent in time must also begin in time: the way to the engine, and what its queue holds beyond the estimate.
+constexpr milliseconds WeightsMargin{1000};
 constexpr milliseconds StopCheckInterval{50};
 // The balancer asks once a second and takes an entry VM out after two misses; until then it still sends new connections.
 constexpr milliseconds BalancerLag{2600};
@@ -151,7 +151,7 @@
         skipRecord(m_options.operatorTopic, key, problem);
         return;
     }
-    if (!m_state.weights[weights->first].name(weights->second, monotonicNow(), !m_operatorFeed.isSynced())) {
+    if (!m_state.weights[weights->first].name(weights->second, m_operatorFeed.isSynced() ? m_operatorFeed.unseenSince() : monotonicNow(), !m_operatorFeed.isSynced())) {
         return;
     }
     m_state.metrics.beliefChanges.with({"weights"}).Increment();
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -145,7 +145,7 @@
     if (m_lastAnswerAt && now - *m_lastAnswerAt > m_options.longRead + m_options.outageAfter) {
         m_regainedAt = now;
     }
-    m_lastAnswerAt = now;
+    m_previousAnswerAt = std::exchange(m_lastAnswerAt, now);
     m_pause = m_options.firstPause;
     if (m_lost) {
         m_lost = false;
--- /dev/null
+++ b/src/auburndrum/gateway/keyedfeed_test.cpp
@@ -0,0 +1,143 @@
+#include "auburndrum/gateway/keyedfeed.h"
+
+#include "eventloop.h"
+#include "fakestore.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char Topic[] = "topic";
+
+/// A feed and what it told.
+class Follower
+{
+public:
+    explicit Follower(FakeStore &fake)
+        : store(fake.hooks())
+        , feed({.topic = Topic, .longRead = 50ms, .firstPause = 5ms, .maxPause = 20ms, .outageAfter = 100ms, .outageEcho = 500ms},
+               store,
+               {.onChange =
+                    [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
+                        ++changes;
+                        wasOutage = duringOutage;
+                        if (value) {
+                            values[key] = *value;
+                        } else {
+                            values.erase(key);
+                        }
+                    },
+                .onLost =
+                    [this](StoreError) {
+                        ++lost;
+                    },
+                .onRegained =
+                    [this] {
+                        ++regained;
+                    }})
+    {
+        feed.start();
+    }
+
+    bool sees(const std::string &key, const QByteArray &value)
+    {
+        return runUntil([&] {
+            const auto it = values.find(key);
+            return it != values.end() && it->second == value;
+        });
+    }
+
+    RecordStore store;
+    std::map<std::string, QByteArray> values;
+    int changes = 0;
+    int lost = 0;
+    int regained = 0;
+    bool wasOutage = false;
+    KeyedFeed feed;
+};
+
+} // namespace
+
+TEST_CASE("what was there and what comes later are told once each")
+{
+    FakeStore fake;
+    fake.put(Topic, "a", "1");
+    Follower it(fake);
+    CHECK(it.sees("a", "1"));
+    CHECK(it.feed.isSynced());
+    fake.put(Topic, "b", "2");
+    CHECK(it.sees("b", "2"));
+    fake.put(Topic, "a", std::nullopt);
+    CHECK(runUntil([&] {
+        return !it.values.contains("a");
+    }));
+    runFor(100ms);
+    CHECK(it.changes == 3);
+}
+
+TEST_CASE("after the history is dropped, keys that went meanwhile are told as gone")
+{
+    // Pattern: the store drops its history while a server leaves.
+    FakeStore fake;
+    fake.put(Topic, "a", "1");
+    fake.put(Topic, "b", "1");
+    Follower it(fake);
+    REQUIRE(it.sees("b", "1"));
+    fake.setError(StoreError::Unreachable);
+    runFor(60ms);
+    fake.put(Topic, "a", std::nullopt);
+    fake.put(Topic, "c", "1");
+    fake.forgetHistory(Topic);
+    fake.setError(std::nullopt);
+    CHECK(it.sees("c", "1"));
+    CHECK(runUntil([&] {
+        return !it.values.contains("a");
+    }));
+    CHECK(it.values.contains("b"));
+    fake.put(Topic, "a", "2");
+    CHECK(it.sees("a", "2"));
+}
+
+TEST_CASE("an outage is told once, what follows it is marked, and later changes are not")
+{
+    FakeStore fake;
+    fake.put(Topic, "a", "1");
+    Follower it(fake);
+    REQUIRE(it.sees("a", "1"));
+    fake.setError(StoreError::TimedOut);
+    CHECK(runUntil([&] {
+        return it.lost == 1;
+    }));
+    runFor(100ms);
+    CHECK(it.lost == 1);
+    fake.put(Topic, "a", "2");
+    fake.setError(std::nullopt);
+    CHECK(it.sees("a", "2"));
+    CHECK(it.regained == 1);
+    CHECK(it.wasOutage);
+    runFor(600ms);
+    fake.put(Topic, "a", "3");
+    CHECK(it.sees("a", "3"));
+    CHECK_FALSE(it.wasOutage);
+}
+
+TEST_CASE("a record read late is not taken for a new one")
+{
+    // Pattern: weights named while an entry VM stood still for 3 s; it used old weights 10 s after its own reading.
+    FakeStore fake;
+    fake.put(Topic, "a", "1");
+    Follower it(fake);
+    REQUIRE(it.sees("a", "1"));
+    fake.setError(StoreError::Unreachable);
+    runFor(60ms);
+    const Instant before = monotonicNow();
+    fake.put(Topic, "a", "2");
+    runFor(200ms);
+    fake.setError(std::nullopt);
+    REQUIRE(it.sees("a", "2"));
+    CHECK(it.feed.unseenSince() <= before);
+}
