--- a/src/auburndrum/gateway/decisionlog.cpp
+++ b/src/auburndrum/gateway/decisionlog.cpp
@@ -63,7 +63,9 @@
 void DecisionLog::emit(std::string_view event, const nlohmann::ordered_json &fields)
 {
     nlohmann::ordered_json line = {{"event", event}, {"time_ms", wallNow().time_since_epoch().count()}, {"vm", m_options.vm}};
-    line.update(fields);
+    if (!fields.is_null()) {
+        line.update(fields);
+    }
     // Bytes from outside may be no UTF-8; they are replaced rather than lost with the whole line.
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (m_options.write) {
--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -4,6 +4,12 @@
 
 namespace auburndrum::gateway {
 
+namespace {
+
+constexpr std::chrono::milliseconds LostAfter{50}; // the caller's own time limit
+
+} // namespace
+
 RecordStore FakeStore::hooks()
 {
     RecordStore it;
@@ -52,7 +58,11 @@
             put(topic, {}, record);
             if (!m_losesAnswers) {
                 done(offset);
+                return;
             }
+            QTimer::singleShot(LostAfter, &m_context, [done] {
+                done(failure(StoreError::TimedOut));
+            });
         });
     };
     return it;
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -24,7 +24,7 @@
     {
         m_error = error;
     }
-    /// Carries appends out and doesn't answer them.
+    /// Carries appends out and loses the answers, which the caller's time limit tells.
     void setLosesAnswers(bool loses)
     {
         m_losesAnswers = loses;
