--- a/include/auburndrum/gateway/enginecontrol.h
+++ b/include/auburndrum/gateway/enginecontrol.h
@@ -52,10 +52,8 @@
     std::function<void(const std::string &address, std::function<void(const std::optional<EngineReport> &)>)> readReport;
     std::function<void(const WeightOrder &, std::function<void(OrderAnswer)>)> order;
     /// Waits up to `wait` for changes since number `since`; nothing when there is no usable answer.
-    std::function<void(const std::string &address,
-                       std::uint64_t since,
-                       std::chrono::milliseconds wait,
-                       std::function<void(const std::optional<decision::KeptReport> &)>)>
+    std::function<void(
+        const std::string &address, std::uint64_t since, std::chrono::milliseconds wait, std::function<void(const std::optional<decision::KeptReport> &)>)>
         readKeptChanges;
     /// Reads all that is kept; nothing when there is no usable answer.
     std::function<void(const std::string &address, std::function<void(const std::optional<decision::KeptReport> &)>)> readKept;
--- a/src/auburndrum/decision/traffic/configuration_test.cpp
+++ b/src/auburndrum/decision/traffic/configuration_test.cpp
@@ -19,7 +19,10 @@
 Configuration configuration()
 {
     Configuration it;
-    it.routes = {route("all", "a.example", "/"), route("menus", "a.example", "/menus/"), route("weekly", "a.example", "/menus/weekly/"), route("b", "b.example", "/menus/")};
+    it.routes = {route("all", "a.example", "/"),
+                 route("menus", "a.example", "/menus/"),
+                 route("weekly", "a.example", "/menus/weekly/"),
+                 route("b", "b.example", "/menus/")};
     it.indexRoutes();
     return it;
 }
--- a/src/auburndrum/gateway/decisionlog.cpp
+++ b/src/auburndrum/gateway/decisionlog.cpp
@@ -17,10 +17,8 @@
         return;
     }
     spdlog::init_thread_pool(m_options.queueLines, 1);
-    m_logger = std::make_shared<spdlog::async_logger>("decisions",
-                                                      std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-                                                      spdlog::thread_pool(),
-                                                      spdlog::async_overflow_policy::overrun_oldest);
+    m_logger = std::make_shared<spdlog::async_logger>(
+        "decisions", std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     m_logger->set_pattern("%v");
     m_logger->flush_on(spdlog::level::warn);
 }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "auburndrum/net/eventsplitter.h"
 #include "auburndrum/gateway/gatewaystate.h"
+#include "auburndrum/net/eventsplitter.h"
 #include "auburndrum/net/exchange.h"
 #include "requestrecord.h"
 
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -69,9 +69,10 @@
                                }))
     , m_backendFeed({.topic = m_options.backendTopic},
                     m_store,
-                    feedHooks(m_options.backendTopic, [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
-                        takeBackendRecord(key, value, duringOutage);
-                    }))
+                    feedHooks(m_options.backendTopic,
+                              [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
+                                  takeBackendRecord(key, value, duringOutage);
+                              }))
     , m_weights({.vm = m_options.vm, .orderTurn = m_options.orderTurn}, m_state, m_store, m_engines)
     , m_keptReader({}, m_state, m_engines)
 {
@@ -101,9 +102,7 @@
 {
     const net::Address callers = m_callers.listenOn(m_options.callers);
     const net::Address readiness = m_readiness.listenOn(m_options.readiness);
-    m_state.log.write(LineWeight::Notable,
-                      "start",
-                      {{"zone", m_options.zone}, {"callers", net::toText(callers)}, {"readiness", net::toText(readiness)}});
+    m_state.log.write(LineWeight::Notable, "start", {{"zone", m_options.zone}, {"callers", net::toText(callers)}, {"readiness", net::toText(readiness)}});
     if (callers.port == 0 || readiness.port == 0) {
         return false;
     }
@@ -151,7 +150,8 @@
         skipRecord(m_options.operatorTopic, key, problem);
         return;
     }
-    if (!m_state.weights[weights->first].name(weights->second, m_operatorFeed.isSynced() ? m_operatorFeed.unseenSince() : monotonicNow(), !m_operatorFeed.isSynced())) {
+    if (!m_state.weights[weights->first].name(
+            weights->second, m_operatorFeed.isSynced() ? m_operatorFeed.unseenSince() : monotonicNow(), !m_operatorFeed.isSynced())) {
         return;
     }
     m_state.metrics.beliefChanges.with({"weights"}).Increment();
--- a/src/auburndrum/gateway/gateway_test.cpp
+++ b/src/auburndrum/gateway/gateway_test.cpp
@@ -151,9 +151,11 @@
 
     bool has(const std::string &event, int count = 1)
     {
-        return std::count_if(log.begin(), log.end(), [&](const nlohmann::json &it) {
-                   return it["event"] == event;
-               })
+        return std::count_if(log.begin(),
+                             log.end(),
+                             [&](const nlohmann::json &it) {
+                                 return it["event"] == event;
+                             })
             >= count;
     }
 
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -11,8 +11,8 @@
 
 GatewayMetrics::GatewayMetrics(Metrics &metrics)
     : requests(metrics.counters({.name = "auburndrum_gateway_requests_total", .help = "Requests by final outcome.", .labels = {"route", "outcome"}}))
-    , attempts(metrics.counters(
-          {.name = "auburndrum_gateway_attempts_total", .help = "Attempts at backend servers by outcome.", .labels = {"service", "outcome"}}))
+    , attempts(
+          metrics.counters({.name = "auburndrum_gateway_attempts_total", .help = "Attempts at backend servers by outcome.", .labels = {"service", "outcome"}}))
     , firstByteSeconds(metrics.histograms({.name = "auburndrum_gateway_first_byte_seconds",
                                            .help = "From a request's first byte to its answer's first.",
                                            .labels = {"route"},
@@ -22,8 +22,7 @@
                                        .labels = {"route"},
                                        .buckets = LatencyBuckets}))
     , beliefChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
-    , recordsSkipped(
-          metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
+    , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
 {
 }
 
--- a/src/auburndrum/gateway/weightkeeper_test.cpp
+++ b/src/auburndrum/gateway/weightkeeper_test.cpp
@@ -61,7 +61,13 @@
 {
 public:
     Keeper(const std::string &vm, FakeStore &fake, FakeEngines &engines)
-        : state({.zone = "z"}, {.vm = vm, .write = [](std::string_view) {}}, Wire{}, {})
+        : state({.zone = "z"},
+                {.vm = vm,
+                 .write =
+                     [](std::string_view) {
+                     }},
+                Wire{},
+                {})
         , store(fake.hooks())
         , control(engines.hooks())
         , keeper(std::make_unique<WeightKeeper>(options(vm), state, store, control))
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -1,6 +1,5 @@
 #include "clientconnection.h"
 
-
 namespace auburndrum::net {
 
 namespace {
--- a/src/auburndrum/net/httpserver_test.cpp
+++ b/src/auburndrum/net/httpserver_test.cpp
@@ -348,9 +348,12 @@
     socket.write("GET /a%2fb//c?x=%20&x=+ HTTP/1.1\r\nHost: a\r\nX-Two: 1\r\nX-Two: 2\r\n\r\n");
     CHECK(readUntil(socket, "ok").startsWith("HTTP/1.1 200"));
     CHECK(seen.target == "/a%2fb//c?x=%20&x=+");
-    CHECK(std::count_if(seen.headers.begin(), seen.headers.end(), [](const Header &it) {
-              return it.name == "X-Two";
-          }) == 2);
+    CHECK(std::count_if(seen.headers.begin(),
+                        seen.headers.end(),
+                        [](const Header &it) {
+                            return it.name == "X-Two";
+                        })
+          == 2);
 }
 
 TEST_CASE("a request with both a length and chunks is refused")
--- a/src/auburndrum/net/requestparser.cpp
+++ b/src/auburndrum/net/requestparser.cpp
@@ -45,8 +45,7 @@
     }
 
 protected:
-    void
-    on_request_impl(http::verb /*method*/, beast::string_view method, beast::string_view target, int /*version*/, beast::error_code & /*ec*/) override
+    void on_request_impl(http::verb /*method*/, beast::string_view method, beast::string_view target, int /*version*/, beast::error_code & /*ec*/) override
     {
         m_head.method = toBytes(method);
         m_head.target = toBytes(target);
