--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -236,8 +236,8 @@
     microseconds bestCost{};
     for (const BackendList::Entry *it : candidates) {
         const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == home, now);
-        // It would begin only after its wait, which the estimate tells to about a half.
-        if (query.weights != nullptr && areWeightsOver(query, choice.weights, now + 2 * choice.expectedWait)) {
+        // It would begin only after its wait.
+        if (query.weights != nullptr && areWeightsOver(query, choice.weights, now + choice.expectedWait)) {
             reason = std::max(reason, NoServer::OldWeights);
             continue;
         }
