--- a/include/auburndrum/gateway/enginecontrol.h
+++ b/include/auburndrum/gateway/enginecontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "auburndrum/base/errors.h"
 #include "auburndrum/decision/traffic/keptprompts.h"
 
 #include <chrono>
@@ -45,18 +46,25 @@
 
 const char *toText(OrderAnswer answer);
 
+/// Why a store of cached prompts gave no report.
+enum class KeptError {
+    NoAnswer, ///< nothing that can be used
+    TooManyReaders, ///< it is well, but as many as it allows read from it
+};
+
+using KeptAnswer = Result<decision::KeptReport, KeptError>;
+
 /// Calls to engines and stores of cached prompts, beside requests. Every hook must be set.
 struct EngineControl
 {
     /// Nothing when the engine doesn't answer.
     std::function<void(const std::string &address, std::function<void(const std::optional<EngineReport> &)>)> readReport;
     std::function<void(const WeightOrder &, std::function<void(OrderAnswer)>)> order;
-    /// Waits up to `wait` for changes since number `since`; nothing when there is no usable answer.
-    std::function<void(
-        const std::string &address, std::uint64_t since, std::chrono::milliseconds wait, std::function<void(const std::optional<decision::KeptReport> &)>)>
+    /// Waits up to `wait` for changes since number `since`.
+    std::function<void(const std::string &address, std::uint64_t since, std::chrono::milliseconds wait, std::function<void(const KeptAnswer &)>)>
         readKeptChanges;
-    /// Reads all that is kept; nothing when there is no usable answer.
-    std::function<void(const std::string &address, std::function<void(const std::optional<decision::KeptReport> &)>)> readKept;
+    /// Reads all that is kept.
+    std::function<void(const std::string &address, std::function<void(const KeptAnswer &)>)> readKept;
     /// Frees parts of a store in one incarnation; `done` tells whether it was carried out.
     std::function<void(const std::string &address, std::uint64_t incarnation, const std::vector<decision::KeptChange> &parts, std::function<void(bool)> done)>
         freeKept;
--- a/include/auburndrum/gateway/keptreader.h
+++ b/include/auburndrum/gateway/keptreader.h
@@ -16,6 +16,9 @@
 {
     std::chrono::milliseconds wait{1000}; ///< of one question for changes; the longest that the stores allow
     std::chrono::milliseconds retryPause{500}; ///< after a store gave no usable answer
+    /// After a store had too many readers; doubles with each further refusal, as each has a price. In a large fleet most entry VMs do without.
+    std::chrono::milliseconds busyPause{5000};
+    std::chrono::milliseconds maxBusyPause{300000};
     std::chrono::milliseconds freeInterval{1000}; ///< between looks for parts of old weights
     std::chrono::milliseconds freeDelay{1500}; ///< a scope must have been out of use for so long
     std::size_t freeAtOnce = 500; ///< parts in one call
@@ -38,12 +41,14 @@
         std::uint64_t since = 0;
         std::uint64_t incarnation = 0;
         bool isLost = false;
+        std::chrono::milliseconds pause{0}; ///< of the last refusal for too many readers
         std::uint64_t round = 0; ///< answers to questions of an earlier round are dropped
     };
 
     void ask(const std::string &address);
     void askAll(const std::string &address);
-    void take(const std::string &address, std::uint64_t round, const std::optional<decision::KeptReport> &report);
+    void take(const std::string &address, std::uint64_t round, const KeptAnswer &answer);
+    void askAgain(const std::string &address, Followed &followed, KeptError error);
     void freeStale();
     bool isStale(std::string_view scope) const;
 
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -15,7 +15,9 @@
 struct KeyedFeedOptions
 {
     std::string topic;
-    std::chrono::milliseconds longRead{2000}; ///< a read without news ends after it, so that a silent connection shows
+    /// A read without news ends after it, so that a silent connection shows: within the 4 s after which the platform counts a VM as calm again.
+    std::chrono::milliseconds longRead{3000};
+    std::chrono::milliseconds readInterval{150}; ///< between two reads; news that come together are read together, as each call has its price
     std::chrono::milliseconds firstPause{50}; ///< before a failed call is made again; doubles up to maxPause
     std::chrono::milliseconds maxPause{800}; ///< short against the bounds on configurations and drains, which count from the store's return
     std::chrono::milliseconds outageAfter{1500}; ///< without a good answer for so long the store counts as away
@@ -69,6 +71,7 @@
     const RecordStore &m_store;
     KeyedFeedHooks m_hooks;
     QTimer m_retry;
+    Instant m_readAt{}; ///< when the last read began
     std::map<std::string, std::uint64_t> m_offsets; ///< of the newest record told of each key, dropped ones too
     std::set<std::string> m_present; ///< keys that have a value
     std::set<std::string> m_pageKeys; ///< keys seen in the snapshot being read
--- a/include/auburndrum/gateway/weightkeeper.h
+++ b/include/auburndrum/gateway/weightkeeper.h
@@ -28,6 +28,7 @@
     std::chrono::milliseconds standbyMin{100}; ///< the last holder goes first
     std::chrono::milliseconds standbySpread{400}; ///< entry VMs don't all ask at once
     std::chrono::milliseconds tick{100};
+    std::chrono::milliseconds readInterval{200}; ///< between two reads of the topic, as each call has its price for each entry VM
     std::chrono::milliseconds announceLead{30}; ///< for the other entry VMs to hear of a load before it begins
     std::chrono::milliseconds announceHold{6000}; ///< an engine announced as loading gets nothing new for so long, unless it reports the weights before
     std::chrono::milliseconds reportInterval{300}; ///< between questions whether a load is done
@@ -85,6 +86,7 @@
     QTimer m_timer;
     std::uint64_t m_next = 0; ///< offset to read from
     bool m_reading = false;
+    Instant m_readAt{}; ///< when the last read began
     bool m_caughtUp = false;
 };
 
--- a/src/auburndrum/gateway/keptreader.cpp
+++ b/src/auburndrum/gateway/keptreader.cpp
@@ -2,6 +2,8 @@
 
 #include "auburndrum/decision/traffic/cachescope.h"
 
+#include <algorithm>
+
 namespace auburndrum::gateway {
 
 KeptReader::KeptReader(KeptReaderOptions options, GatewayState &state, const EngineControl &engines, QObject *parent)
@@ -38,7 +40,7 @@
         return;
     }
     const std::uint64_t round = followed->second.round;
-    m_engines.readKeptChanges(address, followed->second.since, m_options.wait, [this, address, round](const auto &report) {
+    m_engines.readKeptChanges(address, followed->second.since, m_options.wait, [this, address, round](const KeptAnswer &report) {
         take(address, round, report);
     });
 }
@@ -46,29 +48,25 @@
 void KeptReader::askAll(const std::string &address)
 {
     const std::uint64_t round = m_followed.at(address).round;
-    m_engines.readKept(address, [this, address, round](const auto &report) {
+    m_engines.readKept(address, [this, address, round](const KeptAnswer &report) {
         take(address, round, report);
     });
 }
 
-void KeptReader::take(const std::string &address, std::uint64_t round, const std::optional<decision::KeptReport> &report)
+void KeptReader::take(const std::string &address, std::uint64_t round, const KeptAnswer &answer)
 {
     const auto it = m_followed.find(address);
     if (it == m_followed.end() || it->second.round != round) {
         return;
     }
     Followed &followed = it->second;
-    if (!report) {
+    if (!answer) {
         m_state.kept.lost(address);
-        if (!followed.isLost) {
-            followed.isLost = true;
-            m_state.log.write(LineWeight::Notable, "dependency_lost", {{"dependency", "prompt store"}, {"address", address}});
-        }
-        QTimer::singleShot(m_options.retryPause, this, [this, address] {
-            ask(address);
-        });
+        askAgain(address, followed, answer.error());
         return;
     }
+    const decision::KeptReport *report = &answer.value();
+    followed.pause = std::chrono::milliseconds(0);
     if (followed.isLost) {
         followed.isLost = false;
         m_state.log.write(LineWeight::Notable, "dependency_regained", {{"dependency", "prompt store"}, {"address", address}});
@@ -85,6 +83,29 @@
     ask(address);
 }
 
+void KeptReader::askAgain(const std::string &address, Followed &followed, KeptError error)
+{
+    const bool isBusy = error == KeptError::TooManyReaders;
+    if (!followed.isLost) {
+        followed.isLost = true;
+        m_state.log.write(LineWeight::Notable,
+                          "dependency_lost",
+                          {{"dependency", "prompt store"}, {"address", address}, {"error", isBusy ? "too many readers" : "no answer"}});
+    }
+    auto pause = m_options.retryPause;
+    if (isBusy) {
+        followed.pause = std::clamp(followed.pause * 2, m_options.busyPause, m_options.maxBusyPause);
+        // Spread, so that those who were refused together don't come back together.
+        pause = followed.pause + std::chrono::milliseconds(absl::Uniform<std::int64_t>(m_state.random, 0, followed.pause.count()));
+    }
+    QTimer::singleShot(pause, this, [this, address, round = followed.round] {
+        const auto it = m_followed.find(address);
+        if (it != m_followed.end() && it->second.round == round) {
+            ask(address);
+        }
+    });
+}
+
 bool KeptReader::isStale(std::string_view scope) const
 {
     for (const auto &[model, named] : m_state.weights) {
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -100,6 +100,12 @@
 
 void KeyedFeed::readOn()
 {
+    const auto sinceRead = std::chrono::floor<std::chrono::milliseconds>(monotonicNow() - m_readAt);
+    if (sinceRead < m_options.readInterval) {
+        m_retry.start(m_options.readInterval - sinceRead);
+        return;
+    }
+    m_readAt = monotonicNow();
     m_store.read(m_options.topic, m_next, m_options.longRead, [this](const StoreResult<RecordBatch> &result) {
         takeBatch(result);
     });
--- a/src/auburndrum/gateway/keyedfeed_test.cpp
+++ b/src/auburndrum/gateway/keyedfeed_test.cpp
@@ -19,7 +19,7 @@
 public:
     explicit Follower(FakeStore &fake)
         : store(fake.hooks())
-        , feed({.topic = Topic, .longRead = 50ms, .firstPause = 5ms, .maxPause = 20ms, .outageAfter = 100ms, .outageEcho = 500ms},
+        , feed({.topic = Topic, .longRead = 50ms, .readInterval = 10ms, .firstPause = 5ms, .maxPause = 20ms, .outageAfter = 100ms, .outageEcho = 500ms},
                store,
                {.onChange =
                     [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
@@ -125,6 +125,24 @@
     CHECK_FALSE(it.wasOutage);
 }
 
+TEST_CASE("news that come in quick succession are read together")
+{
+    // Pattern: a roll-out over 90 engines, whose entries change one after the other, told to 87 entry VMs.
+    FakeStore fake;
+    Follower it(fake);
+    fake.put(Topic, "a", "0");
+    REQUIRE(it.sees("a", "0"));
+    const int before = fake.calls();
+    const Instant begin = monotonicNow();
+    for (int n = 1; n <= 100; ++n) {
+        fake.put(Topic, "a", QByteArray::number(n));
+        runFor(2ms);
+    }
+    REQUIRE(it.sees("a", "100"));
+    const auto intervals = (monotonicNow() - begin) / 10ms;
+    CHECK(fake.calls() - before <= intervals + 2);
+}
+
 TEST_CASE("a record read late is not taken for a new one")
 {
     // Pattern: weights named while an entry VM stood still for 3 s; it used old weights 10 s after its own reading.
--- a/src/auburndrum/gateway/weightkeeper.cpp
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -129,7 +129,7 @@
         m_loads.clear();
         return;
     }
-    if (!m_reading) {
+    if (!m_reading && monotonicNow() - m_readAt >= m_options.readInterval) {
         readTopic();
     }
     if (!m_caughtUp) {
@@ -145,6 +145,7 @@
 void WeightKeeper::readTopic()
 {
     m_reading = true;
+    m_readAt = monotonicNow();
     // The first read tells what is there, the next ones wait for news.
     m_store.read(m_options.topic, m_next, m_caughtUp ? LongRead : milliseconds(0), [this](const StoreResult<RecordBatch> &result) {
         takeBatch(result);
@@ -162,10 +163,10 @@
     }
     m_next = std::max(m_next, result.value().nextOffset);
     const bool isEnd = result.value().records.empty();
-    m_caughtUp = m_caughtUp || isEnd;
-    if (hasWork()) {
+    if (!m_caughtUp && !isEnd) {
         readTopic();
     }
+    m_caughtUp = m_caughtUp || isEnd;
 }
 
 void WeightKeeper::takeRecord(const StoreRecord &record)
--- a/src/auburndrum/gateway/weightkeeper_test.cpp
+++ b/src/auburndrum/gateway/weightkeeper_test.cpp
@@ -95,6 +95,7 @@
         it.standbyMin = 20ms;
         it.standbySpread = 30ms;
         it.tick = 5ms;
+        it.readInterval = 5ms;
         it.announceLead = 5ms;
         it.reportInterval = 10ms;
         return it;
