--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -17,7 +17,11 @@
     std::string topic;
     /// A read without news ends after it, so that a silent connection shows: within the 4 s after which the platform counts a VM as calm again.
     std::chrono::milliseconds longRead{3000};
-    std::chrono::milliseconds readInterval{150}; ///< between two reads; news that come together are read together, as each call has its price
+    /// Between two reads; news that come together are read together, as each call has its price. Grows with the keys, since more of them change at
+    /// once in a larger fleet, up to a fraction of the 2.5 s in which a change must be in force.
+    std::chrono::milliseconds readInterval{150};
+    std::chrono::milliseconds intervalPerKey{5};
+    std::chrono::milliseconds maxInterval{500};
     std::chrono::milliseconds firstPause{50}; ///< before a failed call is made again; doubles up to maxPause
     std::chrono::milliseconds maxPause{800}; ///< short against the bounds on configurations and drains, which count from the store's return
     std::chrono::milliseconds outageAfter{1500}; ///< without a good answer for so long the store counts as away
@@ -61,6 +65,7 @@
     void takePage(const StoreResult<NewestPage> &result);
     void finishSnapshot();
     void readOn();
+    std::chrono::milliseconds intervalNow() const;
     void takeBatch(const StoreResult<RecordBatch> &result);
     void apply(const StoreRecord &record);
     void answered();
--- a/include/auburndrum/gateway/weightkeeper.h
+++ b/include/auburndrum/gateway/weightkeeper.h
@@ -29,6 +29,8 @@
     std::chrono::milliseconds standbySpread{400}; ///< entry VMs don't all ask at once
     std::chrono::milliseconds tick{100};
     std::chrono::milliseconds readInterval{200}; ///< between two reads of the topic, as each call has its price for each entry VM
+    /// The same for each listed server, for those that don't hold the lease: in a larger fleet more loads are announced, to more entry VMs.
+    std::chrono::milliseconds intervalPerServer{15};
     std::chrono::milliseconds announceLead{30}; ///< for the other entry VMs to hear of a load before it begins
     std::chrono::milliseconds announceHold{6000}; ///< an engine announced as loading gets nothing new for so long, unless it reports the weights before
     std::chrono::milliseconds reportInterval{300}; ///< between questions whether a load is done
@@ -60,6 +62,7 @@
     void tick();
     bool hasWork() const;
     void readTopic();
+    std::chrono::milliseconds intervalNow() const;
     void takeBatch(const StoreResult<RecordBatch> &result);
     void takeRecord(const StoreRecord &record);
     void appendLease(const decision::LeaseRecord &lease);
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -98,11 +98,17 @@
     readOn();
 }
 
+std::chrono::milliseconds KeyedFeed::intervalNow() const
+{
+    const auto grown = std::min(m_options.intervalPerKey * static_cast<std::int64_t>(m_present.size()), m_options.maxInterval);
+    return std::max(m_options.readInterval, grown);
+}
+
 void KeyedFeed::readOn()
 {
     const auto sinceRead = std::chrono::floor<std::chrono::milliseconds>(monotonicNow() - m_readAt);
-    if (sinceRead < m_options.readInterval) {
-        m_retry.start(m_options.readInterval - sinceRead);
+    if (sinceRead < intervalNow()) {
+        m_retry.start(intervalNow() - sinceRead);
         return;
     }
     m_readAt = monotonicNow();
--- a/src/auburndrum/gateway/weightkeeper.cpp
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -129,7 +129,7 @@
         m_loads.clear();
         return;
     }
-    if (!m_reading && monotonicNow() - m_readAt >= m_options.readInterval) {
+    if (!m_reading && monotonicNow() - m_readAt >= intervalNow()) {
         readTopic();
     }
     if (!m_caughtUp) {
@@ -142,6 +142,14 @@
     askLoads();
 }
 
+milliseconds WeightKeeper::intervalNow() const
+{
+    if (m_holder.fencing(suspendAwareNow())) {
+        return m_options.readInterval;
+    }
+    return std::max(m_options.readInterval, m_options.intervalPerServer * static_cast<std::int64_t>(m_state.servers.size()));
+}
+
 void WeightKeeper::readTopic()
 {
     m_reading = true;
