--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -95,6 +95,7 @@
     ServerChooser(ServerChooserOptions options, const BackendList &servers, const KeptPrompts &kept);
 
     void configure(const Configuration &configuration);
+    void setOldWeightsLimit(std::chrono::milliseconds limit);
 
     /// The server for this request, or why there is none.
     std::optional<ServerChoice> choose(const ServerQuery &query, Instant now, NoServer &reason) const;
--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -58,6 +58,10 @@
 
     /// False when an address can't be had.
     bool start();
+    /// Takes the settings that may change while it runs: the allowance for retries, the time for new weights and the grace of a stop.
+    void reload(const GatewayOptions &options);
+    /// Tells that changed settings can't be used; the old ones stay in force.
+    void keepSettings(const std::string &problem);
     /// Stops taking requests, ends those under way, then calls `onStopped`.
     void stop(std::function<void()> onStopped);
 
--- a/include/auburndrum/net/shutdownsignal.h
+++ b/include/auburndrum/net/shutdownsignal.h
@@ -9,15 +9,16 @@
 
 namespace auburndrum::net {
 
-/// @brief Turns SIGTERM and SIGINT into calls on the event loop.
+/// @brief Turns SIGTERM and SIGINT, and SIGHUP where a hook takes it, into calls on the event loop.
 class ShutdownSignal : public QObject
 {
 public:
-    explicit ShutdownSignal(std::function<void()> onSignal, QObject *parent = nullptr);
+    explicit ShutdownSignal(std::function<void()> onStop, std::function<void()> onReload = {}, QObject *parent = nullptr);
     ~ShutdownSignal() override;
 
 private:
-    std::function<void()> m_onSignal;
+    std::function<void()> m_onStop;
+    std::function<void()> m_onReload;
     std::unique_ptr<QSocketNotifier> m_notifier;
     int m_descriptor = -1;
 };
--- a/src/auburndrum/decision/traffic/keptprompts.cpp
+++ b/src/auburndrum/decision/traffic/keptprompts.cpp
@@ -99,9 +99,9 @@
 
 const std::string &KeptPrompts::regionOf(std::string_view zone) const
 {
-    static const std::string Unknown;
+    static const std::string unknown;
     const auto it = m_options.regionOfZone.find(zone);
-    return it == m_options.regionOfZone.end() ? Unknown : it->second;
+    return it == m_options.regionOfZone.end() ? unknown : it->second;
 }
 
 bool KeptPrompts::isSameRegion(std::string_view a, std::string_view b) const
--- a/src/auburndrum/decision/traffic/prompt.cpp
+++ b/src/auburndrum/decision/traffic/prompt.cpp
@@ -4,9 +4,9 @@
 
 const std::string &homeKey(const Prompt &prompt)
 {
-    static const std::string None;
+    static const std::string none;
     if (prompt.parts.empty()) {
-        return None;
+        return none;
     }
     // The last part is the request's own when others stand before it.
     const std::size_t n = prompt.parts.size() > 1 ? prompt.parts.size() - 2 : 0;
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -61,6 +61,11 @@
     }
 }
 
+void ServerChooser::setOldWeightsLimit(std::chrono::milliseconds limit)
+{
+    m_options.oldWeightsLimit = limit;
+}
+
 const ServerChooser::Load *ServerChooser::find(std::string_view id) const
 {
     const auto it = m_loads.find(id);
@@ -118,8 +123,8 @@
     const double readMs = readTime(query, entry, load, isHome, choice);
     const double aheadTokens = load.ownUnread + waiting * MeanWaitingTokens + choice.running * RunningCostTokens;
     choice.memoryTokens = query.prompt->inputTokens + query.prompt->maxOutputTokens;
-    choice.expectedWait = microseconds(static_cast<std::int64_t>((aheadTokens / m_readRate + readMs) * 1000))
-        + memoryWait(entry, load, others, choice.memoryTokens);
+    choice.expectedWait
+        = microseconds(static_cast<std::int64_t>((aheadTokens / m_readRate + readMs) * 1000)) + memoryWait(entry, load, others, choice.memoryTokens);
     return choice;
 }
 
--- a/src/auburndrum/decision/traffic/urgency.cpp
+++ b/src/auburndrum/decision/traffic/urgency.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds ShortestReturn{400}; // several times the way between regions and a plain answer
+constexpr std::chrono::milliseconds LongestReturn{3000}; // callers wait a third of their time at most; the longest deadlines are near 10 s and more
+constexpr double WaitShare = 0.5;
 constexpr std::uint32_t LateBand = 5; // urgencies 0 to 4 are for requests that can be on time, 5 to 9 for the others
 
 } // namespace
@@ -16,4 +19,16 @@
     return expectedWait <= timeToTarget ? rank : LateBand + rank;
 }
 
+bool canBeServed(std::chrono::microseconds expectedWait, std::chrono::microseconds timeLeft)
+{
+    return expectedWait <= timeLeft;
+}
+
+std::chrono::milliseconds returnAfter(std::chrono::microseconds expectedWait, double random)
+{
+    const auto share = std::chrono::floor<std::chrono::milliseconds>(expectedWait * WaitShare);
+    const auto middle = std::clamp(share, ShortestReturn, LongestReturn);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(middle.count()) * (0.75 + 0.5 * random)));
+}
+
 } // namespace auburndrum::decision
--- a/src/auburndrum/decision/traffic/urgency_test.cpp
+++ b/src/auburndrum/decision/traffic/urgency_test.cpp
@@ -15,6 +15,21 @@
     CHECK(urgencyOf(0, 0ms, -1ms) == 5);
 }
 
+TEST_CASE("a request that would wait longer than its caller is not sent")
+{
+    CHECK(canBeServed(2900ms, 3000ms));
+    CHECK_FALSE(canBeServed(3100ms, 3000ms));
+}
+
+TEST_CASE("callers that are turned away come back spread, later under a longer wait, and never after long")
+{
+    // Pattern: a burst of three times the usual requests; with one fixed time all of them returned at once.
+    CHECK(returnAfter(0ms, 0) == 300ms);
+    CHECK(returnAfter(0ms, 1) == 500ms);
+    CHECK(returnAfter(4s, 0.5) == 2s);
+    CHECK(returnAfter(60s, 1) == 3750ms);
+}
+
 TEST_CASE("an engine at twice its capacity serves about half on time by urgency, and hardly any first come, first served")
 {
     // Pattern: engines lost at noon. One engine, a request each 50 ms that takes 100 ms to read, a target of 1 s.
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -16,7 +16,6 @@
 constexpr milliseconds MaxReuseAge{8000};
 constexpr milliseconds MaxReuseAgeOnce{3000}; // for requests that can't be sent again
 constexpr milliseconds LeastUsefulTime{50}; // with less left a further attempt can't bring an answer
-constexpr milliseconds RetryAfter{500}; // until a caller that was turned away is to come back
 constexpr std::uint32_t MaxSends = 4; // of one request, those that reached no server included
 constexpr int SilenceInPauses = 4; // a stream counts as broken after so many of the longest pauses that are on time
 constexpr int SilenceInTargets = 2; // a server may be silent, rather than busy, after so many target latencies without an answer
@@ -164,6 +163,12 @@
         concludeWithoutAnswer();
         return;
     }
+    if (m_facts.prompt && !decision::canBeServed(choice->expectedWait, std::chrono::floor<std::chrono::microseconds>(m_deadline - monotonicNow()))) {
+        m_record.noServer = "all servers too busy";
+        m_returnAfter = decision::returnAfter(choice->expectedWait, absl::Uniform<double>(m_state.random, 0, 1));
+        concludeWithoutAnswer();
+        return;
+    }
     send(*choice);
 }
 
@@ -471,7 +476,7 @@
 {
     std::vector<net::Header> headers;
     if (promisesNotRun(status)) {
-        headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(RetryAfter).count())});
+        headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(m_returnAfter).count())});
     }
     const nlohmann::json body = {{"error", reason}};
     m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -92,6 +92,7 @@
     bool m_bodyRepeatable = true;
     bool m_streaming = false; ///< the caller has the head of the answer and maybe parts of it
     bool m_concluded = false;
+    std::chrono::milliseconds m_returnAfter{500}; ///< told to a caller that is turned away; long enough for a restart or a refusal to pass
     std::string m_lastEventId; ///< of the last event that was passed on
     std::optional<std::pair<net::HttpHead, QByteArray>> m_serverFailure; ///< passed on when no other server does better
 };
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -222,6 +222,27 @@
     m_state.log.write(LineWeight::Notable, "record_skipped", {{"topic", topic}, {"key", key}, {"problem", problem}});
 }
 
+void Gateway::reload(const GatewayOptions &options)
+{
+    m_options.retries = options.retries;
+    m_options.weightsTime = options.weightsTime;
+    m_options.stopGrace = options.stopGrace;
+    m_state.retryOptions = options.retries;
+    m_state.allowances.clear();
+    m_state.chooser.setOldWeightsLimit(chooserOptions(m_options).oldWeightsLimit);
+    m_state.log.write(LineWeight::Notable,
+                      "reload",
+                      {{"retry_ratio", options.retries.ratio},
+                       {"weights_ms", options.weightsTime.count()},
+                       {"stop_grace_ms", options.stopGrace.count()},
+                       {"moved", options.callers != m_options.callers}});
+}
+
+void Gateway::keepSettings(const std::string &problem)
+{
+    m_state.log.write(LineWeight::Notable, "reload_failed", {{"problem", problem}});
+}
+
 void Gateway::stop(std::function<void()> onStopped)
 {
     if (m_stopping) {
--- a/src/auburndrum/net/shutdownsignal.cpp
+++ b/src/auburndrum/net/shutdownsignal.cpp
@@ -8,21 +8,29 @@
 
 namespace auburndrum::net {
 
-ShutdownSignal::ShutdownSignal(std::function<void()> onSignal, QObject *parent)
+ShutdownSignal::ShutdownSignal(std::function<void()> onStop, std::function<void()> onReload, QObject *parent)
     : QObject(parent)
-    , m_onSignal(std::move(onSignal))
+    , m_onStop(std::move(onStop))
+    , m_onReload(std::move(onReload))
 {
     sigset_t mask;
     sigemptyset(&mask);
     sigaddset(&mask, SIGTERM);
     sigaddset(&mask, SIGINT);
+    if (m_onReload) {
+        sigaddset(&mask, SIGHUP);
+    }
     pthread_sigmask(SIG_BLOCK, &mask, nullptr);
     m_descriptor = signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC);
     m_notifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
     connect(m_notifier.get(), &QSocketNotifier::activated, this, [this] {
         signalfd_siginfo info{};
         while (read(m_descriptor, &info, sizeof(info)) == sizeof(info)) {
-            m_onSignal();
+            if (info.ssi_signo == SIGHUP) {
+                m_onReload();
+            } else {
+                m_onStop();
+            }
         }
     });
 }
