--- /dev/null
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -0,0 +1,263 @@
+#include "forwardedrequest.h"
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds LeastUsefulTime{50}; // with less left a further attempt can't bring an answer
+constexpr std::uint32_t MaxSends = 4; // of one request, those that reached no server included
+
+/// The id of the last event in a run of whole events; empty when none has one.
+std::string lastIdIn(const QByteArray &events)
+{
+    const auto at = events.startsWith("id:") && events.lastIndexOf("\nid:") < 0 ? 0 : events.lastIndexOf("\nid:") + 1;
+    if (!QByteArrayView(events).sliced(at).startsWith("id:")) {
+        return {};
+    }
+    const auto begin = at + 3;
+    const auto end = events.indexOf('\n', begin);
+    return events.mid(begin, end < 0 ? -1 : end - begin).trimmed().toStdString();
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses by which a caller is told that its request has not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+bool ForwardedRequest::isEventStream() const
+{
+    return m_route->kind == decision::RequestKind::Streaming && m_attempt->head && isSuccess(m_attempt->head->status) && m_attempt->facts.isSealed
+        && !m_attempt->facts.isEncoded;
+}
+
+void ForwardedRequest::handleHead(const net::HttpHead &head)
+{
+    m_attempt->head = head;
+    m_attempt->facts = m_state.wire.readAnswer(head);
+    if (m_attempt->facts.load) {
+        m_state.chooser.reported(m_attempt->choice.id, *m_attempt->facts.load, monotonicNow());
+    }
+}
+
+void ForwardedRequest::handleBody(const QByteArray &part)
+{
+    if (m_concluded || !m_attempt || !m_attempt->head) {
+        return;
+    }
+    if (isEventStream()) {
+        handleEvents(part);
+        return;
+    }
+    m_attempt->body += part;
+}
+
+void ForwardedRequest::handleEvents(const QByteArray &part)
+{
+    const QByteArray events = m_attempt->events.feed(part);
+    if (events.isEmpty()) {
+        return;
+    }
+    if (!m_attempt->hadAnswer) {
+        m_attempt->hadAnswer = true;
+        m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
+    }
+    passOn(events);
+    const std::string id = lastIdIn(events);
+    if (!id.empty()) {
+        m_lastEventId = id;
+    }
+}
+
+void ForwardedRequest::passOn(const QByteArray &bytes)
+{
+    if (!m_streaming) {
+        m_streaming = true;
+        m_record.firstByteAt = monotonicNow();
+        m_exchange->startStream(m_attempt->head->status, m_state.wire.answerHeaders(*m_attempt->head));
+    }
+    m_exchange->writeChunk(bytes);
+    if (m_exchange->unsentBytes() > PauseAboveBytes) {
+        m_attempt->call.setReadingPaused(true);
+    }
+}
+
+void ForwardedRequest::handleDone(const net::HttpResult &result)
+{
+    if (m_concluded || !m_attempt) {
+        return;
+    }
+    if (result.failure != net::HttpFailure::None) {
+        handleBrokenAnswer(result);
+        return;
+    }
+    handleWholeAnswer();
+}
+
+void ForwardedRequest::handleWholeAnswer()
+{
+    const net::HttpHead head = *m_attempt->head;
+    const AnswerFacts facts = m_attempt->facts;
+    const std::string server = m_attempt->choice.id;
+    if (facts.hasNotRun) {
+        m_state.chooser.refused(server, monotonicNow());
+        leaveServer("not_run");
+        retryOrConclude(false, head.status == 421 ? Reached::OtherServer : Reached::Server);
+        return;
+    }
+    const bool isUnusable = facts.isEncoded || (isSuccess(head.status) && !facts.isSealed) || (promisesNotRun(head.status) && !facts.isSealed);
+    if (isUnusable) {
+        m_state.chooser.failed(server, monotonicNow(), m_state.random);
+        leaveServer("unusable_answer");
+        retryOrConclude(true, Reached::Server);
+        return;
+    }
+    if (!isSuccess(head.status)) {
+        const QByteArray body = m_attempt->body;
+        leaveServer("server_failure");
+        m_serverFailure.emplace(head, body);
+        if (head.status >= 500) {
+            retryOrConclude(true, Reached::Server);
+            return;
+        }
+        concludeWithoutAnswer();
+        return;
+    }
+    m_state.chooser.succeeded(server);
+    if (isEventStream()) {
+        finishStream();
+        return;
+    }
+    m_state.chooser.answered(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
+    m_attempt->hadAnswer = true;
+    const QByteArray body = m_attempt->body;
+    leaveServer("served");
+    m_record.firstByteAt = monotonicNow();
+    answerWith(head, body);
+    conclude(Outcome::Served, head.status, "");
+}
+
+void ForwardedRequest::finishStream()
+{
+    const QByteArray rest = m_attempt->events.takePartial();
+    if (!rest.isEmpty() || !m_streaming) {
+        passOn(rest);
+    }
+    const int status = m_attempt->head->status;
+    leaveServer("served");
+    m_exchange->finishStream();
+    conclude(Outcome::Served, status, "");
+}
+
+void ForwardedRequest::handleBrokenAnswer(const net::HttpResult &result)
+{
+    // A kept connection that its server closed under the request says nothing of the server's health.
+    if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
+        m_state.chooser.failed(m_attempt->choice.id, monotonicNow(), m_state.random);
+    }
+    m_attempt->events.dropPartial();
+    leaveServer(net::toText(result.failure));
+    retryOrConclude(result.sent, result.sent ? Reached::Server : Reached::Nobody);
+}
+
+void ForwardedRequest::leaveServer(const char *result)
+{
+    if (!m_attempt) {
+        return;
+    }
+    m_record.attempts.push_back({m_attempt->choice, result, std::chrono::floor<milliseconds>(monotonicNow() - m_attempt->sentAt)});
+    m_state.chooser.ended(m_attempt->choice, m_attempt->hadAnswer, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
+    m_attempt.reset();
+}
+
+bool ForwardedRequest::mayTryAgain(Reached reached)
+{
+    if (m_sends >= MaxSends || !m_bodyRepeatable || timeLeft() < LeastUsefulTime) {
+        return false;
+    }
+    if (m_arrivals >= m_route->maxServers) {
+        return false;
+    }
+    // What never arrived costs no server anything.
+    return reached == Reached::Nobody || m_state.retryAllowance(m_service).tryTake(monotonicNow());
+}
+
+void ForwardedRequest::retryOrConclude(bool mayHaveRun, Reached reached)
+{
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    if (reached == Reached::Server) {
+        ++m_arrivals;
+    }
+    const bool isAllowed = !m_mayHaveRun || m_route->mayRepeat();
+    const bool isResumeAllowed = !m_streaming || m_route->isResumable;
+    if (isAllowed && isResumeAllowed && mayTryAgain(reached)) {
+        attempt();
+        return;
+    }
+    concludeWithoutAnswer();
+}
+
+void ForwardedRequest::concludeWithoutAnswer()
+{
+    if (m_streaming) {
+        cutStream("the stream broke and can't be resumed");
+        return;
+    }
+    if (m_serverFailure) {
+        const auto [head, body] = *m_serverFailure;
+        answerWith(head, body);
+        conclude(Outcome::ServerFailure, head.status, "the backend server failed");
+        return;
+    }
+    if (m_mayHaveRun) {
+        refuse(502, "no usable answer; the request may have run");
+        return;
+    }
+    refuse(503, m_record.noServer.empty() ? "no backend server took the request" : "no backend server to send to");
+}
+
+void ForwardedRequest::answerWith(const net::HttpHead &head, const QByteArray &body)
+{
+    m_exchange->respond(head.status, m_state.wire.answerHeaders(head), body);
+}
+
+void ForwardedRequest::refuse(int status, const char *reason)
+{
+    std::vector<net::Header> headers;
+    if (promisesNotRun(status)) {
+        headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(m_returnAfter).count())});
+    }
+    const nlohmann::json body = {{"error", reason}};
+    m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
+    const bool isRejection = status == 401 || status == 404;
+    const Outcome outcome = isRejection ? Outcome::Rejected : promisesNotRun(status) ? Outcome::Refused : status == 504 ? Outcome::TimedOut : Outcome::Failed;
+    conclude(outcome, status, reason);
+}
+
+void ForwardedRequest::cutStream(const char *reason)
+{
+    m_exchange->abort();
+    conclude(Outcome::Cut, 0, reason);
+}
+
+void ForwardedRequest::conclude(Outcome outcome, int status, const char *reason)
+{
+    m_concluded = true;
+    m_timer.stop();
+    m_silenceCheck.stop();
+    m_record.retriesLeft = m_service.empty() ? 0 : m_state.retryAllowance(m_service).left(monotonicNow());
+    report(m_state, m_record, outcome, status, reason);
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -37,6 +37,8 @@
         net::EventSplitter events;
     };
 
+    static constexpr qint64 PauseAboveBytes = 256 * 1024; ///< waiting for a slow caller or server; whoever sends is slowed down above it
+
     /// Whom an attempt reached.
     enum class Reached {
         Nobody, ///< no byte of it left
@@ -44,6 +46,7 @@
         Server,
     };
 
+    // The way to a server, in forwardedrequest.cpp.
     bool authorise();
     void chooseService();
     void attempt();
--- /dev/null
+++ b/src/auburndrum/gateway/gatewayscene.cpp
@@ -0,0 +1,186 @@
+#include "gatewayscene.h"
+
+#include "eventloop.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const net::Address AnyPort{QHostAddress(QStringLiteral("127.0.0.1")), 0};
+
+/// A plain wire format: an id, a key and the server's id, nothing else.
+Wire plainWire()
+{
+    Wire it;
+    it.readRequest = [](const net::RequestHead &head) {
+        RequestFacts facts;
+        facts.id = net::headerValue(head.headers, "Id").toStdString();
+        facts.host = net::headerValue(head.headers, "Host").toStdString();
+        facts.apiKey = net::headerValue(head.headers, "Key").toStdString();
+        return facts;
+    };
+    it.forwardHeaders = [](const net::RequestHead &, const ForwardFacts &facts) {
+        return std::vector<net::Header>{{"Server", QByteArray::fromStdString(facts.serverId)},
+                                        {"Left", QByteArray::number(static_cast<qint64>(facts.timeLeft.count()))},
+                                        {"Organisation", QByteArray::fromStdString(facts.organisation)},
+                                        {"After", QByteArray::fromStdString(facts.lastEventId)}};
+    };
+    it.readAnswer = [](const net::HttpHead &head) {
+        AnswerFacts facts;
+        facts.requestId = head.header("Id").toStdString();
+        facts.isSealed = !head.header("Seal").isEmpty();
+        facts.hasNotRun = !head.header("Not-Run").isEmpty();
+        return facts;
+    };
+    it.answerHeaders = [](const net::HttpHead &head) {
+        return std::vector<net::Header>{{"Seal", head.header("Seal")}};
+    };
+    return it;
+}
+
+decision::Route route(const std::string &name, decision::RequestKind kind, std::uint32_t maxServers, bool isResumable = false)
+{
+    decision::Route it;
+    it.name = name;
+    it.host = "host";
+    it.pathPrefix = "/" + name + "/";
+    it.kind = kind;
+    it.targets = {{"service", 1}};
+    it.timeout = 1000ms;
+    it.targetLatency = 300ms;
+    it.longestPause = 100ms;
+    it.maxServers = maxServers;
+    it.isResumable = isResumable;
+    return it;
+}
+
+RecordReaders readers()
+{
+    RecordReaders it;
+    it.isConfiguration = [](std::string_view key) {
+        return key == "configuration";
+    };
+    it.isWeights = [](std::string_view) {
+        return false;
+    };
+    it.readConfiguration = [](std::string_view value, std::string &problem) -> std::optional<decision::Configuration> {
+        if (value == "broken") {
+            problem = "is broken";
+            return std::nullopt;
+        }
+        decision::Configuration configuration;
+        configuration.version = std::stoull(std::string(value));
+        configuration.routes = {route("once", decision::RequestKind::Unsafe, 2),
+                                route("single", decision::RequestKind::Unsafe, 1),
+                                route("safe", decision::RequestKind::Safe, 2),
+                                route("stream", decision::RequestKind::Streaming, 2, true),
+                                route("brief", decision::RequestKind::Streaming, 2)};
+        if (configuration.version >= 5) {
+            configuration.routes.pop_back();
+        }
+        configuration.needsKeys = true;
+        configuration.organisations = {{"kattila", {}, false}};
+        configuration.keys["key"] = 0;
+        configuration.indexRoutes();
+        return configuration;
+    };
+    it.readWeights = [](std::string_view, std::string &) {
+        return std::nullopt;
+    };
+    it.readBackendServer = [](std::string_view id, std::string_view value, std::string &) {
+        decision::BackendServer server;
+        server.id = id;
+        server.service = "service";
+        server.address = value;
+        server.zone = "zone";
+        server.parallelRequests = 8;
+        return std::optional(server);
+    };
+    return it;
+}
+
+} // namespace
+
+GatewayScene::GatewayScene(Answer answer, bool isConfigured)
+    : m_answer(std::move(answer))
+{
+    GatewayOptions options;
+    options.vm = "vm";
+    options.zone = "zone";
+    options.callers = AnyPort;
+    options.readiness = AnyPort;
+    options.operatorTopic = "operator";
+    options.backendTopic = "servers";
+    options.retries = {.ratio = 0.5, .window = 10s};
+    options.stopGrace = 4s;
+    options.writeLog = [this](std::string_view line) {
+        log.push_back(nlohmann::json::parse(line));
+    };
+    for (auto &it : m_servers) {
+        it = std::make_unique<net::HttpServer>(net::HttpServerOptions{}, [this](const std::shared_ptr<net::Exchange> &exchange) {
+            seen.push_back(exchange);
+            m_answer(exchange, static_cast<int>(seen.size()));
+        });
+        addresses.push_back(QByteArray::fromStdString(net::toText(it->listenOn(AnyPort))));
+    }
+    if (isConfigured) {
+        store.put("operator", "configuration", "1");
+    }
+    store.put("servers", "a", addresses[0]);
+    store.put("servers", "b", addresses[1]);
+    gateway = std::make_unique<Gateway>(options, plainWire(), readers(), store.hooks(), EngineControl{});
+    REQUIRE(gateway->start());
+    const nlohmann::json &start = lineOf("start");
+    callers = *net::parseAddress(start["callers"].get<std::string>());
+    readiness = *net::parseAddress(start["readiness"].get<std::string>());
+    runUntil([&] {
+        return has("topic_synced", 2);
+    });
+}
+
+bool GatewayScene::has(const std::string &event, int count) const
+{
+    return std::count_if(log.begin(),
+                         log.end(),
+                         [&](const nlohmann::json &it) {
+                             return it["event"] == event;
+                         })
+        >= count;
+}
+
+const nlohmann::json &GatewayScene::lineOf(const std::string &event) const
+{
+    const auto it = std::find_if(log.rbegin(), log.rend(), [&](const nlohmann::json &line) {
+        return line["event"] == event;
+    });
+    REQUIRE(it != log.rend());
+    return *it;
+}
+
+net::HttpResult GatewayScene::ask(const QByteArray &target, const QByteArray &method, const QByteArray &key)
+{
+    std::optional<net::HttpResult> result;
+    net::HttpCall call;
+    call.peer = callers;
+    call.method = method;
+    call.target = target;
+    call.host = "host";
+    call.headers = {{"Id", "request-1"}, {"Key", key}};
+    call.body = "body";
+    client.start(call, {.onDone = [&](const net::HttpResult &it) {
+                     result = it;
+                 }});
+    runUntil([&] {
+        return result.has_value();
+    });
+    REQUIRE(result);
+    return *result;
+}
+
+} // namespace auburndrum::gateway
