--- a/include/auburndrum/gateway/decisionlog.h
+++ b/include/auburndrum/gateway/decisionlog.h
@@ -42,7 +42,7 @@
     ~DecisionLog();
 
     /// Writes a line with the event's name, the time and the VM put in front of `fields`; false when it was dropped.
-    bool write(LineWeight weight, std::string_view event, nlohmann::ordered_json fields, Instant now = monotonicNow());
+    bool write(LineWeight weight, std::string_view event, const nlohmann::ordered_json &fields, Instant now = monotonicNow());
     std::uint64_t dropped() const
     {
         return m_dropped;
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -91,9 +91,9 @@
 
 ServerChoice ServerChooser::assess(const ServerQuery &query, const BackendList::Entry &entry, bool isHome, Instant now) const
 {
-    static const Load Unknown;
+    static const Load unknown;
     const Load *known = find(entry.server.id);
-    const Load &load = known == nullptr ? Unknown : *known;
+    const Load &load = known == nullptr ? unknown : *known;
 
     ServerChoice choice;
     choice.id = entry.server.id;
@@ -279,6 +279,9 @@
 
 void ServerChooser::answered(const ServerChoice &choice, microseconds elapsed, Instant now)
 {
+    if (m_servers.find(choice.id) == nullptr) {
+        return; // gone meanwhile: nothing is kept of it
+    }
     Load &it = load(choice.id);
     it.answeredAt = now;
     it.ownUnread = std::max(0.0, it.ownUnread - choice.unreadTokens);
@@ -310,6 +313,9 @@
 
 void ServerChooser::reported(std::string_view id, const LoadReport &report, Instant now)
 {
+    if (m_servers.find(id) == nullptr) {
+        return;
+    }
     Load &it = load(id);
     it.report = report;
     it.ownAtReport = it.own;
@@ -318,17 +324,23 @@
 
 void ServerChooser::succeeded(std::string_view id)
 {
-    load(id).breaker.succeeded();
+    if (m_servers.find(id) != nullptr) {
+        load(id).breaker.succeeded();
+    }
 }
 
 void ServerChooser::failed(std::string_view id, Instant now, absl::BitGenRef random)
 {
-    load(id).breaker.failed(now, random);
+    if (m_servers.find(id) != nullptr) {
+        load(id).breaker.failed(now, random);
+    }
 }
 
 void ServerChooser::refused(std::string_view id, Instant now)
 {
-    load(id).fullUntil = now + m_options.refusalPause;
+    if (m_servers.find(id) != nullptr) {
+        load(id).fullUntil = now + m_options.refusalPause;
+    }
 }
 
 void ServerChooser::setLoading(std::string_view id, Instant until, std::uint64_t version)
--- a/src/auburndrum/gateway/decisionlog.cpp
+++ b/src/auburndrum/gateway/decisionlog.cpp
@@ -25,7 +25,7 @@
 
 DecisionLog::~DecisionLog() = default;
 
-bool DecisionLog::write(LineWeight weight, std::string_view event, nlohmann::ordered_json fields, Instant now)
+bool DecisionLog::write(LineWeight weight, std::string_view event, const nlohmann::ordered_json &fields, Instant now)
 {
     if (!take(weight == LineWeight::Routine ? m_routine : m_notable, now)) {
         ++m_dropped;
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -12,6 +12,19 @@
 
 namespace auburndrum::gateway {
 
+/// The request at one backend server.
+struct ForwardAttempt
+{
+    decision::ServerChoice choice;
+    net::HttpCallHandle call;
+    Instant sentAt{};
+    bool hadAnswer = false; ///< the chooser knows of its first event
+    std::optional<net::HttpHead> head;
+    AnswerFacts facts;
+    QByteArray body; ///< held back until the answer is whole
+    net::EventSplitter events;
+};
+
 /// @brief One caller's request on its way: chosen servers, what may be repeated, the answer, and the caller's patience.
 ///
 /// Keeps itself alive through the hooks of its exchange and of the call under way.
@@ -24,19 +37,6 @@
     void start();
 
 private:
-    /// The request at one backend server.
-    struct Attempt
-    {
-        decision::ServerChoice choice;
-        net::HttpCallHandle call;
-        Instant sentAt{};
-        bool hadAnswer = false; ///< the chooser knows of its first event
-        std::optional<net::HttpHead> head;
-        AnswerFacts facts;
-        QByteArray body; ///< held back until the answer is whole
-        net::EventSplitter events;
-    };
-
     static constexpr qint64 PauseAboveBytes = 256 * 1024; ///< waiting for a slow caller or server; whoever sends is slowed down above it
 
     /// Whom an attempt reached.
@@ -87,7 +87,7 @@
     QTimer m_timer; ///< of the caller's patience
     QTimer m_silenceCheck; ///< of a server that gave no answer
     Instant m_deadline{};
-    std::optional<Attempt> m_attempt;
+    std::optional<ForwardAttempt> m_attempt;
     std::vector<std::string> m_tried;
     std::uint32_t m_arrivals = 0; ///< backend servers that it reached
     std::uint32_t m_sends = 0;
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -91,7 +91,7 @@
         line["servers_known"] = record.serversKnown;
         line["retries_left"] = record.retriesLeft;
     }
-    state.log.write(outcome == Outcome::Served ? LineWeight::Routine : LineWeight::Notable, "request", std::move(line), now);
+    state.log.write(outcome == Outcome::Served ? LineWeight::Routine : LineWeight::Notable, "request", line, now);
 }
 
 } // namespace auburndrum::gateway
