Pass over records of another shape in the orders' topic

Cause, found by reading the change: a record whose fields have other types threw through Qt's event loop and would have ended the process on every entry VM. The shape is checked before the fields are read; the record is counted and logged. The new case threw type_error 302 before and passes after. Ruled out by trial: a long body to a slow server, which reading suggested would stall, arrived whole with and without a mend, so no mend is taken.

--- a/src/auburndrum/gateway/weightkeeper.cpp
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -42,6 +42,28 @@
     return QByteArray::fromStdString(object.dump());
 }
 
+bool isText(const json &object, const char *field)
+{
+    return object.contains(field) && object[field].is_string();
+}
+
+bool isCount(const json &object, const char *field)
+{
+    return object.contains(field) && object[field].is_number_unsigned();
+}
+
+/// Whether a record is one that entry VMs write here: an announced load or a lease.
+bool isOrderRecord(const json &object)
+{
+    if (!object.is_object() || !isText(object, "holder")) {
+        return false;
+    }
+    if (object.contains("loading")) {
+        return isText(object, "loading") && isCount(object, "version");
+    }
+    return isText(object, "nonce") && isCount(object, "replaces") && isCount(object, "duration_ms");
+}
+
 /// Offsets begin at 0, which is "none" among fencing numbers.
 decision::Offset fencingOf(std::uint64_t offset)
 {
@@ -180,7 +202,8 @@
 void WeightKeeper::takeRecord(const StoreRecord &record)
 {
     const json object = record.value ? json::parse(record.value->constBegin(), record.value->constEnd(), nullptr, false) : json();
-    if (!object.is_object()) {
+    if (!isOrderRecord(object)) {
+        m_state.log.write(LineWeight::Notable, "record_skipped", {{"topic", m_options.topic}, {"offset", record.offset}, {"problem", "has another shape"}});
         m_state.metrics.recordsSkipped.with({m_options.topic}).Increment();
         return;
     }
--- a/src/auburndrum/gateway/weightkeeper_test.cpp
+++ b/src/auburndrum/gateway/weightkeeper_test.cpp
@@ -238,6 +238,20 @@
     checkTurns(engines, 400ms);
 }
 
+TEST_CASE("records of another shape are passed over")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    for (const char *it : {"no json", "[]", "{}", R"({"loading":7,"holder":"x"})", R"({"holder":"x","nonce":"n","replaces":-1,"duration_ms":"long"})"}) {
+        fake.put("auburndrum-orders", {}, QByteArray(it));
+    }
+    Keeper one("one", fake, engines);
+    one.name(2);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
+
 TEST_CASE("an engine that gives no report gets no order")
 {
     FakeStore fake;
