Hear of the store's and the prompt stores' news from one entry VM of the zone in a large fleet

Now VMs register in a topic; where more VMs of a region would follow a prompt store than it allows, the VM with the fastest link of each zone reads both topics and all prompt stores, and the others ask it every 200 ms. News by way of a relay carry their age; older than 1.8 s, or a relay that doesn't answer, and a VM reads for itself. Only VMs that read for themselves ask for the order lease. Also: a call's time limit lies 50 ms behind the request's deadline, as which of the two ended a request first was chance (gateway_test 'answers without the server's seal' saw 502 for 504 once, beside a build).

Ruled out: a member group of the store (its partitions can't be placed by zone), polling by all (calls), gossip among all (bytes between zones).

--- a/include/auburndrum/decision/traffic/configuration.h
+++ b/include/auburndrum/decision/traffic/configuration.h
@@ -76,6 +76,7 @@
     double bitsPerSecond = 0; ///< of its link; transfers follow one another
     std::chrono::microseconds firstDelay{0}; ///< that each transfer waits besides
     bool isManaged = false; ///< drops nothing by itself, and takes an address for each prompt part
+    std::uint32_t allowedReaders = 0; ///< entry VMs that may follow its changes at once; 0 when unknown
 };
 
 /// Bounds on callers.
--- a/include/auburndrum/decision/traffic/keptprompts.h
+++ b/include/auburndrum/decision/traffic/keptprompts.h
@@ -70,6 +70,8 @@
     void forget(std::string_view address, std::uint64_t incarnation, const std::vector<KeptChange> &parts);
     /// Its changes stopped arriving.
     void lost(std::string_view address);
+    /// All that is known of a store, as one whole report; nothing while it can't be read from.
+    std::optional<KeptReport> report(std::string_view address) const;
 
     /// The quickest store for an engine of `zone` that has the part whole. Only stores of its region: between regions a transfer takes ten
     /// times as long and keeps the store's link from all others.
@@ -87,6 +89,7 @@
         PromptStoreTraits traits;
         bool isReachable = false;
         std::uint64_t incarnation = 0;
+        std::uint64_t next = 0; ///< number of its first change that is not known here
         std::uint64_t tokens = 0;
         std::map<std::string, std::map<std::string, std::uint32_t, std::less<>>, std::less<>> parts; ///< by scope and id
     };
--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "auburndrum/gateway/keptreader.h"
 #include "auburndrum/gateway/keyedfeed.h"
 #include "auburndrum/gateway/recordstore.h"
+#include "auburndrum/gateway/relaylink.h"
 #include "auburndrum/gateway/weightkeeper.h"
 #include "auburndrum/net/httpserver.h"
 
@@ -26,6 +27,10 @@
     net::Address readiness; ///< answers the balancer's question and serves the metrics
     std::string operatorTopic;
     std::string backendTopic;
+    std::string entryTopic; ///< in which entry VMs find each other; empty: they don't
+    net::Address peers; ///< where other entry VMs call this one
+    double linkMegabits = 0; ///< bandwidth of this VM's network link, Mbit/s; 0 when unknown
+    std::chrono::milliseconds directoryDelay{0}; ///< until all VMs that start together have registered
     decision::RetryAllowanceOptions retries;
     std::chrono::milliseconds weightsTime{10000}; ///< after it no request may begin on older weights
     std::chrono::milliseconds orderTurn{3000}; ///< two VMs' orders to one backend server are at least so far apart
@@ -78,11 +83,12 @@
 
     GatewayOptions m_options;
     RecordReaders m_readers;
-    RecordStore m_store;
     EngineControl m_engines;
     GatewayState m_state;
     net::HttpServer m_callers;
     net::HttpServer m_readiness;
+    RelayLink m_relayLink;
+    RecordStore m_store; ///< its reads may go by way of another entry VM
     KeyedFeed m_operatorFeed;
     KeyedFeed m_backendFeed;
     WeightKeeper m_weights;
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -68,7 +68,7 @@
     std::chrono::milliseconds intervalNow() const;
     void takeBatch(const StoreResult<RecordBatch> &result);
     void apply(const StoreRecord &record);
-    void answered();
+    void answered(std::chrono::milliseconds age);
     void failed(StoreError error);
     bool isAfterOutage() const;
 
--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -42,6 +42,7 @@
     std::vector<StoreRecord> records;
     std::uint64_t nextOffset = 0; ///< the first offset that was not read
     bool hasGap = false; ///< records asked for are gone; `nextOffset` is the first that is still there
+    std::chrono::milliseconds age{0}; ///< the store had no further records so long ago; 0 when it was asked itself
 };
 
 /// A page of the newest record of each key.
@@ -60,6 +61,8 @@
     std::function<void(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)>)> read;
     /// Appends one record; answers with its offset.
     std::function<void(const std::string &topic, const QByteArray &record, std::function<void(StoreResult<std::uint64_t>)>)> append;
+    /// Sets the value of a key; answers with the record's offset.
+    std::function<void(const std::string &topic, const std::string &key, const QByteArray &value, std::function<void(StoreResult<std::uint64_t>)>)> put;
 };
 
 } // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/weightkeeper.h
+++ b/include/auburndrum/gateway/weightkeeper.h
@@ -10,6 +10,7 @@
 #include <QObject>
 #include <QTimer>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -22,6 +23,8 @@
     std::string vm;
     std::string topic = "auburndrum-orders"; ///< of leases and of announced loads
     std::chrono::milliseconds orderTurn{3000}; ///< two VMs' orders to one engine are at least so far apart
+    /// Whether this VM may ask for the lease; empty: always. In a large fleet a few VMs do, as each that waits for it reads the topic.
+    std::function<bool()> takesPart;
     std::chrono::milliseconds orderLag{1200}; ///< an order leaves so soon after its announcement, or not at all
     std::chrono::milliseconds lease{1500}; ///< several times the store's slowest answers; a dead holder's successor waits for it
     std::chrono::milliseconds leaseMargin{500}; ///< no order leaves in the lease's last part: it would arrive too late
--- a/src/auburndrum/decision/traffic/keptprompts.cpp
+++ b/src/auburndrum/decision/traffic/keptprompts.cpp
@@ -73,6 +73,7 @@
         store.incarnation = report.incarnation;
     }
     store.isReachable = true;
+    store.next = report.next;
     for (const KeptChange &change : report.changes) {
         keep(store, change);
     }
@@ -97,6 +98,24 @@
     }
 }
 
+std::optional<KeptReport> KeptPrompts::report(std::string_view address) const
+{
+    const auto it = m_stores.find(address);
+    if (it == m_stores.end() || !it->second.isReachable) {
+        return std::nullopt;
+    }
+    KeptReport whole;
+    whole.incarnation = it->second.incarnation;
+    whole.next = it->second.next;
+    whole.isWhole = true;
+    for (const auto &[scope, parts] : it->second.parts) {
+        for (const auto &[id, tokens] : parts) {
+            whole.changes.push_back({true, scope, id, tokens});
+        }
+    }
+    return whole;
+}
+
 const std::string &KeptPrompts::regionOf(std::string_view zone) const
 {
     static const std::string unknown;
--- /dev/null
+++ b/src/auburndrum/decision/traffic/relaydirectory.cpp
@@ -0,0 +1,102 @@
+#include "auburndrum/decision/traffic/relaydirectory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace auburndrum::decision {
+
+namespace {
+
+std::uint64_t rank(std::string_view zone, std::string_view name)
+{
+    return XXH3_64bits_withSeed(name.data(), name.size(), XXH3_64bits(zone.data(), zone.size()));
+}
+
+} // namespace
+
+RelayDirectory::RelayDirectory(RelayDirectoryOptions options)
+    : m_options(std::move(options))
+{
+}
+
+bool RelayDirectory::put(const EntryVm &vm)
+{
+    Known &known = m_vms[vm.name];
+    if (known.vm == vm) {
+        return false;
+    }
+    known = Known{vm};
+    return true;
+}
+
+std::string_view RelayDirectory::regionOf(std::string_view zone) const
+{
+    const auto it = m_options.regionOfZone.find(zone);
+    return it == m_options.regionOfZone.end() ? zone : std::string_view(it->second);
+}
+
+bool RelayDirectory::isCrowded(std::size_t allowedReaders) const
+{
+    const auto self = m_vms.find(m_options.vm);
+    if (self == m_vms.end()) {
+        return false;
+    }
+    const std::string_view region = regionOf(self->second.vm.zone);
+    const auto n = std::count_if(m_vms.begin(), m_vms.end(), [&](const auto &it) {
+        return regionOf(it.second.vm.zone) == region;
+    });
+    return static_cast<std::size_t>(n) + m_options.spareReaders > allowedReaders;
+}
+
+bool RelayDirectory::isBefore(const EntryVm &a, const EntryVm &b) const
+{
+    if (a.linkMegabits != b.linkMegabits) {
+        return a.linkMegabits > b.linkMegabits;
+    }
+    return rank(a.zone, a.name) > rank(b.zone, b.name);
+}
+
+std::optional<EntryVm> RelayDirectory::relay(Instant now) const
+{
+    const auto self = m_vms.find(m_options.vm);
+    if (self == m_vms.end()) {
+        return std::nullopt;
+    }
+    const EntryVm *best = &self->second.vm;
+    for (const auto &[name, it] : m_vms) {
+        if (it.vm.zone != self->second.vm.zone || now < it.avoidUntil) {
+            continue;
+        }
+        if (isBefore(it.vm, *best)) {
+            best = &it.vm;
+        }
+    }
+    return best == &self->second.vm ? std::nullopt : std::optional(*best);
+}
+
+void RelayDirectory::failed(std::string_view name, Instant now)
+{
+    const auto it = m_vms.find(name);
+    if (it == m_vms.end() || name == m_options.vm) {
+        return;
+    }
+    Known &known = it->second;
+    known.avoid = std::clamp(known.avoid * 2, m_options.firstAvoid, m_options.maxAvoid);
+    known.avoidUntil = now + known.avoid;
+}
+
+void RelayDirectory::answered(std::string_view name)
+{
+    const auto it = m_vms.find(name);
+    if (it != m_vms.end()) {
+        it->second.avoid = std::chrono::milliseconds(0);
+    }
+}
+
+std::size_t RelayDirectory::size() const
+{
+    return m_vms.size();
+}
+
+} // namespace auburndrum::decision
--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -65,6 +65,18 @@
             });
         });
     };
+    it.put = [this](const std::string &topic, const std::string &key, const QByteArray &value, auto done) {
+        ++m_calls;
+        QTimer::singleShot(0, &m_context, [this, topic, key, value, done] {
+            if (m_error) {
+                done(failure(*m_error));
+                return;
+            }
+            const std::uint64_t offset = m_topics[topic].end;
+            put(topic, key, value);
+            done(offset);
+        });
+    };
     return it;
 }
 
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -15,6 +15,8 @@
 // A kept connection may have died without notice: younger ones are surer.
 constexpr milliseconds MaxReuseAge{8000};
 constexpr milliseconds MaxReuseAgeOnce{3000}; // for requests that can't be sent again
+// The request's own timer ends it at its deadline; a time limit of the call at the same moment would tell another reason by chance.
+constexpr milliseconds BehindDeadline{50};
 constexpr int SilenceInPauses = 4; // a stream counts as broken after so many of the longest pauses that are on time
 constexpr int SilenceInTargets = 2; // a server may be silent, rather than busy, after so many target latencies without an answer
 constexpr int QuietInTargets = 4; // and is taken to be when nobody here had an answer of it for so long; a busy one may answer one VM rarely
@@ -175,8 +177,8 @@
     call.bodyLength = m_exchange->head().bodyLength;
     call.maxReuseAge = m_route->mayRepeat() ? MaxReuseAge : MaxReuseAgeOnce;
     call.connectTimeout = std::min(ConnectTimeout, facts.timeLeft);
-    call.firstByteTimeout = facts.timeLeft;
-    call.idleTimeout = facts.timeLeft;
+    call.firstByteTimeout = facts.timeLeft + BehindDeadline;
+    call.idleTimeout = facts.timeLeft + BehindDeadline;
     if (m_route->isResumable && m_arrivals + 1 < m_route->maxServers) {
         call.idleTimeout = std::min(facts.timeLeft, m_route->longestPause * SilenceInPauses);
     }
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -26,6 +26,16 @@
     return it;
 }
 
+RelayLinkOptions relayOptions(const GatewayOptions &options)
+{
+    RelayLinkOptions it;
+    it.self = {options.vm, net::toText(options.peers), options.zone, options.linkMegabits};
+    it.regionOfZone = options.regionOfZone;
+    it.topic = options.entryTopic;
+    it.directoryDelay = options.directoryDelay;
+    return it;
+}
+
 net::HttpServerOptions callerOptions(const decision::CallerLimits &limits, int maxConnections)
 {
     net::HttpServerOptions it;
@@ -50,7 +60,6 @@
     : QObject(parent)
     , m_options(std::move(options))
     , m_readers(std::move(readers))
-    , m_store(std::move(store))
     , m_engines(std::move(engines))
     , m_state(chooserOptions(m_options), {.vm = m_options.vm, .write = m_options.writeLog}, std::move(wire), m_options.retries)
     , m_callers(callerOptions({}, m_options.maxConnections),
@@ -61,6 +70,18 @@
                   [this](const std::shared_ptr<net::Exchange> &exchange) {
                       handleReadiness(exchange);
                   })
+    , m_relayLink(relayOptions(m_options),
+                  m_state,
+                  store,
+                  {.onFollowStores =
+                       [this](bool follows) {
+                           m_keptReader.setAsking(follows);
+                       },
+                   .onKept =
+                       [this](const KeptNews &news) {
+                           m_keptReader.take(news);
+                       }})
+    , m_store(m_relayLink.hooks())
     , m_operatorFeed({.topic = m_options.operatorTopic},
                      m_store,
                      feedHooks(m_options.operatorTopic,
@@ -73,8 +94,26 @@
                               [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
                                   takeBackendRecord(key, value, duringOutage);
                               }))
-    , m_weights({.vm = m_options.vm, .orderTurn = m_options.orderTurn}, m_state, m_store, m_engines)
-    , m_keptReader({}, m_state, m_engines)
+    , m_weights({.vm = m_options.vm,
+                 .orderTurn = m_options.orderTurn,
+                 .takesPart =
+                     [this] {
+                         return !m_relayLink.isRelayed();
+                     }},
+                m_state,
+                m_store,
+                m_engines)
+    , m_keptReader({},
+                   m_state,
+                   m_engines,
+                   {.onReport =
+                        [this](const std::string &address, const decision::KeptReport &report) {
+                            m_relayLink.keptLog().add(address, report);
+                        },
+                    .onLost =
+                        [this](const std::string &address) {
+                            m_relayLink.keptLog().addLost(address);
+                        }})
 {
     connect(&m_expiry, &QTimer::timeout, this, &Gateway::expireServers);
     connect(&m_stopCheck, &QTimer::timeout, this, &Gateway::finishStop);
@@ -106,6 +145,9 @@
     if (callers.port == 0 || readiness.port == 0) {
         return false;
     }
+    if (m_relayLink.start().port == 0 && !m_options.entryTopic.empty()) {
+        return false;
+    }
     m_operatorFeed.start();
     m_backendFeed.start();
     m_weights.start();
@@ -169,6 +211,7 @@
     m_state.chooser.configure(*m_state.configuration);
     m_state.kept.configure(m_state.configuration->promptStores);
     m_keptReader.configure();
+    m_relayLink.configure();
     m_callers.setOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections));
     m_state.metrics.beliefChanges.with({"configuration"}).Increment();
     m_state.log.write(LineWeight::Notable,
@@ -253,6 +296,7 @@
     m_onStopped = std::move(onStopped);
     m_state.log.write(LineWeight::Notable, "stop", {{"open_requests", m_callers.openExchanges()}});
     m_callers.closeAfterAnswers();
+    m_relayLink.stop();
     m_stopCheck.start(StopCheckInterval);
 }
 
--- a/src/auburndrum/gateway/keptreader.cpp
+++ b/src/auburndrum/gateway/keptreader.cpp
@@ -6,11 +6,12 @@
 
 namespace auburndrum::gateway {
 
-KeptReader::KeptReader(KeptReaderOptions options, GatewayState &state, const EngineControl &engines, QObject *parent)
+KeptReader::KeptReader(KeptReaderOptions options, GatewayState &state, const EngineControl &engines, KeptReaderHooks hooks, QObject *parent)
     : QObject(parent)
     , m_options(options)
     , m_state(state)
     , m_engines(engines)
+    , m_hooks(std::move(hooks))
 {
     connect(&m_freeTimer, &QTimer::timeout, this, &KeptReader::freeStale);
 }
@@ -23,8 +24,11 @@
     });
     for (const std::string &it : addresses) {
         const auto [followed, isNew] = m_followed.try_emplace(it);
-        if (isNew) {
-            followed->second.round = ++m_rounds;
+        if (!isNew) {
+            continue;
+        }
+        followed->second.round = ++m_rounds;
+        if (m_isAsking) {
             ask(it);
         }
     }
@@ -33,6 +37,36 @@
     }
 }
 
+void KeptReader::setAsking(bool isAsking)
+{
+    if (m_isAsking == isAsking) {
+        return;
+    }
+    m_isAsking = isAsking;
+    for (auto &[address, followed] : m_followed) {
+        followed.round = ++m_rounds; // answers under way are dropped
+        followed.pause = std::chrono::milliseconds(0);
+        if (isAsking) {
+            ask(address);
+        }
+    }
+}
+
+void KeptReader::take(const KeptNews &news)
+{
+    const auto it = m_followed.find(news.address);
+    if (it == m_followed.end() || m_isAsking) {
+        return; // of another configuration, or older than what was read here
+    }
+    if (!news.report) {
+        m_state.kept.lost(news.address);
+        return;
+    }
+    it->second.incarnation = news.report->incarnation;
+    it->second.since = news.report->next;
+    m_state.kept.take(news.address, *news.report);
+}
+
 void KeptReader::ask(const std::string &address)
 {
     const auto followed = m_followed.find(address);
@@ -40,6 +74,7 @@
         return;
     }
     const std::uint64_t round = followed->second.round;
+    followed->second.askedAt = monotonicNow();
     m_engines.readKeptChanges(address, followed->second.since, m_options.wait, [this, address, round](const KeptAnswer &report) {
         take(address, round, report);
     });
@@ -62,6 +97,9 @@
     Followed &followed = it->second;
     if (!answer) {
         m_state.kept.lost(address);
+        if (m_hooks.onLost) {
+            m_hooks.onLost(address);
+        }
         askAgain(address, followed, answer.error());
         return;
     }
@@ -80,7 +118,21 @@
     }
     followed.since = report->next;
     m_state.kept.take(address, *report);
-    ask(address);
+    if (m_hooks.onReport) {
+        m_hooks.onReport(address, *report);
+    }
+    const auto sinceAsked = std::chrono::floor<std::chrono::milliseconds>(monotonicNow() - followed.askedAt);
+    askSoon(address, std::max(m_options.askInterval - sinceAsked, std::chrono::milliseconds(0)));
+}
+
+void KeptReader::askSoon(const std::string &address, std::chrono::milliseconds pause)
+{
+    QTimer::singleShot(pause, this, [this, address, round = m_followed.at(address).round] {
+        const auto it = m_followed.find(address);
+        if (it != m_followed.end() && it->second.round == round) {
+            ask(address);
+        }
+    });
 }
 
 void KeptReader::askAgain(const std::string &address, Followed &followed, KeptError error)
@@ -98,12 +150,7 @@
         // Spread, so that those who were refused together don't come back together.
         pause = followed.pause + std::chrono::milliseconds(absl::Uniform<std::int64_t>(m_state.random, 0, followed.pause.count()));
     }
-    QTimer::singleShot(pause, this, [this, address, round = followed.round] {
-        const auto it = m_followed.find(address);
-        if (it != m_followed.end() && it->second.round == round) {
-            ask(address);
-        }
-    });
+    askSoon(address, pause);
 }
 
 bool KeptReader::isStale(std::string_view scope) const
@@ -128,6 +175,9 @@
 
 void KeptReader::freeStale()
 {
+    if (!m_isAsking) {
+        return; // whoever follows the stores does it
+    }
     const Instant now = monotonicNow();
     const auto isFreeable = [this, now](std::string_view scope) {
         if (!isStale(scope)) {
@@ -143,9 +193,14 @@
         }
         m_engines.freeKept(address, followed.incarnation, parts, [this, address = address, parts, incarnation = followed.incarnation](bool isDone) {
             m_state.log.write(LineWeight::Notable, "old_prompts_freed", {{"address", address}, {"parts", parts.size()}, {"done", isDone}});
-            if (isDone) {
-                // Some changes are never told; without this, parts that went unnoticed would be freed again and again.
-                m_state.kept.forget(address, incarnation, parts);
+            if (!isDone) {
+                return;
+            }
+            // Some changes are never told; without this, parts that went unnoticed would be freed again and again.
+            m_state.kept.forget(address, incarnation, parts);
+            const auto it = m_followed.find(address);
+            if (m_hooks.onReport && it != m_followed.end() && it->second.incarnation == incarnation) {
+                m_hooks.onReport(address, {.incarnation = incarnation, .next = it->second.since, .changes = parts});
             }
         });
     }
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -60,7 +60,7 @@
         failed(result.error());
         return;
     }
-    answered();
+    answered(std::chrono::milliseconds(0));
     const NewestPage &page = result.value();
     if (page.endOffset < m_next) {
         failed(StoreError::Stale); // an answer from before what was read already
@@ -123,7 +123,7 @@
         failed(result.error());
         return;
     }
-    answered();
+    answered(result.value().age);
     if (result.value().hasGap) {
         m_synced = false;
         start();
@@ -151,9 +151,9 @@
     m_hooks.onChange(record.key, record.value, isAfterOutage());
 }
 
-void KeyedFeed::answered()
+void KeyedFeed::answered(std::chrono::milliseconds age)
 {
-    const Instant now = monotonicNow();
+    const Instant now = monotonicNow() - age;
     if (m_lastAnswerAt && now - *m_lastAnswerAt > m_options.longRead + m_options.outageAfter) {
         m_regainedAt = now;
     }
--- /dev/null
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -0,0 +1,199 @@
+#include "auburndrum/gateway/relaylink.h"
+
+#include "eventloop.h"
+#include "fakestore.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Topic = "operator";
+const std::string PromptStore = "10.0.0.1:1";
+
+/// One entry VM's link, and what it tells.
+class Vm
+{
+public:
+    Vm(FakeStore &fake, const std::string &name, double linkMegabits)
+        : state({.zone = "zone"}, {.vm = name, .write = [](std::string_view) {}}, Wire{}, {})
+        , link(options(name, linkMegabits),
+               state,
+               fake.hooks(),
+               {.onFollowStores =
+                    [this](bool it) {
+                        follows = it;
+                    },
+                .onKept =
+                    [this](const KeptNews &it) {
+                        kept.push_back(it);
+                    }})
+        , store(link.hooks())
+    {
+        state.kept.configure({{PromptStore, "zone", 1000, 8e9, {}, true}});
+        link.start();
+    }
+
+    static RelayLinkOptions options(const std::string &name, double linkMegabits)
+    {
+        RelayLinkOptions it;
+        it.self = {name, "127.0.0.1:0", "zone", linkMegabits};
+        it.topic = "entries";
+        it.directoryDelay = 50ms;
+        it.pollInterval = 10ms;
+        it.longestRead = 100ms;
+        it.maxAge = 300ms;
+        it.allowedReaders = 4;
+        return it;
+    }
+
+    /// Reads records one after another from the topic's start, as a feed does.
+    void readOn(std::uint64_t from = 0)
+    {
+        store.read(Topic, from, 200ms, [this, from](const StoreResult<RecordBatch> &result) {
+            const std::uint64_t next = result ? result.value().nextOffset : from;
+            for (const StoreRecord &it : result ? result.value().records : std::vector<StoreRecord>{}) {
+                values.push_back(*it.value);
+            }
+            QTimer::singleShot(1ms, &link, [this, next] {
+                readOn(next);
+            });
+        });
+    }
+
+    bool sees(const QByteArray &value)
+    {
+        return runUntil([&] {
+            return !values.empty() && values.back() == value;
+        });
+    }
+
+    GatewayState state;
+    RelayLink link;
+    RecordStore store;
+    std::optional<bool> follows;
+    std::vector<KeptNews> kept;
+    std::vector<QByteArray> values;
+};
+
+/// A large VM and some small ones, in one zone.
+struct Fleet
+{
+    explicit Fleet(int n)
+    {
+        vms.push_back(std::make_unique<Vm>(store, "large", 200));
+        for (int k = 1; k < n; ++k) {
+            vms.push_back(std::make_unique<Vm>(store, "small-" + std::to_string(k), 10));
+        }
+        for (auto &it : vms) {
+            it->readOn();
+        }
+    }
+
+    bool isRelayed()
+    {
+        return runUntil([&] {
+            return std::all_of(vms.begin() + 1, vms.end(), [](const auto &it) {
+                return it->link.isRelayed();
+            });
+        });
+    }
+
+    FakeStore store;
+    std::vector<std::unique_ptr<Vm>> vms;
+};
+
+} // namespace
+
+TEST_CASE("in a small fleet each VM reads for itself")
+{
+    Fleet fleet(2);
+    CHECK(runUntil([&] {
+        return fleet.vms[0]->follows == true && fleet.vms[1]->follows == true;
+    }));
+    CHECK_FALSE(fleet.vms[1]->link.isRelayed());
+}
+
+TEST_CASE("in a large fleet one VM of the zone reads the store, and the others hear the same records from it")
+{
+    Fleet fleet(6);
+    REQUIRE(fleet.isRelayed());
+    CHECK(fleet.vms[0]->follows == true);
+    CHECK(fleet.vms[1]->follows != true);
+    runFor(300ms); // reads that began before the relay was known end
+    const int before = fleet.store.calls();
+    runFor(500ms);
+    // The relay alone: a read each 100 ms, and some slack for one more.
+    CHECK(fleet.store.calls() - before <= 7);
+    fleet.store.put(Topic, "key", "one");
+    fleet.store.put(Topic, "key", "two");
+    for (auto &it : fleet.vms) {
+        CHECK(it->sees("two"));
+        CHECK(it->values.size() == 2);
+    }
+}
+
+TEST_CASE("news of prompt stores reach the VMs that don't follow them")
+{
+    Fleet fleet(6);
+    REQUIRE(fleet.isRelayed());
+    const decision::KeptReport report{.incarnation = 1, .next = 1, .changes = {{true, "scope", "part", 10}}};
+    fleet.vms[0]->state.kept.take(PromptStore, report);
+    fleet.vms[0]->link.keptLog().add(PromptStore, report);
+    CHECK(runUntil([&] {
+        return std::all_of(fleet.vms.begin() + 1, fleet.vms.end(), [](const auto &it) {
+            return !it->kept.empty() && it->kept.back().report && it->kept.back().report->next == 1;
+        });
+    }));
+}
+
+TEST_CASE("when the relay stops its readers miss no record")
+{
+    Fleet fleet(6);
+    REQUIRE(fleet.isRelayed());
+    fleet.store.put(Topic, "key", "one");
+    CHECK(fleet.vms[3]->sees("one"));
+    fleet.vms[0]->link.stop();
+    fleet.store.put(Topic, "key", "two");
+    for (auto &it : fleet.vms) {
+        CHECK(it->sees("two"));
+        CHECK(it->values.size() == 2);
+    }
+    CHECK(runUntil([&] {
+        return std::count_if(fleet.vms.begin(), fleet.vms.end(), [](const auto &it) {
+                   return it->link.isRelayed();
+               })
+            == 4; // all but the large VM and the next relay
+    }));
+}
+
+TEST_CASE("readers don't trust a relay that lost the store")
+{
+    FakeStore cut;
+    FakeStore whole;
+    Vm relay(cut, "large", 200);
+    std::vector<std::unique_ptr<Vm>> others;
+    for (int k = 1; k < 6; ++k) {
+        others.push_back(std::make_unique<Vm>(whole, "small-" + std::to_string(k), 10));
+    }
+    relay.readOn();
+    // The others find it in the directory of the store that works.
+    runFor(20ms);
+    whole.put("entries", "large", cut.records("entries").at(0).value);
+    for (auto &it : others) {
+        it->readOn();
+    }
+    REQUIRE(runUntil([&] {
+        return others[0]->link.isRelayed();
+    }));
+    cut.setError(StoreError::Unreachable);
+    runFor(400ms); // past the greatest age of news
+    CHECK_FALSE(others[0]->link.isRelayed());
+    whole.put(Topic, "key", "one");
+    for (auto &it : others) {
+        CHECK(it->sees("one"));
+    }
+}
--- a/src/auburndrum/gateway/weightkeeper.cpp
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -157,6 +157,10 @@
     if (!m_caughtUp) {
         return;
     }
+    const bool takesPart = !m_options.takesPart || m_options.takesPart() || m_holder.fencing(suspendAwareNow());
+    if (!takesPart) {
+        return;
+    }
     if (const auto lease = m_holder.tick(suspendAwareNow())) {
         appendLease(*lease);
     }
