Tell other entry VMs the load of backend servers by way of the relays, and prefer fetching a prompt's part to reading it

Relays now gather load reports of their zone, tell them to the relays of the other zones and to the VMs that ask, with their ages.

--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -189,7 +189,7 @@
         const auto source = choice.weights == 0 ? std::nullopt : m_kept.find(choice.scope, part, entry.server.zone, tokenBytes);
         const double readMs = part.tokens / m_readRate;
         const double fetchMs = source ? std::chrono::duration<double, std::milli>(source->time).count() : readMs;
-        if (source && fetchMs < readMs) {
+        if (source && fetchMs < readMs * m_options.readBurden) {
             choice.partSources[n] = source->address;
         }
         if (isCached || !choice.partSources[n].empty()) {
@@ -311,15 +311,18 @@
     }
 }
 
-void ServerChooser::reported(std::string_view id, const LoadReport &report, Instant now)
+void ServerChooser::reported(std::string_view id, const LoadReport &report, Instant seenAt)
 {
     if (m_servers.find(id) == nullptr) {
         return;
     }
     Load &it = load(id);
+    if (it.reportedAt && seenAt < *it.reportedAt) {
+        return; // a newer one came first
+    }
     it.report = report;
     it.ownAtReport = it.own;
-    it.reportedAt = now;
+    it.reportedAt = seenAt;
 }
 
 void ServerChooser::succeeded(std::string_view id)
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -62,7 +62,7 @@
         update();
         return {};
     }
-    const net::Address listening = m_server.listenOn(net::parseAddress(m_options.self.address).value_or(net::Address{}));
+    net::Address listening = m_server.listenOn(net::parseAddress(m_options.self.address).value_or(net::Address{}));
     m_options.self.address = net::toText(listening);
     m_directory.put(m_options.self);
     registerSelf();
@@ -213,6 +213,7 @@
     if (!relay) {
         setRelay({}, "no other entry VM to ask");
         setFollowsStores(true);
+        tellOtherZones();
         m_poll.start(m_options.pollInterval);
         return;
     }
@@ -228,6 +229,9 @@
     }
     question.keptLog = m_otherLog;
     question.keptFrom = m_otherNext;
+    question.loads = m_state.loads.since(m_loadsTold, decision::LoadOrigin::Self, suspendAwareNow());
+    question.loadsAfter = m_loadsHeard;
+    m_loadsTold = m_state.loads.newest();
     m_asking = true;
     const Instant askedAt = suspendAwareNow();
     m_peers.call({relay.name, relay.address, PollMethod, toJson(question)}, [this, relay, askedAt](const entry::EntryResult<std::string> &result) {
@@ -252,6 +256,8 @@
     setRelay(relay.name, "answers");
     setFollowsStores(false);
     takeTopics(answer, askedAt);
+    takeLoads(answer.loads, decision::LoadOrigin::Zone, askedAt);
+    m_loadsHeard = answer.loadsNewest;
     m_otherLog = answer.kept.log;
     m_otherNext = answer.kept.next;
     for (const KeptNews &it : answer.kept.news) {
@@ -259,6 +265,40 @@
     }
 }
 
+void RelayLink::tellOtherZones()
+{
+    m_state.loads.expire(suspendAwareNow());
+    RelayQuestion question;
+    question.from = m_options.self;
+    question.isRelay = true;
+    question.loads = m_state.loads.since(m_loadsTold, decision::LoadOrigin::Zone, suspendAwareNow());
+    m_loadsTold = m_state.loads.newest();
+    if (question.loads.empty()) {
+        return;
+    }
+    const std::string text = toJson(question);
+    for (const EntryVm &relay : m_directory.otherRelays(suspendAwareNow())) {
+        m_peers.call({relay.name, relay.address, PollMethod, text}, [this, relay](const entry::EntryResult<std::string> &result) {
+            if (result) {
+                m_directory.answered(relay.name);
+                return;
+            }
+            m_directory.failed(relay.name, suspendAwareNow());
+            m_state.log.write(LineWeight::Notable, "peer_lost", {{"vm", relay.name}, {"address", relay.address}, {"error", entry::toText(result.error())}});
+        });
+    }
+}
+
+void RelayLink::takeLoads(const std::vector<decision::SeenLoad> &loads, decision::LoadOrigin origin, Instant sentAt)
+{
+    const Instant now = suspendAwareNow();
+    for (const decision::SeenLoad &it : loads) {
+        if (m_state.loads.put(it.server, it.report, sentAt - it.age, origin, now)) {
+            m_state.chooser.reported(it.server, it.report, monotonicNow() - (now - sentAt) - it.age);
+        }
+    }
+}
+
 void RelayLink::takeTopics(const RelayAnswer &answer, Instant askedAt)
 {
     if (m_waiting.empty()) {
@@ -332,6 +372,11 @@
         m_state.log.write(LineWeight::Notable, "entry_vm", {{"vm", from.name}, {"address", from.address}, {"zone", from.zone}});
         update();
     }
+    const auto origin = from.zone == m_options.self.zone ? decision::LoadOrigin::Zone : decision::LoadOrigin::Elsewhere;
+    takeLoads(question.value().loads, origin, suspendAwareNow());
+    if (question.value().isRelay) {
+        return entry::rpcResult(toJson(RelayAnswer{}));
+    }
     if (m_relay.empty()) {
         setFollowsStores(true); // whoever asks knows more VMs, or lost a relay that this one has not tried
     }
@@ -346,6 +391,10 @@
         }
     }
     answer.kept = m_keptLog.since(question.value().keptLog, question.value().keptFrom);
+    // A number beyond the newest is of this VM's earlier process.
+    const std::uint64_t after = question.value().loadsAfter > m_state.loads.newest() ? 0 : question.value().loadsAfter;
+    answer.loads = m_state.loads.since(after, decision::LoadOrigin::Elsewhere, suspendAwareNow());
+    answer.loadsNewest = m_state.loads.newest();
     return entry::rpcResult(toJson(answer));
 }
 
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -19,7 +19,13 @@
 {
 public:
     Vm(FakeStore &fake, const std::string &name, double linkMegabits)
-        : state({.zone = "zone"}, {.vm = name, .write = [](std::string_view) {}}, Wire{}, {})
+        : state({.zone = "zone"},
+                {.vm = name,
+                 .write =
+                     [](std::string_view) {
+                     }},
+                Wire{},
+                {})
         , link(options(name, linkMegabits),
                state,
                fake.hooks(),
@@ -163,9 +169,11 @@
         CHECK(it->values.size() == 2);
     }
     CHECK(runUntil([&] {
-        return std::count_if(fleet.vms.begin(), fleet.vms.end(), [](const auto &it) {
-                   return it->link.isRelayed();
-               })
+        return std::count_if(fleet.vms.begin(),
+                             fleet.vms.end(),
+                             [](const auto &it) {
+                                 return it->link.isRelayed();
+                             })
             == 4; // all but the large VM and the next relay
     }));
 }
--- a/src/auburndrum/gateway/relaymessages.cpp
+++ b/src/auburndrum/gateway/relaymessages.cpp
@@ -18,7 +18,10 @@
 
 EntryVm vmOf(const json &object)
 {
-    return {object.at("name").get<std::string>(), object.at("address").get<std::string>(), object.at("zone").get<std::string>(), object.at("link_mbit").get<double>()};
+    return {object.at("name").get<std::string>(),
+            object.at("address").get<std::string>(),
+            object.at("zone").get<std::string>(),
+            object.at("link_mbit").get<double>()};
 }
 
 json jsonOf(const RecordBatch &batch)
@@ -95,6 +98,28 @@
     return news;
 }
 
+json jsonOf(const std::vector<decision::SeenLoad> &loads)
+{
+    json list = json::array();
+    for (const decision::SeenLoad &it : loads) {
+        list.push_back({it.server, it.report.running, it.report.waiting, it.report.slots, it.age.count()});
+    }
+    return list;
+}
+
+std::vector<decision::SeenLoad> loadsOf(const json &list)
+{
+    std::vector<decision::SeenLoad> loads;
+    for (const json &it : list) {
+        decision::SeenLoad load;
+        load.server = it.at(0).get<std::string>();
+        load.report = {it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>(), it.at(3).get<std::uint32_t>()};
+        load.age = std::chrono::milliseconds(it.at(4).get<std::int64_t>());
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
 /// Runs `read` on the parsed text; a message of another shape gives the reason.
 template<typename T, typename Read>
 Result<T, std::string> parse(const std::string &text, const Read &read)
@@ -112,7 +137,13 @@
 
 std::string toJson(const RelayQuestion &question)
 {
-    const json object = {{"from", jsonOf(question.from)}, {"topics", question.topics}, {"kept_log", question.keptLog}, {"kept_from", question.keptFrom}};
+    const json object = {{"from", jsonOf(question.from)},
+                         {"topics", question.topics},
+                         {"kept_log", question.keptLog},
+                         {"kept_from", question.keptFrom},
+                         {"loads", jsonOf(question.loads)},
+                         {"loads_after", question.loadsAfter},
+                         {"is_relay", question.isRelay}};
     return object.dump();
 }
 
@@ -130,7 +161,9 @@
                          {"follows_stores", answer.followsStores},
                          {"kept_log", answer.kept.log},
                          {"kept_next", answer.kept.next},
-                         {"kept", std::move(news)}};
+                         {"kept", std::move(news)},
+                         {"loads", jsonOf(answer.loads)},
+                         {"loads_newest", answer.loadsNewest}};
     return object.dump();
 }
 
@@ -147,6 +180,9 @@
         it.topics = object.at("topics").get<std::map<std::string, std::uint64_t>>();
         it.keptLog = object.at("kept_log").get<std::string>();
         it.keptFrom = object.at("kept_from").get<std::uint64_t>();
+        it.loads = loadsOf(object.at("loads"));
+        it.loadsAfter = object.at("loads_after").get<std::uint64_t>();
+        it.isRelay = object.at("is_relay").get<bool>();
         return it;
     });
 }
@@ -161,6 +197,8 @@
         it.followsStores = object.at("follows_stores").get<bool>();
         it.kept.log = object.at("kept_log").get<std::string>();
         it.kept.next = object.at("kept_next").get<std::uint64_t>();
+        it.loads = loadsOf(object.at("loads"));
+        it.loadsNewest = object.at("loads_newest").get<std::uint64_t>();
         for (const json &news : object.at("kept")) {
             it.kept.news.push_back(newsOf(news));
         }
--- a/src/auburndrum/gateway/relaymessages_test.cpp
+++ b/src/auburndrum/gateway/relaymessages_test.cpp
@@ -8,13 +8,19 @@
 
 TEST_CASE("a question arrives as it was sent")
 {
-    const RelayQuestion sent{{"vm-1", "10.0.0.1:7580", "zone", 10}, {{"operator", 7}, {"servers", 90}}, "log-1", 12};
+    const RelayQuestion sent{{"vm-1", "10.0.0.1:7580", "zone", 10}, {{"operator", 7}, {"servers", 90}}, "log-1", 12, {{"s", {1, 2, 3}, 40ms}}, 5, true};
     const auto got = relayQuestionFrom(toJson(sent));
     REQUIRE(got);
     CHECK(got.value().from == sent.from);
     CHECK(got.value().topics == sent.topics);
     CHECK(got.value().keptLog == "log-1");
     CHECK(got.value().keptFrom == 12);
+    REQUIRE(got.value().loads.size() == 1);
+    CHECK(got.value().loads[0].server == "s");
+    CHECK(got.value().loads[0].report == decision::LoadReport{1, 2, 3});
+    CHECK(got.value().loads[0].age == 40ms);
+    CHECK(got.value().loadsAfter == 5);
+    CHECK(got.value().isRelay);
 }
 
 TEST_CASE("an answer arrives as it was sent, with bytes of any value and dropped keys")
@@ -22,7 +28,8 @@
     RelayAnswer sent;
     sent.topics["operator"] = {.records = {{7, "a", QByteArray("\x00\xff\"", 3)}, {8, "b", std::nullopt}}, .nextOffset = 9, .age = 40ms};
     sent.followsStores = true;
-    sent.kept = {"log-1", 3, {{"10.0.0.1:1", std::nullopt}, {"10.0.0.2:1", decision::KeptReport{77, 5, true, false, {{true, "s", "p", 9}, {false, "t", "q", 0}}}}}};
+    sent.kept
+        = {"log-1", 3, {{"10.0.0.1:1", std::nullopt}, {"10.0.0.2:1", decision::KeptReport{77, 5, true, false, {{true, "s", "p", 9}, {false, "t", "q", 0}}}}}};
     const auto got = relayAnswerFrom(toJson(sent));
     REQUIRE(got);
     const RelayAnswer &it = got.value();
@@ -53,8 +60,9 @@
         REQUIRE_FALSE(got);
         CHECK_FALSE(got.error().empty());
     }
-    const std::string noScope = R"({"topics":{},"follows_stores":true,"kept_log":"l","kept_next":1,"kept":[{"store":"a","incarnation":1,"next":1,"whole":false,)"
-                                R"("scopes":[],"changes":[[1,0,"p",1]]}]})";
+    const std::string noScope
+        = R"({"topics":{},"follows_stores":true,"kept_log":"l","kept_next":1,"loads":[],"loads_newest":0,"kept":[{"store":"a","incarnation":1,"next":1,"whole":false,)"
+          R"("scopes":[],"changes":[[1,0,"p",1]]}]})";
     REQUIRE_FALSE(relayAnswerFrom(noScope));
     CHECK(relayAnswerFrom(noScope).error() == "a change names no scope");
     CHECK_FALSE(entryVmFrom(R"({"name":"a"})"));
