--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -20,6 +20,9 @@
 
 namespace auburndrum::gateway {
 
+/// The one call between entry VMs; its parameters are a RelayQuestion, its result a RelayAnswer.
+constexpr char RelayMethod[] = "relay.poll";
+
 /// Options of a RelayLink.
 struct RelayLinkOptions
 {
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -11,7 +11,6 @@
 using decision::EntryVm;
 using std::chrono::milliseconds;
 
-constexpr char PollMethod[] = "relay.poll";
 constexpr milliseconds RetryPause{1000}; // of registering and of reading the directory; the fleet works without, at a higher price
 constexpr qint64 MaxQuestionBytes = 16 * 1024; // some topics and names
 
@@ -50,7 +49,7 @@
 {
     m_poll.setSingleShot(true);
     connect(&m_poll, &QTimer::timeout, this, &RelayLink::poll);
-    m_peerServer.addMethod(PollMethod, [this](const std::string & /*peer*/, const std::string &question) {
+    m_peerServer.addMethod(RelayMethod, [this](const std::string & /*peer*/, const std::string &question) {
         return answer(question);
     });
 }
@@ -234,7 +233,7 @@
     m_loadsTold = m_state.loads.newest();
     m_asking = true;
     const Instant askedAt = suspendAwareNow();
-    m_peers.call({relay.name, relay.address, PollMethod, toJson(question)}, [this, relay, askedAt](const entry::EntryResult<std::string> &result) {
+    m_peers.call({relay.name, relay.address, RelayMethod, toJson(question)}, [this, relay, askedAt](const entry::EntryResult<std::string> &result) {
         m_asking = false;
         if (!result) {
             relayFailed(relay, entry::toText(result.error()));
@@ -265,40 +264,6 @@
     }
 }
 
-void RelayLink::tellOtherZones()
-{
-    m_state.loads.expire(suspendAwareNow());
-    RelayQuestion question;
-    question.from = m_options.self;
-    question.isRelay = true;
-    question.loads = m_state.loads.since(m_loadsTold, decision::LoadOrigin::Zone, suspendAwareNow());
-    m_loadsTold = m_state.loads.newest();
-    if (question.loads.empty()) {
-        return;
-    }
-    const std::string text = toJson(question);
-    for (const EntryVm &relay : m_directory.otherRelays(suspendAwareNow())) {
-        m_peers.call({relay.name, relay.address, PollMethod, text}, [this, relay](const entry::EntryResult<std::string> &result) {
-            if (result) {
-                m_directory.answered(relay.name);
-                return;
-            }
-            m_directory.failed(relay.name, suspendAwareNow());
-            m_state.log.write(LineWeight::Notable, "peer_lost", {{"vm", relay.name}, {"address", relay.address}, {"error", entry::toText(result.error())}});
-        });
-    }
-}
-
-void RelayLink::takeLoads(const std::vector<decision::SeenLoad> &loads, decision::LoadOrigin origin, Instant sentAt)
-{
-    const Instant now = suspendAwareNow();
-    for (const decision::SeenLoad &it : loads) {
-        if (m_state.loads.put(it.server, it.report, sentAt - it.age, origin, now)) {
-            m_state.chooser.reported(it.server, it.report, monotonicNow() - (now - sentAt) - it.age);
-        }
-    }
-}
-
 void RelayLink::takeTopics(const RelayAnswer &answer, Instant askedAt)
 {
     if (m_waiting.empty()) {
@@ -357,45 +322,4 @@
     m_hooks.onFollowStores(follows);
 }
 
-entry::RpcResult RelayLink::answer(const std::string &text)
-{
-    if (m_stopped) {
-        return entry::rpcError(entry::RpcRefused, "stopping");
-    }
-    const auto question = relayQuestionFrom(text);
-    if (!question) {
-        m_state.log.write(LineWeight::Notable, "relay_question_skipped", {{"problem", question.error()}});
-        return entry::rpcError(entry::RpcInvalidParams, question.error());
-    }
-    const EntryVm &from = question.value().from;
-    if (from.name != m_options.self.name && m_directory.put(from)) {
-        m_state.log.write(LineWeight::Notable, "entry_vm", {{"vm", from.name}, {"address", from.address}, {"zone", from.zone}});
-        update();
-    }
-    const auto origin = from.zone == m_options.self.zone ? decision::LoadOrigin::Zone : decision::LoadOrigin::Elsewhere;
-    takeLoads(question.value().loads, origin, suspendAwareNow());
-    if (question.value().isRelay) {
-        return entry::rpcResult(toJson(RelayAnswer{}));
-    }
-    if (m_relay.empty()) {
-        setFollowsStores(true); // whoever asks knows more VMs, or lost a relay that this one has not tried
-    }
-    RelayAnswer answer;
-    answer.followsStores = m_followsStores;
-    if (!m_followsStores) {
-        return entry::rpcResult(toJson(answer));
-    }
-    for (const auto &[topic, offset] : question.value().topics) {
-        if (auto batch = m_topics.since(topic, offset, suspendAwareNow())) {
-            answer.topics[topic] = std::move(*batch);
-        }
-    }
-    answer.kept = m_keptLog.since(question.value().keptLog, question.value().keptFrom);
-    // A number beyond the newest is of this VM's earlier process.
-    const std::uint64_t after = question.value().loadsAfter > m_state.loads.newest() ? 0 : question.value().loadsAfter;
-    answer.loads = m_state.loads.since(after, decision::LoadOrigin::Elsewhere, suspendAwareNow());
-    answer.loadsNewest = m_state.loads.newest();
-    return entry::rpcResult(toJson(answer));
-}
-
 } // namespace auburndrum::gateway
