--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -189,7 +189,7 @@
         const auto source = choice.weights == 0 ? std::nullopt : m_kept.find(choice.scope, part, entry.server.zone, tokenBytes);
         const double readMs = part.tokens / m_readRate;
         const double fetchMs = source ? std::chrono::duration<double, std::milli>(source->time).count() : readMs;
-        if (source && fetchMs < readMs * m_options.readBurden) {
+        if (source && fetchMs < readMs) {
             choice.partSources[n] = source->address;
         }
         if (isCached || !choice.partSources[n].empty()) {
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -295,7 +295,7 @@
 void RelayLink::relayFailed(const EntryVm &relay, const std::string &reason)
 {
     m_directory.failed(relay.name, suspendAwareNow());
-    m_state.log.write(LineWeight::Notable, "dependency_lost", {{"dependency", "relay"}, {"vm", relay.name}, {"address", relay.address}, {"error", reason}});
+    m_state.log.write(LineWeight::Notable, "dependency_lost", {{"dependency", "relay"}, {"relay", relay.name}, {"address", relay.address}, {"error", reason}});
     setRelay({}, "relay lost");
 }
 
@@ -304,7 +304,7 @@
     if (m_relay == name) {
         return;
     }
-    m_state.log.write(LineWeight::Notable, "relay", {{"vm", name}, {"before", m_relay}, {"reason", reason}, {"known", m_directory.size()}});
+    m_state.log.write(LineWeight::Notable, "relay", {{"relay", name}, {"before", m_relay}, {"reason", reason}, {"known", m_directory.size()}});
     m_state.metrics.beliefChanges.with({"relay"}).Increment();
     m_relay = name;
     if (m_relay.empty()) {
--- a/src/auburndrum/gateway/relayserving.cpp
+++ b/src/auburndrum/gateway/relayserving.cpp
@@ -18,7 +18,7 @@
     }
     const EntryVm &from = question.value().from;
     if (from.name != m_options.self.name && m_directory.put(from)) {
-        m_state.log.write(LineWeight::Notable, "entry_vm", {{"vm", from.name}, {"address", from.address}, {"zone", from.zone}});
+        m_state.log.write(LineWeight::Notable, "entry_vm", {{"peer", from.name}, {"address", from.address}, {"zone", from.zone}});
         update();
     }
     const auto origin = from.zone == m_options.self.zone ? decision::LoadOrigin::Zone : decision::LoadOrigin::Elsewhere;
@@ -66,7 +66,7 @@
                 return;
             }
             m_directory.failed(relay.name, suspendAwareNow());
-            m_state.log.write(LineWeight::Notable, "peer_lost", {{"vm", relay.name}, {"address", relay.address}, {"error", entry::toText(result.error())}});
+            m_state.log.write(LineWeight::Notable, "peer_lost", {{"peer", relay.name}, {"address", relay.address}, {"error", entry::toText(result.error())}});
         });
     }
 }
