--- a/include/auburndrum/decision/traffic/relaydirectory.h
+++ b/include/auburndrum/decision/traffic/relaydirectory.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace auburndrum::decision {
 
@@ -49,8 +48,6 @@
     bool isCrowded(std::size_t allowedReaders) const;
     /// Whom to ask now; nothing when this VM reads for itself.
     std::optional<EntryVm> relay(Instant now) const;
-    /// The relays that the VMs of the other availability zones are taken to have.
-    std::vector<EntryVm> otherRelays(Instant now) const;
     /// It gave no answer, or none that can be used.
     void failed(std::string_view name, Instant now);
     void answered(std::string_view name);
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -7,7 +7,6 @@
 #include "auburndrum/decision/traffic/keptprompts.h"
 #include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/promptmemory.h"
-#include "auburndrum/decision/traffic/serverload.h"
 
 #include <absl/random/bit_gen_ref.h>
 
@@ -21,6 +20,14 @@
 
 namespace auburndrum::decision {
 
+/// Load that a backend server told with an answer; it counts the requests of all entry VMs.
+struct LoadReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
 /// Options of a ServerChooser.
 struct ServerChooserOptions
 {
@@ -35,9 +42,6 @@
     std::chrono::milliseconds oldWeightsCost{250};
     std::chrono::milliseconds oldWeightsLimit{5000}; ///< servers with older weights get nothing new once newer ones were named so long ago
     double startReadRate = 30; ///< prompt tokens per millisecond of an engine, until it is learned
-    /// A part is fetched while that takes less than so many times what reading it takes: all requests of an engine wait while it reads one's prompt,
-    /// and none while another one's parts arrive.
-    double readBurden = 3;
     double memoryShare = 0.6; ///< part of an engine's memory that cached prompts are taken to fill
 };
 
@@ -103,8 +107,7 @@
     /// The request no longer uses the server. `hadAnswer`: answered() was called for it.
     void ended(const ServerChoice &choice, bool hadAnswer, std::chrono::microseconds elapsed);
 
-    /// The server told its load at `seenAt`, to this entry VM or to another one.
-    void reported(std::string_view id, const LoadReport &load, Instant seenAt);
+    void reported(std::string_view id, const LoadReport &load, Instant now);
     void succeeded(std::string_view id);
     void failed(std::string_view id, Instant now, absl::BitGenRef random);
     /// The server refused a request without running it.
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -3,7 +3,6 @@
 #include "auburndrum/decision/traffic/backendlist.h"
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/keptprompts.h"
-#include "auburndrum/decision/traffic/loadboard.h"
 #include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/retryallowance.h"
 #include "auburndrum/decision/traffic/serverchooser.h"
@@ -44,7 +43,6 @@
     decision::BackendList servers;
     decision::KeptPrompts kept;
     decision::ServerChooser chooser;
-    decision::LoadBoard loads; ///< what entry VMs tell each other of servers' loads; suspend-aware times
     std::map<std::string, decision::NamedWeights> weights; ///< by model
     net::HttpClient client;
     DecisionLog log;
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -92,8 +92,6 @@
     void update();
     void poll();
     void ask(const decision::EntryVm &relay);
-    void tellOtherZones();
-    void takeLoads(const std::vector<decision::SeenLoad> &loads, decision::LoadOrigin origin, Instant sentAt);
     void takeAnswer(const decision::EntryVm &relay, const RelayAnswer &answer, Instant askedAt);
     void takeTopics(const RelayAnswer &answer, Instant askedAt);
     void relayFailed(const decision::EntryVm &relay, const std::string &reason);
@@ -122,8 +120,6 @@
     Instant m_answeredAt{}; ///< the relay's last answer, suspend-aware
     std::string m_otherLog; ///< the relay's log of prompt stores' news
     std::uint64_t m_otherNext = 0;
-    std::uint64_t m_loadsTold = 0; ///< number of this VM's newest load that the relay, or other zones' relays, got
-    std::uint64_t m_loadsHeard = 0; ///< number of the relay's newest load that was taken
 };
 
 } // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/relaymessages.h
+++ b/include/auburndrum/gateway/relaymessages.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "auburndrum/base/errors.h"
-#include "auburndrum/decision/traffic/loadboard.h"
 #include "auburndrum/decision/traffic/relaydirectory.h"
 #include "auburndrum/gateway/keptlog.h"
 #include "auburndrum/gateway/recordstore.h"
@@ -9,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
 
 namespace auburndrum::gateway {
 
@@ -20,9 +18,6 @@
     std::map<std::string, std::uint64_t> topics; ///< offset to read from, by topic
     std::string keptLog; ///< whose numbers `keptFrom` counts in; empty at first
     std::uint64_t keptFrom = 0;
-    std::vector<decision::SeenLoad> loads; ///< seen by the asking VM, or in its zone when it is a relay, since its last question
-    std::uint64_t loadsAfter = 0; ///< number of the newest load that the relay told
-    bool isRelay = false; ///< the relay of another zone, which only tells its loads
 };
 
 /// What a relay tells.
@@ -31,8 +26,6 @@
     std::map<std::string, RecordBatch> topics; ///< those of the question that the relay can tell
     bool followsStores = false; ///< whether it reads the prompt stores' changes itself; `kept` holds nothing otherwise
     KeptSlice kept;
-    std::vector<decision::SeenLoad> loads; ///< seen by other entry VMs
-    std::uint64_t loadsNewest = 0; ///< number to ask behind next
 };
 
 /// @{ The JSON text of messages between entry VMs. Reading fails with the reason.
--- a/src/auburndrum/decision/traffic/relaydirectory.cpp
+++ b/src/auburndrum/decision/traffic/relaydirectory.cpp
@@ -75,26 +75,6 @@
     return best == &self->second.vm ? std::nullopt : std::optional(*best);
 }
 
-std::vector<EntryVm> RelayDirectory::otherRelays(Instant now) const
-{
-    std::map<std::string_view, const EntryVm *> best; // by zone
-    const auto self = m_vms.find(m_options.vm);
-    for (const auto &[name, it] : m_vms) {
-        if (now < it.avoidUntil || (self != m_vms.end() && it.vm.zone == self->second.vm.zone)) {
-            continue;
-        }
-        const EntryVm *&known = best[it.vm.zone];
-        if (known == nullptr || isBefore(it.vm, *known)) {
-            known = &it.vm;
-        }
-    }
-    std::vector<EntryVm> list;
-    for (const auto &[zone, vm] : best) {
-        list.push_back(*vm);
-    }
-    return list;
-}
-
 void RelayDirectory::failed(std::string_view name, Instant now)
 {
     const auto it = m_vms.find(name);
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -311,18 +311,15 @@
     }
 }
 
-void ServerChooser::reported(std::string_view id, const LoadReport &report, Instant seenAt)
+void ServerChooser::reported(std::string_view id, const LoadReport &report, Instant now)
 {
     if (m_servers.find(id) == nullptr) {
         return;
     }
     Load &it = load(id);
-    if (it.reportedAt && seenAt < *it.reportedAt) {
-        return; // a newer one came first
-    }
     it.report = report;
     it.ownAtReport = it.own;
-    it.reportedAt = seenAt;
+    it.reportedAt = now;
 }
 
 void ServerChooser::succeeded(std::string_view id)
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -48,7 +48,6 @@
     m_attempt->facts = m_state.wire.readAnswer(head);
     if (m_attempt->facts.load) {
         m_state.chooser.reported(m_attempt->choice.id, *m_attempt->facts.load, monotonicNow());
-        m_state.loads.put(m_attempt->choice.id, *m_attempt->facts.load, suspendAwareNow(), decision::LoadOrigin::Self, suspendAwareNow());
     }
 }
 
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -212,7 +212,6 @@
     if (!relay) {
         setRelay({}, "no other entry VM to ask");
         setFollowsStores(true);
-        tellOtherZones();
         m_poll.start(m_options.pollInterval);
         return;
     }
@@ -228,9 +227,6 @@
     }
     question.keptLog = m_otherLog;
     question.keptFrom = m_otherNext;
-    question.loads = m_state.loads.since(m_loadsTold, decision::LoadOrigin::Self, suspendAwareNow());
-    question.loadsAfter = m_loadsHeard;
-    m_loadsTold = m_state.loads.newest();
     m_asking = true;
     const Instant askedAt = suspendAwareNow();
     m_peers.call({relay.name, relay.address, RelayMethod, toJson(question)}, [this, relay, askedAt](const entry::EntryResult<std::string> &result) {
@@ -255,8 +251,6 @@
     setRelay(relay.name, "answers");
     setFollowsStores(false);
     takeTopics(answer, askedAt);
-    takeLoads(answer.loads, decision::LoadOrigin::Zone, askedAt);
-    m_loadsHeard = answer.loadsNewest;
     m_otherLog = answer.kept.log;
     m_otherNext = answer.kept.next;
     for (const KeptNews &it : answer.kept.news) {
--- a/src/auburndrum/gateway/relaymessages.cpp
+++ b/src/auburndrum/gateway/relaymessages.cpp
@@ -98,28 +98,6 @@
     return news;
 }
 
-json jsonOf(const std::vector<decision::SeenLoad> &loads)
-{
-    json list = json::array();
-    for (const decision::SeenLoad &it : loads) {
-        list.push_back({it.server, it.report.running, it.report.waiting, it.report.slots, it.age.count()});
-    }
-    return list;
-}
-
-std::vector<decision::SeenLoad> loadsOf(const json &list)
-{
-    std::vector<decision::SeenLoad> loads;
-    for (const json &it : list) {
-        decision::SeenLoad load;
-        load.server = it.at(0).get<std::string>();
-        load.report = {it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>(), it.at(3).get<std::uint32_t>()};
-        load.age = std::chrono::milliseconds(it.at(4).get<std::int64_t>());
-        loads.push_back(std::move(load));
-    }
-    return loads;
-}
-
 /// Runs `read` on the parsed text; a message of another shape gives the reason.
 template<typename T, typename Read>
 Result<T, std::string> parse(const std::string &text, const Read &read)
@@ -137,13 +115,7 @@
 
 std::string toJson(const RelayQuestion &question)
 {
-    const json object = {{"from", jsonOf(question.from)},
-                         {"topics", question.topics},
-                         {"kept_log", question.keptLog},
-                         {"kept_from", question.keptFrom},
-                         {"loads", jsonOf(question.loads)},
-                         {"loads_after", question.loadsAfter},
-                         {"is_relay", question.isRelay}};
+    const json object = {{"from", jsonOf(question.from)}, {"topics", question.topics}, {"kept_log", question.keptLog}, {"kept_from", question.keptFrom}};
     return object.dump();
 }
 
@@ -161,9 +133,7 @@
                          {"follows_stores", answer.followsStores},
                          {"kept_log", answer.kept.log},
                          {"kept_next", answer.kept.next},
-                         {"kept", std::move(news)},
-                         {"loads", jsonOf(answer.loads)},
-                         {"loads_newest", answer.loadsNewest}};
+                         {"kept", std::move(news)}};
     return object.dump();
 }
 
@@ -180,9 +150,6 @@
         it.topics = object.at("topics").get<std::map<std::string, std::uint64_t>>();
         it.keptLog = object.at("kept_log").get<std::string>();
         it.keptFrom = object.at("kept_from").get<std::uint64_t>();
-        it.loads = loadsOf(object.at("loads"));
-        it.loadsAfter = object.at("loads_after").get<std::uint64_t>();
-        it.isRelay = object.at("is_relay").get<bool>();
         return it;
     });
 }
@@ -197,8 +164,6 @@
         it.followsStores = object.at("follows_stores").get<bool>();
         it.kept.log = object.at("kept_log").get<std::string>();
         it.kept.next = object.at("kept_next").get<std::uint64_t>();
-        it.loads = loadsOf(object.at("loads"));
-        it.loadsNewest = object.at("loads_newest").get<std::uint64_t>();
         for (const json &news : object.at("kept")) {
             it.kept.news.push_back(newsOf(news));
         }
