Let a read that begins while the relay is asked wait for the next answer

Cause (read in review): such a read was not in the question, so its absence from the answer was taken for a relay that can't tell, and it went to the store.

--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -92,8 +92,8 @@
     void update();
     void poll();
     void ask(const decision::EntryVm &relay);
-    void takeAnswer(const decision::EntryVm &relay, const RelayAnswer &answer, Instant askedAt);
-    void takeTopics(const RelayAnswer &answer, Instant askedAt);
+    void takeAnswer(const decision::EntryVm &relay, const RelayQuestion &question, const RelayAnswer &answer, Instant askedAt);
+    void takeTopics(const RelayQuestion &question, const RelayAnswer &answer, Instant askedAt);
     void relayFailed(const decision::EntryVm &relay, const std::string &reason);
     void setRelay(const std::string &name, const std::string &reason);
     void setFollowsStores(bool follows);
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -229,7 +229,7 @@
     question.keptFrom = m_otherNext;
     m_asking = true;
     const Instant askedAt = suspendAwareNow();
-    m_peers.call({relay.name, relay.address, RelayMethod, toJson(question)}, [this, relay, askedAt](const entry::EntryResult<std::string> &result) {
+    m_peers.call({relay.name, relay.address, RelayMethod, toJson(question)}, [this, relay, question, askedAt](const entry::EntryResult<std::string> &result) {
         m_asking = false;
         if (!result) {
             relayFailed(relay, entry::toText(result.error()));
@@ -238,19 +238,19 @@
         } else if (!answer.value().followsStores) {
             relayFailed(relay, "reads nothing itself");
         } else {
-            takeAnswer(relay, answer.value(), askedAt);
+            takeAnswer(relay, question, answer.value(), askedAt);
         }
         m_poll.start(m_options.pollInterval);
     });
 }
 
-void RelayLink::takeAnswer(const EntryVm &relay, const RelayAnswer &answer, Instant askedAt)
+void RelayLink::takeAnswer(const EntryVm &relay, const RelayQuestion &question, const RelayAnswer &answer, Instant askedAt)
 {
     m_directory.answered(relay.name);
     m_answeredAt = suspendAwareNow();
     setRelay(relay.name, "answers");
     setFollowsStores(false);
-    takeTopics(answer, askedAt);
+    takeTopics(question, answer, askedAt);
     m_otherLog = answer.kept.log;
     m_otherNext = answer.kept.next;
     for (const KeptNews &it : answer.kept.news) {
@@ -258,14 +258,18 @@
     }
 }
 
-void RelayLink::takeTopics(const RelayAnswer &answer, Instant askedAt)
+void RelayLink::takeTopics(const RelayQuestion &question, const RelayAnswer &answer, Instant askedAt)
 {
-    if (m_waiting.empty()) {
-        return; // the reads under way are direct ones, which says nothing new of the relay
+    if (question.topics.empty()) {
+        return; // the reads under way were direct ones, which says nothing new of the relay
     }
     const auto waiting = std::exchange(m_waiting, {});
     bool isFresh = true;
     for (const auto &[topic, it] : waiting) {
+        if (!question.topics.contains(topic)) {
+            m_waiting.try_emplace(topic, it); // began since; the next answer tells
+            continue;
+        }
         const auto told = answer.topics.find(topic);
         const bool isTold = told != answer.topics.end() && told->second.age + since(askedAt) <= m_options.maxAge;
         if (!isTold) {
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -156,6 +156,42 @@
     }));
 }
 
+TEST_CASE("a read that begins while the relay is asked waits for the next answer")
+{
+    Fleet fleet(6);
+    REQUIRE(fleet.isRelayed());
+    runFor(300ms); // reads that began before the relay was known end
+    const int before = fleet.store.calls();
+    Vm &vm = *fleet.vms[1];
+    int reads = 0;
+    // At all moments of a question's way, one after another.
+    std::function<void()> readNext = [&] {
+        vm.store.read("servers", 0, 0ms, [&](const StoreResult<RecordBatch> &) {
+            ++reads;
+            QTimer::singleShot(std::chrono::milliseconds(9 + reads % 4), &vm.link, [&] {
+                readNext();
+            });
+        });
+    };
+    fleet.vms[0]->store.read("servers", 0, 100ms, [](const StoreResult<RecordBatch> &) {
+    });
+    runFor(150ms);
+    readNext();
+    const auto relayKeepsUp = [&] {
+        fleet.vms[0]->store.read("servers", 0, 0ms, [](const StoreResult<RecordBatch> &) {
+        });
+    };
+    int byRelay = 1;
+    for (int n = 0; n < 10; ++n) {
+        relayKeepsUp();
+        ++byRelay;
+        runFor(100ms);
+    }
+    CHECK(reads > 20);
+    // The relay's reads here and of its own feed, a read each 100 ms, and some slack for one more.
+    CHECK(fleet.store.calls() - before <= byRelay + 14);
+}
+
 TEST_CASE("when the relay stops its readers miss no record")
 {
     Fleet fleet(6);
