Ask the relay for everything when a configuration names a prompt store that is not known yet

Cause (read in review): a relay may tell of a new prompt store before the reader's own configuration names it; the news was dropped, and as later news are only changes, that store stayed unknown to the reader. The new test failed first. A configuration whose stores are all known asks for nothing.

--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -163,6 +163,13 @@
 
 void RelayLink::configure()
 {
+    const auto stores = m_state.kept.addresses();
+    const bool hasUnknown = std::any_of(stores.begin(), stores.end(), [this](const std::string &it) {
+        return !m_state.kept.report(it);
+    });
+    if (hasUnknown) {
+        m_otherLog.clear(); // the relay may have told of a new prompt store before this VM's configuration named it
+    }
     update();
 }
 
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -156,6 +156,31 @@
     }));
 }
 
+TEST_CASE("a VM whose configuration names a prompt store later than its relay's hears all of that store")
+{
+    Fleet fleet(6);
+    REQUIRE(fleet.isRelayed());
+    Vm &vm = *fleet.vms[1];
+    const decision::KeptReport report{.incarnation = 1, .next = 1, .changes = {{true, "scope", "part", 10}}};
+    fleet.vms[0]->state.kept.take(PromptStore, report);
+    fleet.vms[0]->link.keptLog().add(PromptStore, report);
+    const auto hasWhole = [&vm] {
+        return !vm.kept.empty() && vm.kept.back().report && vm.kept.back().report->isWhole;
+    };
+    REQUIRE(runUntil([&] {
+        return !vm.kept.empty() && vm.kept.back().report;
+    }));
+    runFor(50ms);
+    CHECK_FALSE(hasWhole()); // the news came, and nobody here followed that store yet
+    vm.link.configure();
+    CHECK(runUntil(hasWhole));
+    vm.state.kept.take(PromptStore, *vm.kept.back().report);
+    const std::size_t n = vm.kept.size();
+    vm.link.configure(); // now that the store is known, another version asks for nothing again
+    runFor(100ms);
+    CHECK(vm.kept.size() == n);
+}
+
 TEST_CASE("a read that begins while the relay is asked waits for the next answer")
 {
     Fleet fleet(6);
