Wait a turn before ordering when the store forgot the orders' history before this process read any

Ruled out: load (the order of events in the logs needs none), late delivery of orders, the lease's clock. Before: the new case of weightkeeper_test ordered 94 ms after the other VM, 400 ms due. After: it passes, as does the case of a holder that goes on renewing.

--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -72,7 +72,7 @@
                   })
     , m_relayLink(relayOptions(m_options),
                   m_state,
-                  store,
+                  std::move(store),
                   {.onFollowStores =
                        [this](bool follows) {
                            m_keptReader.setAsking(follows);
--- a/src/auburndrum/gateway/weightkeeper.cpp
+++ b/src/auburndrum/gateway/weightkeeper.cpp
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr char Resource[] = "weights";
+constexpr char AnyServer[] = ""; // in the table of turns: all servers, while it is not known which were ordered
 constexpr milliseconds LongRead{2000}; // ends by itself, so that a silent connection shows
 constexpr milliseconds RepeatInterval{1500}; // between orders that show no effect; a load takes under a second
 constexpr milliseconds LoadTimeout{4000}; // then a load that shows no effect frees its place
@@ -72,27 +73,6 @@
 
 } // namespace
 
-const char *toText(OrderAnswer answer)
-{
-    switch (answer) {
-    case OrderAnswer::Accepted:
-        return "accepted";
-    case OrderAnswer::AlreadyHolds:
-        return "already holds";
-    case OrderAnswer::Conflict:
-        return "conflict";
-    case OrderAnswer::StaleFencing:
-        return "stale fencing";
-    case OrderAnswer::OtherServer:
-        return "other server";
-    case OrderAnswer::Refused:
-        return "refused";
-    case OrderAnswer::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 WeightKeeper::WeightKeeper(WeightKeeperOptions options, GatewayState &state, const RecordStore &store, const EngineControl &engines, QObject *parent)
     : QObject(parent)
     , m_options(std::move(options))
@@ -192,15 +172,22 @@
     if (!result) {
         return; // the next tick reads again
     }
+    if (result.value().hasGap && m_next == 0) {
+        // The store forgot its history before this process read any. What is gone may tell of orders given just now, and of a lease in force.
+        m_turns[AnyServer] = suspendAwareNow() + m_options.orderLag + m_options.orderTurn;
+        m_state.log.write(LineWeight::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", result.value().nextOffset}});
+    }
     for (const StoreRecord &it : result.value().records) {
         takeRecord(it);
     }
     m_next = std::max(m_next, result.value().nextOffset);
-    const bool isEnd = result.value().records.empty();
+    const bool isEnd = result.value().records.empty() && !result.value().hasGap;
     if (!m_caughtUp && !isEnd) {
         readTopic();
     }
-    m_caughtUp = m_caughtUp || isEnd;
+    const auto turn = m_turns.find(AnyServer);
+    const bool isWaiting = turn != m_turns.end() && suspendAwareNow() < turn->second;
+    m_caughtUp = m_caughtUp || (isEnd && !isWaiting);
 }
 
 void WeightKeeper::takeRecord(const StoreRecord &record)
@@ -225,6 +212,15 @@
     lease.nonce = object.value("nonce", std::string());
     lease.replaces = object.value("replaces", decision::Offset{0});
     lease.duration = milliseconds(object.value("duration_ms", std::int64_t{0}));
+    const auto turn = m_turns.find(AnyServer);
+    if (turn != m_turns.end() && suspendAwareNow() < turn->second) {
+        // What it replaces may be forgotten. A holder renews its lease several times in this wait, so the last one seen is the one in force.
+        decision::SnapshotRecord seen;
+        seen.leases.push_back({lease, fencingOf(record.offset)});
+        m_table.load(seen);
+        m_holder.folded(suspendAwareNow(), m_table.find(Resource));
+        return;
+    }
     if (m_table.apply(fencingOf(record.offset), lease)) {
         m_holder.folded(suspendAwareNow(), m_table.find(Resource));
         m_state.log.write(LineWeight::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset)}});
--- a/src/auburndrum/gateway/weightkeeper_test.cpp
+++ b/src/auburndrum/gateway/weightkeeper_test.cpp
@@ -196,6 +196,49 @@
     checkTurns(engines, 400ms);
 }
 
+TEST_CASE("a VM that starts after the store forgot its history waits a turn, as orders may have been given just before")
+{
+    // Pattern (soak seed 23): orders are given, all VMs are killed, the store forgets its history, and other versions are named.
+    FakeStore fake;
+    FakeEngines engines;
+    Keeper one("one", fake, engines);
+    one.name(2);
+    REQUIRE(runUntil([&] {
+        return engines.given.size() >= 3;
+    }));
+    one.keeper.reset();
+    fake.forgetHistory(WeightKeeperOptions().topic);
+    Keeper two("two", fake, engines);
+    two.name(3);
+    CHECK(runUntil([&] {
+        return allHave(engines, 3);
+    }));
+    checkTurns(engines, 400ms);
+}
+
+TEST_CASE("a VM that starts after the store forgot its history hears of the holder that still renews its lease")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    engines.isSilent = true; // so that the work lasts
+    Keeper one("one", fake, engines);
+    one.name(2);
+    REQUIRE(runUntil([&] {
+        return fake.records(WeightKeeperOptions().topic).size() >= 5;
+    }));
+    fake.forgetHistory(WeightKeeperOptions().topic);
+    Keeper two("two", fake, engines);
+    two.name(2);
+    runFor(1500ms); // past the time that a VM without history waits
+    engines.isSilent = false;
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+    CHECK(std::all_of(engines.given.begin(), engines.given.end(), [](const Given &it) {
+        return it.order.holder == "one";
+    }));
+}
+
 TEST_CASE("an order is announced before it leaves, and none leaves without its announcement")
 {
     FakeStore fake;
