Request line: how long an attempt's weights had been replaced

What was missing: a request line tells the weights of an attempt, but not for how long newer ones had been named, so a run on outdated weights couldn't be told from one within the limit without the logs of all entry VMs. Adds `weights_replaced_ms` to each attempt, beside `load_age_ms` and `wait_estimate_ms`.

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -68,6 +68,7 @@
     std::chrono::milliseconds reportAge{-1}; ///< age of its load report; negative when it has reported no load
     std::chrono::milliseconds entryAge{}; ///< time since its entry in the list changed
     std::uint64_t weightVersion = 0; ///< weight version of the prompt's model there; 0 when unknown
+    std::chrono::milliseconds weightsReplacedFor{-1}; ///< time since newer weights were named; negative when these are the newest
     std::string zone;
     std::string cacheScope; ///< scope of its cached prompt parts; empty for plain services
     std::vector<std::string> partSources; ///< store address to fetch each prompt part from; empty for none
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -120,6 +120,9 @@
     const auto version = entry.server.weightVersions.find(query.prompt->model);
     choice.weightVersion = version == entry.server.weightVersions.end() ? 0 : version->second;
     choice.cacheScope = cacheScope(query.prompt->model, choice.weightVersion, query.organisation);
+    if (const auto since = query.namedWeights != nullptr ? query.namedWeights->replacedSince(choice.weightVersion) : std::nullopt) {
+        choice.weightsReplacedFor = std::chrono::floor<std::chrono::milliseconds>(now - *since);
+    }
     const double prefillMs = prefillTime(query, entry, load, isPreferred, choice);
     const double aheadTokens = load.ownUncachedTokens + waiting * MeanWaitingTokens + choice.runningRequests * RunningCostTokens;
     choice.memoryTokens = query.prompt->inputTokens + query.prompt->maxOutputTokens;
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -23,6 +23,10 @@
         metadata.id = net::headerValue(head.headers, "Id").toStdString();
         metadata.host = net::headerValue(head.headers, "Host").toStdString();
         metadata.apiKey = net::headerValue(head.headers, "Key").toStdString();
+        const QByteArray model = net::headerValue(head.headers, "Model");
+        if (!model.isEmpty()) {
+            metadata.prompt = decision::Prompt{.model = model.toStdString(), .inputTokens = 100, .maxOutputTokens = 10, .parts = {}};
+        }
         return metadata;
     };
     it.forwardHeaders = [](const net::RequestHead &, const ForwardMetadata &metadata) {
@@ -66,8 +70,8 @@
     it.isConfiguration = [](std::string_view key) {
         return key == "configuration";
     };
-    it.isWeights = [](std::string_view) {
-        return false;
+    it.isWeights = [](std::string_view key) {
+        return key == "weights";
     };
     it.readConfiguration = [](std::string_view value, std::string &problem) -> std::optional<decision::Configuration> {
         if (value == "broken") {
@@ -90,14 +94,18 @@
         configuration.indexRoutes();
         return configuration;
     };
-    it.readWeights = [](std::string_view, std::string &) {
-        return std::nullopt;
+    it.readWeights = [](std::string_view value, std::string &) {
+        return std::optional(std::pair(std::string("m"), std::uint64_t{std::stoull(std::string(value))}));
     };
     it.readBackendServer = [](std::string_view id, std::string_view value, std::string &) {
         decision::BackendServer server;
         server.id = id;
         server.service = "service";
-        server.address = value;
+        const auto blank = value.find(' ');
+        server.address = value.substr(0, blank);
+        if (blank != std::string_view::npos) {
+            server.weightVersions["m"] = std::stoull(std::string(value.substr(blank + 1)));
+        }
         server.zone = "zone";
         server.parallelRequests = 8;
         return std::optional(server);
@@ -105,9 +113,19 @@
     return it;
 }
 
+/// Engines that give no report, so that no order leaves.
+EngineControl silentEngines()
+{
+    EngineControl it;
+    it.readReport = [](const std::string & /*address*/, const auto &done) {
+        done(std::nullopt);
+    };
+    return it;
+}
+
 } // namespace
 
-GatewayFixture::GatewayFixture(Responder answer, bool isConfigured)
+GatewayFixture::GatewayFixture(Responder answer, bool isConfigured, std::chrono::milliseconds outdatedWeightsLimit)
     : m_responder(std::move(answer))
 {
     GatewayOptions options;
@@ -119,6 +137,7 @@
     options.backendTopic = "servers";
     options.retries = {.ratio = 0.5, .window = 10s};
     options.stopGrace = 4s;
+    options.outdatedWeightsLimit = outdatedWeightsLimit;
     options.writeLog = [this](std::string_view line) {
         logLines.push_back(nlohmann::json::parse(line));
     };
@@ -134,7 +153,7 @@
     }
     store.put("servers", "a", serverAddresses[0]);
     store.put("servers", "b", serverAddresses[1]);
-    gateway = std::make_unique<Gateway>(options, plainWire(), readers(), store.hooks(), EngineControl{});
+    gateway = std::make_unique<Gateway>(options, plainWire(), readers(), store.hooks(), silentEngines());
     REQUIRE(gateway->start());
     const nlohmann::json &start = lastLine("start");
     callerAddress = *net::parseAddress(start["callers"].get<std::string>());
@@ -172,6 +191,7 @@
     call.target = target;
     call.host = "host";
     call.headers = {{"Id", "request-1"}, {"Key", key}};
+    call.headers.insert(call.headers.end(), extraHeaders.begin(), extraHeaders.end());
     call.body = "body";
     client.start(call, {.onDone = [&](const net::HttpResult &it) {
                      result = it;
--- a/src/auburndrum/gateway/gatewayfixture.h
+++ b/src/auburndrum/gateway/gatewayfixture.h
@@ -16,13 +16,14 @@
 /// A gateway between a store, two backend servers and a caller, in one process.
 ///
 /// Routes by path: /once/ and /single/ (unsafe, two servers and one), /safe/, /stream/ (resumable) and /brief/ (not resumable, removed in configuration version
-/// 5).
+/// 5). A request with the header Model is a prompt. The operator's key "weights" names weights of the model "m"; a server's value is its address, with the
+/// version of its weights after a blank.
 class GatewayFixture
 {
 public:
     using Responder = std::function<void(const std::shared_ptr<net::Exchange> &, int call)>;
 
-    explicit GatewayFixture(Responder answer, bool isConfigured = true);
+    explicit GatewayFixture(Responder answer, bool isConfigured = true, std::chrono::milliseconds outdatedWeightsLimit = std::chrono::seconds(10));
 
     /// Whether the log has at least `count` lines of this event.
     bool hasLogged(const std::string &event, int count = 1) const;
@@ -33,6 +34,7 @@
     std::vector<nlohmann::json> logLines;
     std::vector<std::shared_ptr<net::Exchange>> receivedRequests; ///< requests that reached a backend server
     std::vector<QByteArray> serverAddresses;
+    std::vector<net::Header> extraHeaders; ///< added to each request of the caller
     FakeStore store;
     net::Address callerAddress;
     net::Address readinessAddress;
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -28,6 +28,7 @@
             {"unread_tokens", it.choice.uncachedTokens},
             {"fetched_parts", it.choice.partSources.size() - std::count(it.choice.partSources.begin(), it.choice.partSources.end(), "")},
             {"weights", it.choice.weightVersion},
+            {"weights_replaced_ms", it.choice.weightsReplacedFor.count()},
             {"result", it.result},
             {"ms", it.duration.count()}};
 }
