Failing test: a request that waits at its server while the weights there pass their limit

Two of the three cases fail on this code: the gateway checks the limit of outdated weights when it sends a request and never again, so a request that waits at a busy server begins on weights whose limit has passed.

--- /dev/null
+++ b/src/auburndrum/gateway/gatewayweights_test.cpp
@@ -0,0 +1,116 @@
+#include "eventloop.h"
+#include "gatewayfixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<net::Header> Sealed = {{"Id", "request-1"}, {"Seal", "s"}};
+constexpr auto WeightsLimit = 800ms; // shorter than the routes' timeout, so that the limit ends a wait first
+
+/// A gateway whose servers both have weights 1, and a newer version that is named while the first server holds a request back.
+class NamedWhileWaiting
+{
+public:
+    using Responder = GatewayFixture::Responder;
+
+    explicit NamedWhileWaiting(Responder answer)
+        : it(std::move(answer), true, WeightsLimit)
+    {
+        it.extraHeaders = {{"Model", "m"}};
+        it.store.put("servers", "a", it.serverAddresses[0] + " 1");
+        it.store.put("servers", "b", it.serverAddresses[1] + " 1");
+        REQUIRE(runUntil([&] {
+            return it.hasLogged("backend_server", 4);
+        }));
+        // The second answer of the operator's topic sets the time from which the next naming counts.
+        it.store.put("operator", "configuration", "2");
+        REQUIRE(runUntil([&] {
+            return it.hasLogged("configuration", 2);
+        }));
+        namedFrom = monotonicNow();
+    }
+
+    /// Names weights 2 while the request that was received last waits; one server then has them.
+    void nameWeights()
+    {
+        it.store.put("operator", "weights", "2");
+        REQUIRE(runUntil([&] {
+            return it.hasLogged("weights_named");
+        }));
+    }
+
+    GatewayFixture it;
+    Instant namedFrom{}; ///< earliest time at which the newer weights may have been named
+};
+
+} // namespace
+
+TEST_CASE("a request that has not begun when its server's weights reach their limit is sent to a server with newer weights")
+{
+    // Guards against a run on outdated weights: a request was sent within the limit, waited at a busy server and began there after it.
+    std::optional<Instant> takenBackAt;
+    std::vector<net::Exchange *> answered;
+    NamedWhileWaiting fixture([&](const std::shared_ptr<net::Exchange> &exchange, int call) {
+        if (call == 2) {
+            exchange->setOnCallerDisconnected([&] {
+                takenBackAt = monotonicNow();
+            });
+            fixture.nameWeights();
+            const bool isFirst = exchange->header("Server") == "a";
+            fixture.it.store.put("servers", isFirst ? "b" : "a", fixture.it.serverAddresses[isFirst ? 1 : 0] + " 2");
+            return;
+        }
+        exchange->startStream(200, Sealed);
+        exchange->writeChunk("id: 1\ndata: a\n\n");
+        exchange->finishStream();
+    });
+    fixture.it.sendRequest("/stream/"); // earns half a retry
+    const auto result = fixture.it.sendRequest("/stream/");
+    CHECK(result.head.status == 200);
+    CHECK(result.body == "id: 1\ndata: a\n\n");
+    REQUIRE(fixture.it.receivedRequests.size() == 3);
+    CHECK(fixture.it.receivedRequests[2]->header("Server") != fixture.it.receivedRequests[1]->header("Server"));
+    REQUIRE(takenBackAt);
+    CHECK(*takenBackAt < fixture.namedFrom + WeightsLimit);
+    const auto &line = fixture.it.lastLine("request");
+    CHECK(line["outcome"] == "served");
+    CHECK(line["attempts"][0]["result"] == "outdated_weights");
+}
+
+TEST_CASE("a request that can't be sent again is answered at once when its server's weights reach their limit")
+{
+    // Guards against a run on outdated weights of a request that may run only once, and against a caller that waits for nothing.
+    std::optional<Instant> takenBackAt;
+    NamedWhileWaiting fixture([&](const std::shared_ptr<net::Exchange> &exchange, int) {
+        exchange->setOnCallerDisconnected([&] {
+            takenBackAt = monotonicNow();
+        });
+        fixture.nameWeights();
+    });
+    const auto result = fixture.it.sendRequest("/brief/");
+    CHECK(result.head.status == 502);
+    CHECK(monotonicNow() < fixture.namedFrom + WeightsLimit);
+    REQUIRE(takenBackAt);
+    CHECK(*takenBackAt < fixture.namedFrom + WeightsLimit);
+    CHECK(fixture.it.receivedRequests.size() == 1);
+}
+
+TEST_CASE("a stream that has begun goes on when its server's weights reach their limit")
+{
+    NamedWhileWaiting fixture([&](const std::shared_ptr<net::Exchange> &exchange, int) {
+        exchange->startStream(200, Sealed);
+        exchange->writeChunk("id: 1\ndata: a\n\n");
+        fixture.nameWeights();
+        QTimer::singleShot(WeightsLimit, [exchange] {
+            exchange->writeChunk("id: 2\ndata: b\n\n");
+            exchange->finishStream();
+        });
+    });
+    const auto result = fixture.it.sendRequest("/brief/");
+    CHECK(result.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
