Take a waiting request back when its server's weights reach their limit

Cause: the limit was checked once, when a request was sent, while the promise counts when the server begins it. Nothing looked at a request again while it waited.

Change: while an attempt has no response, its request checks the weights of its server again, and takes the attempt back 300 ms before the limit. It then goes to another server where its route allows that, and is answered at once otherwise. The reserve at sending stays: it keeps most requests from being taken back.

Why it works: the check no longer depends on an estimate. A closed connection reaches a server of another region in 12 ms, and the limit counts from the read before the one that reported the newer weights, so from a moment at which they can't have been acknowledged yet.

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -44,6 +44,7 @@
     decision::StoredPrompts storedPrompts;
     decision::ServerChooser chooser;
     std::map<std::string, decision::NamedWeights> weights; ///< by model
+    std::chrono::milliseconds outdatedWeightsLimit{10000}; ///< time after newer weights are named from which no request may begin on older ones
     net::HttpClient client;
     DecisionLog log;
     Metrics registry;
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -45,6 +45,7 @@
 void ForwardedRequest::handleHead(const net::HttpHead &head)
 {
     m_attempt->head = head;
+    m_weightsTimer.stop();
     m_attempt->metadata = m_state.wire.readAnswer(head);
     if (m_attempt->metadata.load) {
         m_state.chooser.onLoadReport(m_attempt->choice.id, *m_attempt->metadata.load, monotonicNow());
@@ -256,6 +257,7 @@
     m_isConcluded = true;
     m_deadlineTimer.stop();
     m_silenceTimer.stop();
+    m_weightsTimer.stop();
     m_record.retriesLeft = m_service.empty() ? 0 : m_state.retryAllowance(m_service).remaining(monotonicNow());
     recordRequest(m_state, m_record, outcome, status, reason);
 }
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -22,6 +22,10 @@
 constexpr int SilenceCheckInTargetLatencies = 2;
 // Target latencies without any response to this VM after which a server counts as silent; a busy one may respond rarely.
 constexpr int MaxSilenceInTargetLatencies = 4;
+// Between checks of a waiting request whose server's weights were not replaced yet; short against the limit for outdated weights.
+constexpr milliseconds WeightsCheckInterval{250};
+// Reserve before that limit: the closed connection must reach the server, from another region too, before it begins the request.
+constexpr milliseconds TakeBackMargin{300};
 
 } // namespace
 
@@ -86,6 +90,10 @@
     QObject::connect(&m_silenceTimer, &QTimer::timeout, &m_silenceTimer, [this] {
         checkSilence();
     });
+    m_weightsTimer.setSingleShot(true);
+    QObject::connect(&m_weightsTimer, &QTimer::timeout, &m_weightsTimer, [this] {
+        checkWeights();
+    });
     tryNextServer();
 }
 
@@ -233,6 +241,7 @@
     if (m_route->isRepeatable() && m_route->maxServers > 1) {
         m_silenceTimer.start(m_route->targetLatency * SilenceCheckInTargetLatencies);
     }
+    checkWeights();
 }
 
 void ForwardedRequest::checkSilence()
@@ -246,10 +255,36 @@
         m_silenceTimer.start(m_route->targetLatency / 2);
         return;
     }
+    m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
+    takeBack("silent");
+}
+
+void ForwardedRequest::checkWeights()
+{
+    if (m_isConcluded || !m_metadata.prompt || !m_attempt || m_attempt->head) {
+        return; // the response's head says that the run has begun
+    }
+    const auto named = m_state.weights.find(m_metadata.prompt->model);
+    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(m_attempt->choice.weightVersion);
+    if (!replacedSince) {
+        m_weightsTimer.start(WeightsCheckInterval);
+        return;
+    }
+    const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
+    const auto timeLeft = std::chrono::ceil<milliseconds>(latest - monotonicNow());
+    if (timeLeft.count() > 0) {
+        m_weightsTimer.start(timeLeft);
+        return;
+    }
+    takeBack("outdated_weights");
+}
+
+/// Closes the connection on which the server has not responded, and sends the request to another server where that is allowed.
+void ForwardedRequest::takeBack(const char *result)
+{
     const auto self = shared_from_this();
     net::HttpCallHandle call = m_attempt->call;
-    m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
-    endAttempt("silent");
+    endAttempt(result);
     call.cancel();
     retryOrConclude(true, Delivery::Delivered);
 }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -70,6 +70,8 @@
     void respond(const net::HttpHead &head, const QByteArray &body);
     void abortStream(const char *reason);
     void checkSilence();
+    void checkWeights();
+    void takeBack(const char *result);
     void handleTimeout();
     void handleCallerGone();
     void conclude(Outcome outcome, int status, const char *reason);
@@ -86,6 +88,7 @@
     std::string m_service;
     QTimer m_deadlineTimer; ///< ends the request at its deadline
     QTimer m_silenceTimer; ///< checks for a server that gives no response
+    QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
     Instant m_deadline{};
     std::optional<ForwardAttempt> m_attempt;
     std::vector<std::string> m_triedServers;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -10,7 +10,7 @@
 
 constexpr qint64 MaxBufferedBodyBytes = 256 * 1024; // larger bodies are forwarded as they arrive, and can't be sent again
 constexpr milliseconds ExpiryInterval{250}; // between checks for expired entries; short against their grace period of 2 s
-// A request sent in time must also begin in time: allows for the transfer to the engine and for queueing beyond the estimate.
+// Requests are sent only when they are expected to begin this long before the limit; those that wait longer are taken back at the limit.
 constexpr milliseconds WeightsMargin{1000};
 constexpr milliseconds StopCheckInterval{50};
 // The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
@@ -115,6 +115,7 @@
                                    m_relayLink.promptStoreLog().addUnreachable(address);
                                }})
 {
+    m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
     connect(&m_expiryTimer, &QTimer::timeout, this, &Gateway::expireServers);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::finishStop);
 }
@@ -272,6 +273,7 @@
     m_options.stopGrace = options.stopGrace;
     m_state.retryOptions = options.retries;
     m_state.retryAllowances.clear();
+    m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
     m_state.chooser.setOutdatedWeightsGrace(chooserOptions(m_options).outdatedWeightsGrace);
     m_state.log.write(LinePriority::Notable,
                       "reload",
