Weights named before a VM's start: their limit passes when the VM has settled

Seen by callers: work ran on outdated weights (VERSION) after a restart of all entry VMs during a roll-out.

Cause: a process that starts reads the newest weights without knowing when they were named, and counted their limit of 10 s from its own start unless some server already had them. While the roll-out gets nowhere no server has, so the limit was passed by up to the time between naming and start.

Change: such weights count as named so long before the start that their limit passes 4 s after it. Until then the platform holds a VM that started to no time limit. That a server with newer weights ends the use of older ones at once stays as it was.

Ruled out: writing the time of the naming into the store. VMs share no clock that can be trusted, and the time would be unknown all the same when all of them start.

Case 4 of gatewayweights_test failed before.

--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -193,8 +193,10 @@
         skipRecord(m_options.operatorTopic, key, problem);
         return;
     }
-    if (!m_state.weights[weights->first].addVersion(
-            weights->second, m_operatorFeed.isSynced() ? m_operatorFeed.previousReadAt() : monotonicNow(), !m_operatorFeed.isSynced())) {
+    // Weights that were named before the start may have been named at any time: their limit then passes when this VM has settled.
+    const Instant countsFrom
+        = m_operatorFeed.isSynced() ? m_operatorFeed.previousReadAt() : monotonicNow() - (m_options.outdatedWeightsLimit - m_options.startSettleTime);
+    if (!m_state.weights[weights->first].addVersion(weights->second, countsFrom, !m_operatorFeed.isSynced())) {
         return;
     }
     m_state.metrics.stateChanges.with({"weights"}).Increment();
