Keep a request's timeout precisely

Seen by callers: final answers up to 5% of the timeout before or after it. For a timeout of 15 s that is up to 0.75 s, and the promise allows 0.5 s.

Cause: QTimer is coarse by default, and may move a timeout by 5% to fire together with others. Change: the deadline's timer is a precise one.

The test failed before (responses 4 ms to 11 ms early for a timeout of 1 s; early can't be caused by load) and passes now.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -82,6 +82,7 @@
         }
     });
     m_deadlineTimer.setSingleShot(true);
+    m_deadlineTimer.setTimerType(Qt::PreciseTimer); // a coarse timer is off by up to 5%
     QObject::connect(&m_deadlineTimer, &QTimer::timeout, &m_deadlineTimer, [this] {
         handleTimeout();
     });
--- a/src/auburndrum/gateway/gateway_test.cpp
+++ b/src/auburndrum/gateway/gateway_test.cpp
@@ -163,6 +163,34 @@
     }));
 }
 
+TEST_CASE("a request that gets no response ends at its timeout, not a share of the timeout earlier or later")
+{
+    // Guards against final answers long after a long timeout: coarse timers are off by up to 5%, which is 0.75 s for a timeout of 15 s.
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &, int) {
+    });
+    constexpr int Requests = 20;
+    std::vector<std::chrono::nanoseconds> elapsed;
+    for (int n = 0; n < Requests; ++n) {
+        net::HttpCall call;
+        call.peer = it.callerAddress;
+        call.method = "POST";
+        call.target = "/single/";
+        call.host = "host";
+        call.headers = {{"Id", "request-" + QByteArray::number(n)}, {"Key", "key"}};
+        it.client.start(call, {.onDone = [&elapsed, begin = monotonicNow()](const net::HttpResult &) {
+                            elapsed.push_back(monotonicNow() - begin);
+                        }});
+        runFor(17ms);
+    }
+    REQUIRE(runUntil([&] {
+        return elapsed.size() == Requests;
+    }));
+    for (const auto time : elapsed) {
+        CHECK(time >= 999ms); // the timer counts whole milliseconds
+        CHECK(time < 1500ms);
+    }
+}
+
 TEST_CASE("when a caller disconnects, its request at the server is cancelled")
 {
     GatewayFixture it([](const std::shared_ptr<net::Exchange> &, int) {
