Check the limit of a waiting request every 250 ms, with a precise timer

Cause: one coarse timer, armed when the request was sent for the whole time left, which is off by up to 5% and rests on the limit as it was then. Change: a precise timer that fires at the limit, but at least every 250 ms, and compares again.

The test "a shorter limit that is set while a request waits applies to it" failed before (504 at the route's timeout) and passes now.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -22,7 +22,7 @@
 constexpr int SilenceCheckInTargetLatencies = 2;
 // Target latencies without any response to this VM after which a server counts as silent; a busy one may respond rarely.
 constexpr int MaxSilenceInTargetLatencies = 4;
-// Between checks of a waiting request whose server's weights were not replaced yet; short against the limit for outdated weights.
+// Longest time between checks of the weights at which a request waits; short against the limit for outdated weights.
 constexpr milliseconds WeightsCheckInterval{250};
 // Reserve before that limit: the closed connection must reach the server, from another region too, before it begins the request.
 constexpr milliseconds TakeBackMargin{300};
@@ -92,6 +92,7 @@
         checkSilence();
     });
     m_weightsTimer.setSingleShot(true);
+    m_weightsTimer.setTimerType(Qt::PreciseTimer);
     QObject::connect(&m_weightsTimer, &QTimer::timeout, &m_weightsTimer, [this] {
         checkWeights();
     });
@@ -274,13 +275,13 @@
     const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
     const auto timeLeft = std::chrono::ceil<milliseconds>(latest - monotonicNow());
     if (timeLeft.count() > 0) {
-        m_weightsTimer.start(timeLeft);
+        // Checked again before that: the limit may change meanwhile, and timers don't count the time in which the VM is suspended.
+        m_weightsTimer.start(std::min(timeLeft, WeightsCheckInterval));
         return;
     }
     takeBack("outdated_weights");
 }
 
-/// Closes the connection on which the server has not responded, and sends the request to another server where that is allowed.
 void ForwardedRequest::takeBack(const char *result)
 {
     const auto self = shared_from_this();
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -71,6 +71,7 @@
     void abortStream(const char *reason);
     void checkSilence();
     void checkWeights();
+    /// Closes the connection on which the server has not responded, and sends the request to another server where that is allowed.
     void takeBack(const char *result);
     void handleTimeout();
     void handleCallerGone();
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -10,7 +10,7 @@
 
 constexpr qint64 MaxBufferedBodyBytes = 256 * 1024; // larger bodies are forwarded as they arrive, and can't be sent again
 constexpr milliseconds ExpiryInterval{250}; // between checks for expired entries; short against their grace period of 2 s
-// Requests are sent only when they are expected to begin this long before the limit; those that wait longer are taken back at the limit.
+// Requests are sent only when they are expected to begin this long before the limit; those that wait longer are taken back shortly before it.
 constexpr milliseconds WeightsMargin{1000};
 constexpr milliseconds StopCheckInterval{50};
 // The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
--- a/src/auburndrum/gateway/gatewayweights_test.cpp
+++ b/src/auburndrum/gateway/gatewayweights_test.cpp
@@ -142,3 +142,24 @@
     CHECK(it.sendRequest("/once/").head.status == 503);
     CHECK(it.lastLine("request")["no_server"] == "all servers have old weights");
 }
+
+TEST_CASE("a shorter limit that is set while a request waits applies to it")
+{
+    // Guards against a take-back that is timed once, when the request is sent: the limit, and the time that counts, may change while it waits.
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &, int) {
+    });
+    it.extraHeaders = {{"Model", "m"}};
+    it.store.put("servers", "a", it.serverAddresses[0] + " 1");
+    it.store.put("servers", "b", it.serverAddresses[1] + " 1");
+    it.store.put("operator", "weights", "2");
+    REQUIRE(runUntil([&] {
+        return it.hasLogged("weights_named") && it.hasLogged("backend_server", 4);
+    }));
+    QTimer::singleShot(100ms, it.gateway.get(), [&] {
+        GatewayOptions shorter;
+        shorter.outdatedWeightsLimit = 400ms;
+        it.gateway->reload(shorter);
+    });
+    CHECK(it.sendRequest("/brief/").head.status == 502);
+    CHECK(it.lastLine("request")["attempts"][0]["result"] == "outdated_weights");
+}
