--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -36,13 +36,18 @@
             });
             return;
         }
-        const auto pending = std::make_shared<PendingRead>(PendingRead{topic, from, done});
+        const auto pending = std::make_shared<PendingRead>(PendingRead{topic, from, done, m_losesReads});
         m_pendingReads.push_back(pending);
         QTimer::singleShot(wait, &m_context, [this, pending] {
-            if (pending->done) {
+            if (pending->done && !pending->isLost) {
                 std::exchange(pending->done, {})(batch(pending->topic, pending->from));
             }
         });
+        QTimer::singleShot(wait + CallTimeout, &m_context, [pending] {
+            if (pending->done) {
+                std::exchange(pending->done, {})(failure(StoreError::TimedOut));
+            }
+        });
         QTimer::singleShot(0, &m_context, [this, topic] {
             completeReads(topic);
         });
@@ -100,6 +105,14 @@
     it.firstOffset = it.endOffset;
 }
 
+void FakeStore::setLosesReads(bool loses)
+{
+    m_losesReads = loses;
+    for (const auto &it : m_pendingReads) {
+        it->isLost = it->isLost || loses;
+    }
+}
+
 RecordBatch FakeStore::batch(const std::string &topic, std::uint64_t from)
 {
     const Topic &it = m_topics[topic];
@@ -117,7 +130,7 @@
     const auto pending = m_pendingReads;
     for (const auto &it : pending) {
         const bool hasNewRecords = it->from < m_topics[topic].endOffset || it->from < m_topics[topic].firstOffset;
-        if (it->topic != topic || !it->done || !hasNewRecords) {
+        if (it->topic != topic || !it->done || it->isLost || !hasNewRecords) {
             continue;
         }
         const auto done = std::exchange(it->done, {});
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -29,6 +29,8 @@
     {
         m_losesAnswers = loses;
     }
+    /// No read that is pending now, or sent while this holds, is ever answered, so the caller sees a timeout.
+    void setLosesReads(bool loses);
     const std::vector<StoreRecord> &records(const std::string &topic)
     {
         return m_topics[topic].records;
@@ -52,6 +54,7 @@
         std::string topic;
         std::uint64_t from = 0;
         std::function<void(StoreResult<RecordBatch>)> done;
+        bool isLost = false; ///< never answered
     };
 
     RecordBatch batch(const std::string &topic, std::uint64_t from);
@@ -61,6 +64,7 @@
     std::vector<std::shared_ptr<PendingRead>> m_pendingReads;
     std::optional<StoreError> m_error;
     bool m_losesAnswers = false;
+    bool m_losesReads = false;
     int m_calls = 0;
     QObject m_context;
 };
