Repeat a failed read of a topic without waiting for records

Cause: each read is a long poll, so one that is sent into an outage is noticed only after its own 3 s and the answer timeout of 1 s, and such reads are repeated until one of them is answered.

A direct read whose topic's last read failed now asks for an answer at once, so a lost one costs 1 s and the retry delay of at most 0.8 s, and the reader then polls as before. This is in RelayLink, which all reads of topics pass: feeds of the operator and the servers, and the topic of the orders.

Ruled out: a restart of the other topics' reads when one topic is back. A read that waits was sent before its topic's first failure, so it ends within 4 s anyway.

--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace auburndrum::gateway {
@@ -61,7 +62,7 @@
     net::Address start();
     /// Refuses further polls, so that other VMs choose another relay before this process ends.
     void stop();
-    /// The store, with reads that may go through the relay.
+    /// The store, with reads that may go through the relay. A read that repeats a failed one of its topic doesn't wait for records.
     RecordStore relayedStore();
     /// Applies the number of readers that each prompt store of the configuration in force allows.
     void configure();
@@ -111,6 +112,7 @@
     net::HttpServer m_server;
     QTimer m_pollTimer;
     std::map<std::string, PendingRead> m_pendingReads; ///< by topic
+    std::set<std::string> m_failedTopics; ///< topics whose last direct read failed
     std::string m_relay; ///< name of the relay in use; empty while this VM reads directly
     bool m_isPolling = false;
     bool m_isStopped = false;
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -143,10 +143,16 @@
 
 void RelayLink::readDirectly(const std::string &topic, std::uint64_t from, milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done)
 {
-    const milliseconds longest = exceedsAllowedReaders() ? std::min(wait, m_options.maxReadTime) : wait;
+    milliseconds longest = exceedsAllowedReaders() ? std::min(wait, m_options.maxReadTime) : wait;
+    if (m_failedTopics.contains(topic)) {
+        longest = milliseconds(0); // a lost read is noticed sooner, so its reader learns early that the store is back
+    }
     m_store.read(topic, from, longest, [this, topic, from, done = std::move(done)](const StoreResult<RecordBatch> &result) {
         if (result) {
+            m_failedTopics.erase(topic);
             m_topicCache.addBatch(topic, from, result.value(), suspendAwareNow());
+        } else {
+            m_failedTopics.insert(topic);
         }
         done(result);
     });
