Long polls of 1.75 s: a record that the store doesn't wake a read for is in time

Only the read's own limit then bounds the delay, and that was 3 s, longer than the 2.5 s in which a leaving server, a configuration and a revoked key must be in force.

Change: a read waits 1.75 s at the most. With the longest read interval, 0.5 s, a change is read 2.25 s after it at the latest. A silent connection is noticed after 2.75 s rather than 4 s.

Ruled out: a slow VM or a frozen one (the rule counts calm VMs only; both requests reached their server within 45 ms of being sent), a queue between choice and sending, and the relay (none in use on this site).

--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -15,9 +15,9 @@
 struct KeyedFeedOptions
 {
     std::string topic;
-    /// A read that finds no records ends after this time, so that a silent connection is noticed within the 4 s after which the platform counts
-    /// a VM as calm again.
-    std::chrono::milliseconds longPollTimeout{3000};
+    /// A read that finds no records ends after this time. The store may fail to wake a waiting read for a new record, and a connection may go silent:
+    /// together with the read interval this stays below the 2.5 s in which a change must be in force.
+    std::chrono::milliseconds longPollTimeout{1750};
     /// Between two reads, so that records that arrive together are read in one call, since each call has a cost. Grows with the number of keys,
     /// since more of them change at once in a larger fleet, up to a fraction of the 2.5 s in which a change must be in force.
     std::chrono::milliseconds readInterval{150};
