--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -54,11 +54,11 @@
     {
         return m_isSynced;
     }
-    /// Time of the read before the current one: the latest moment at which what onChange reports now can't have been in the store yet. A record
-    /// may be read late, for instance after this VM was paused.
-    Instant previousReadAt() const
+    /// Time of the read before the current one: the latest moment at which what onChange reports now can't have been in the store
+    /// yet. A record may be read late, for instance after this VM was paused or in the snapshot after a gap. Nothing in the first snapshot.
+    std::optional<Instant> previousReadAt() const
     {
-        return m_previousAnswerAt.value_or(Instant::min());
+        return m_previousCompleteAt;
     }
 
 private:
@@ -82,12 +82,14 @@
     std::set<std::string> m_presentKeys; ///< keys that have a value
     std::set<std::string> m_snapshotKeys; ///< keys seen in the snapshot being read
     std::optional<std::uint64_t> m_snapshotEnd; ///< end of the topic when the snapshot began
+    Instant m_snapshotAt{}; ///< when the snapshot began
     std::uint64_t m_nextOffset = 0;
     bool m_isSynced = false;
     bool m_isStoreLost = false;
     std::chrono::milliseconds m_retryDelay;
     std::optional<Instant> m_lastAnswerAt;
-    std::optional<Instant> m_previousAnswerAt; ///< time of the response before the last
+    std::optional<Instant> m_completeAt; ///< all that the store held then has been reported
+    std::optional<Instant> m_previousCompleteAt; ///< m_completeAt before the last read or snapshot
     std::optional<Instant> m_regainedAt; ///< end of the last outage
 };
 
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -193,8 +193,8 @@
         skipRecord(m_options.operatorTopic, key, problem);
         return;
     }
-    if (!m_state.weights[weights->first].addVersion(
-            weights->second, m_operatorFeed.isSynced() ? m_operatorFeed.previousReadAt() : monotonicNow(), !m_operatorFeed.isSynced())) {
+    const auto readBefore = m_operatorFeed.previousReadAt();
+    if (!m_state.weights[weights->first].addVersion(weights->second, readBefore.value_or(monotonicNow()), !readBefore)) {
         return;
     }
     m_state.metrics.stateChanges.with({"weights"}).Increment();
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -69,6 +69,8 @@
     // Pages are read at different times, so changes between them are read again from the end offset of the first page.
     if (!m_snapshotEnd) {
         m_snapshotEnd = page.endOffset;
+        m_snapshotAt = *m_lastAnswerAt;
+        m_previousCompleteAt = m_completeAt;
     }
     for (const StoreRecord &it : page.records) {
         m_snapshotKeys.insert(it.key);
@@ -91,6 +93,7 @@
         }
     }
     m_nextOffset = *m_snapshotEnd;
+    m_completeAt = m_snapshotAt;
     m_isSynced = true;
     if (m_hooks.onSynced) {
         m_hooks.onSynced();
@@ -129,6 +132,7 @@
         start();
         return;
     }
+    m_previousCompleteAt = std::exchange(m_completeAt, m_lastAnswerAt);
     for (const StoreRecord &it : result.value().records) {
         apply(it);
     }
@@ -157,7 +161,7 @@
     if (m_lastAnswerAt && now - *m_lastAnswerAt > m_options.longPollTimeout + m_options.outageThreshold) {
         m_regainedAt = now;
     }
-    m_previousAnswerAt = std::exchange(m_lastAnswerAt, now);
+    m_lastAnswerAt = now;
     m_retryDelay = m_options.minRetryDelay;
     if (m_isStoreLost) {
         m_isStoreLost = false;
--- a/src/auburndrum/gateway/keyedfeed_test.cpp
+++ b/src/auburndrum/gateway/keyedfeed_test.cpp
@@ -164,5 +164,6 @@
     runFor(200ms);
     fake.setError(std::nullopt);
     REQUIRE(it.receives("a", "2"));
-    CHECK(it.feed.previousReadAt() <= before);
+    REQUIRE(it.feed.previousReadAt());
+    CHECK(*it.feed.previousReadAt() <= before);
 }
