Count the limit of outdated weights on the clock that also counts suspension

A VM may be suspended for seconds, and its steady clock stands still meanwhile.

Change: the times of named weights, and the present time that they are compared with, are read with suspendAwareNow(), as leases are. Load reports and other estimates stay on the steady clock, so the query carries the time for the weights by itself.

The test "the limit of outdated weights counts the time in which the VM was suspended" doesn't compile before (the query had no such time).

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -53,6 +53,7 @@
     std::string_view organisation; ///< organisation with a private cache; empty for all others
     std::string_view spreadKey; ///< hash key of requests without a prompt; may be empty
     const NamedWeights *namedWeights = nullptr; ///< named weights of the prompt's model; null when none were named
+    std::optional<Instant> weightsTime; ///< present time on the clock of `namedWeights`; empty when it is the chooser's clock
     std::vector<std::string> triedServers; ///< servers that this request was already sent to
 };
 
--- a/src/auburndrum/decision/traffic/namedweights.cpp
+++ b/src/auburndrum/decision/traffic/namedweights.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr std::size_t MaxVersions = 16; // versions that were dropped count as replaced when the oldest remembered one was received
+constexpr std::size_t MaxVersions = 16; // versions that were dropped count as replaced when the oldest remembered one was
 
 } // namespace
 
-bool NamedWeights::addVersion(std::uint64_t version, Instant now, bool wasNamedBeforeStart)
+bool NamedWeights::addVersion(std::uint64_t version, Instant earliest, bool wasNamedBeforeStart)
 {
     if (version <= newestVersion()) {
         return false;
     }
-    m_versions[version] = {now, wasNamedBeforeStart};
+    m_versions[version] = {earliest, wasNamedBeforeStart};
     if (m_versions.size() > MaxVersions) {
         m_versions.erase(m_versions.begin());
     }
@@ -30,7 +30,7 @@
 std::optional<Instant> NamedWeights::replacedSince(std::uint64_t version) const
 {
     const auto it = m_versions.upper_bound(version);
-    return it == m_versions.end() ? std::nullopt : std::optional(it->second.receivedAt);
+    return it == m_versions.end() ? std::nullopt : std::optional(it->second.earliest);
 }
 
 bool NamedWeights::wasReplacedBeforeStart(std::uint64_t version) const
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -121,7 +121,7 @@
     choice.weightVersion = version == entry.server.weightVersions.end() ? 0 : version->second;
     choice.cacheScope = cacheScope(query.prompt->model, choice.weightVersion, query.organisation);
     if (const auto since = query.namedWeights != nullptr ? query.namedWeights->replacedSince(choice.weightVersion) : std::nullopt) {
-        choice.weightsReplacedFor = std::chrono::floor<std::chrono::milliseconds>(now - *since);
+        choice.weightsReplacedFor = std::chrono::floor<std::chrono::milliseconds>(query.weightsTime.value_or(now) - *since);
     }
     const double prefillMs = prefillTime(query, entry, load, isPreferred, choice);
     const double aheadTokens = load.ownUncachedTokens + waiting * MeanWaitingTokens + choice.runningRequests * RunningCostTokens;
@@ -245,7 +245,7 @@
     for (const BackendList::Entry *it : candidates) {
         const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == preferred, now);
         // The request would begin only after its expected wait.
-        if (query.namedWeights != nullptr && areWeightsPastGrace(query, choice.weightVersion, now + choice.expectedWait)) {
+        if (query.namedWeights != nullptr && areWeightsPastGrace(query, choice.weightVersion, query.weightsTime.value_or(now) + choice.expectedWait)) {
             reason = std::max(reason, NoServerReason::OutdatedWeights);
             continue;
         }
--- a/src/auburndrum/decision/traffic/serverchooser_test.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser_test.cpp
@@ -287,3 +287,17 @@
     fleet.chooser.forget(choice->id);
     CHECK_FALSE(fleet.chooser.lastAnswerAt(choice->id));
 }
+
+TEST_CASE("the limit of outdated weights counts the time in which the VM was suspended")
+{
+    // Guards against runs on outdated weights after a suspension, during which the clock of the other estimates stands still.
+    Fleet fleet;
+    const Prompt prompt = session("s");
+    fleet.weights.addVersion(2, Start, false);
+    ServerQuery query = fleet.llmQuery(prompt);
+    query.weightsTime = Start + 7s;
+    CHECK(fleet.choose(query, Start + 1s));
+    query.weightsTime = Start + 8s;
+    CHECK_FALSE(fleet.choose(query, Start + 1s));
+    CHECK(fleet.reason == NoServerReason::OutdatedWeights);
+}
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -141,6 +141,7 @@
         const auto weights = m_state.weights.find(m_metadata.prompt->model);
         if (weights != m_state.weights.end()) {
             query.namedWeights = &weights->second;
+            query.weightsTime = suspendAwareNow();
         }
     }
     decision::NoServerReason reason = decision::NoServerReason::NoneListed;
@@ -273,7 +274,7 @@
         return;
     }
     const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
-    const auto timeLeft = std::chrono::ceil<milliseconds>(latest - monotonicNow());
+    const auto timeLeft = std::chrono::ceil<milliseconds>(latest - suspendAwareNow());
     if (timeLeft.count() > 0) {
         // Checked again before that: the limit may change meanwhile, and timers don't count the time in which the VM is suspended.
         m_weightsTimer.start(std::min(timeLeft, WeightsCheckInterval));
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -195,7 +195,7 @@
     }
     const auto readBefore = m_operatorFeed.previousReadAt();
     // Weights that were named before the start may have been named at any time: their limit then passes when this VM has settled.
-    const Instant countsFrom = readBefore.value_or(monotonicNow() - (m_options.outdatedWeightsLimit - m_options.startSettleTime));
+    const Instant countsFrom = readBefore.value_or(suspendAwareNow() - (m_options.outdatedWeightsLimit - m_options.startSettleTime));
     if (!m_state.weights[weights->first].addVersion(weights->second, countsFrom, !readBefore)) {
         return;
     }
