--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -50,6 +50,8 @@
     Q_OBJECT
 
 public:
+    static constexpr char LeaseResource[] = "weights";
+
     WeightUpdater(WeightUpdaterOptions options, GatewayState &state, const RecordStore &store, const EngineControl &engines, QObject *parent = nullptr);
 
     void start();
--- /dev/null
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -0,0 +1,153 @@
+#include "auburndrum/gateway/weightupdater.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using decision::LeaseRecord;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char AnyServer[] = ""; // in m_orderAllowedAt: all servers, while it is not known which were ordered
+constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
+
+QByteArray leaseText(const LeaseRecord &lease)
+{
+    const json object = {{"holder", lease.holder}, {"nonce", lease.nonce}, {"replaces", lease.replaces}, {"duration_ms", lease.duration.count()}};
+    return QByteArray::fromStdString(object.dump());
+}
+
+bool isText(const json &object, const char *field)
+{
+    return object.contains(field) && object[field].is_string();
+}
+
+bool isCount(const json &object, const char *field)
+{
+    return object.contains(field) && object[field].is_number_unsigned();
+}
+
+/// Whether a record has one of the two forms that entry VMs write to the topic: an announced load or a lease.
+bool isOrderRecord(const json &object)
+{
+    if (!object.is_object() || !isText(object, "holder")) {
+        return false;
+    }
+    if (object.contains("loading")) {
+        return isText(object, "loading") && isCount(object, "version");
+    }
+    return isText(object, "nonce") && isCount(object, "replaces") && isCount(object, "duration_ms");
+}
+
+/// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none.
+decision::Offset fencingOf(std::uint64_t offset)
+{
+    return static_cast<decision::Offset>(offset) + 1;
+}
+
+} // namespace
+
+milliseconds WeightUpdater::currentReadInterval() const
+{
+    if (m_leaseHolder.fencingNumber(suspendAwareNow())) {
+        return m_options.readInterval;
+    }
+    return std::max(m_options.readInterval, m_options.readIntervalPerServer * static_cast<std::int64_t>(m_state.servers.size()));
+}
+
+void WeightUpdater::readTopic()
+{
+    m_isReading = true;
+    m_lastReadAt = monotonicNow();
+    // The first read returns what is there, the next ones wait for new records.
+    m_store.read(m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0), [this](const StoreResult<RecordBatch> &result) {
+        handleBatch(result);
+    });
+}
+
+void WeightUpdater::handleBatch(const StoreResult<RecordBatch> &result)
+{
+    m_isReading = false;
+    if (!result) {
+        return; // the next tick reads again
+    }
+    if (result.value().hasGap && m_nextOffset == 0) {
+        // The store dropped its history before this process read any. The dropped records may include recent orders and a lease in force.
+        m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
+        m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", result.value().nextOffset}});
+    }
+    for (const StoreRecord &it : result.value().records) {
+        applyRecord(it);
+    }
+    m_nextOffset = std::max(m_nextOffset, result.value().nextOffset);
+    const bool isEnd = result.value().records.empty() && !result.value().hasGap;
+    if (!m_isCaughtUp && !isEnd) {
+        readTopic();
+    }
+    const auto allowedAt = m_orderAllowedAt.find(AnyServer);
+    const bool isWaiting = allowedAt != m_orderAllowedAt.end() && suspendAwareNow() < allowedAt->second;
+    m_isCaughtUp = m_isCaughtUp || (isEnd && !isWaiting);
+}
+
+void WeightUpdater::applyRecord(const StoreRecord &record)
+{
+    const json object = record.value ? json::parse(record.value->constBegin(), record.value->constEnd(), nullptr, false) : json();
+    if (!isOrderRecord(object)) {
+        m_state.log.write(LinePriority::Notable,
+                          "record_skipped",
+                          {{"topic", m_options.topic}, {"offset", record.offset}, {"problem", "neither a lease nor an announced load"}});
+        m_state.metrics.recordsSkipped.with({m_options.topic}).Increment();
+        return;
+    }
+    if (object.contains("loading")) {
+        const auto server = object.value("loading", std::string());
+        if (object.value("holder", std::string()) != m_incarnation) {
+            m_orderAllowedAt[server] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
+        }
+        m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, object.value("version", std::uint64_t{0}));
+        return;
+    }
+    LeaseRecord lease;
+    lease.resource = LeaseResource;
+    lease.holder = object.value("holder", std::string());
+    lease.nonce = object.value("nonce", std::string());
+    lease.replaces = object.value("replaces", decision::Offset{0});
+    lease.duration = milliseconds(object.value("duration_ms", std::int64_t{0}));
+    const auto allowedAt = m_orderAllowedAt.find(AnyServer);
+    if (allowedAt != m_orderAllowedAt.end() && suspendAwareNow() < allowedAt->second) {
+        // The lease that it replaces may be among the dropped records. A holder renews its lease several times in this wait, so the last lease read is
+        // in force.
+        decision::SnapshotRecord snapshot;
+        snapshot.leases.push_back({lease, fencingOf(record.offset)});
+        m_leaseTable.loadFrom(snapshot);
+        m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
+        return;
+    }
+    if (m_leaseTable.apply(fencingOf(record.offset), lease)) {
+        m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
+        m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset)}});
+    }
+}
+
+void WeightUpdater::append(const QByteArray &record, std::function<void(bool)> done)
+{
+    m_store.append(m_options.topic, record, [this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
+        if (!result) {
+            m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(result.error())}});
+        }
+        done(result.has_value());
+    });
+}
+
+void WeightUpdater::appendLease(const LeaseRecord &lease)
+{
+    append(leaseText(lease), [](bool /*isWritten*/) {
+        // The topic shows whether the record is there and in force.
+    });
+}
+
+} // namespace auburndrum::gateway
