--- /dev/null
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -0,0 +1,141 @@
+#include "eventloop.h"
+#include "weightupdaterfixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::set<std::string> orderedAddresses(const FakeEngines &engines)
+{
+    std::set<std::string> addresses;
+    for (const ReceivedOrder &it : engines.receivedOrders) {
+        addresses.insert(it.order.address);
+    }
+    return addresses;
+}
+
+std::size_t mostLoadsAtOnce(const FakeEngines &engines)
+{
+    std::size_t most = 0;
+    for (const ReceivedOrder &it : engines.receivedOrders) {
+        const auto isWithin = [&](const ReceivedOrder &other) {
+            return other.at <= it.at && it.at - other.at < engines.loadTime;
+        };
+        most = std::max(most, static_cast<std::size_t>(std::count_if(engines.receivedOrders.begin(), engines.receivedOrders.end(), isWithin)));
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a successor orders other engines at once while it may not order its predecessor's yet")
+{
+    // Guards against a roll-out that stands still at each change of holder: engines that may not be ordered yet took the load slots.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.lostOrders = {"e0:1"};
+    auto options = UpdaterVm::options("one");
+    options.orderInterval = 3s;
+    UpdaterVm one(options, fake, engines);
+    one.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return !engines.receivedOrders.empty();
+    }));
+    REQUIRE(engines.receivedOrders.front().order.address == "e0:1");
+    one.updater.reset();
+    const auto before = engines.receivedOrders.size();
+    options.vm = "two";
+    UpdaterVm two(options, fake, engines);
+    const Instant startedAt = suspendAwareNow();
+    two.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return engines.receivedOrders.size() > before;
+    }));
+    CHECK(engines.receivedOrders[before].at - startedAt < 2s);
+    CHECK(engines.receivedOrders[before].order.address != "e0:1");
+}
+
+TEST_CASE("an order without answer or effect keeps no other engine from being ordered")
+{
+    // Guards against a roll-out that stands still while orders get no answer: each kept a load slot for seconds.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.lostOrders = {"e0:1"};
+    UpdaterVm one("one", fake, engines);
+    one.nameWeights(2);
+    const Instant startedAt = suspendAwareNow();
+    REQUIRE(runUntil([&] {
+        return orderedAddresses(engines).size() == 5;
+    }));
+    CHECK(suspendAwareNow() - startedAt < 2500ms);
+}
+
+TEST_CASE("an announced load that didn't begin is called off in the topic")
+{
+    // Guards against engines that serve but get no requests for seconds: their announced load had no effect.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.lostOrders = {"e0:1"};
+    UpdaterVm one("one", fake, engines);
+    one.nameWeights(2);
+    CHECK(runUntil([&] {
+        const auto &records = fake.records(WeightUpdaterOptions().topic);
+        return std::any_of(records.begin(), records.end(), [](const StoreRecord &it) {
+            return it.value && it.value->contains("\"e0\"") && it.value->contains("\"version\":0");
+        });
+    }));
+}
+
+TEST_CASE("the number of concurrent loads follows the list of engines")
+{
+    // Guards against a slow roll-out for as long as a process lives: the number came from the list as it was at the first plan.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.loadTime = 100ms;
+    auto options = UpdaterVm::options("one");
+    options.maxLoadingShare = 0.4;
+    UpdaterVm one(options, fake, engines);
+    for (int n = 2; n < 5; ++n) {
+        one.state.servers.remove("e" + std::to_string(n), monotonicNow(), false);
+    }
+    one.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return !engines.receivedOrders.empty();
+    }));
+    for (int n = 2; n < 5; ++n) {
+        one.state.servers.put(newEngine(n), monotonicNow());
+    }
+    REQUIRE(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+    CHECK(mostLoadsAtOnce(engines) == 2);
+}
+
+TEST_CASE("the engines with the oldest weights are ordered first")
+{
+    // Guards against old weights past their limit: engines that had just loaded one version were ordered to load the next before others had loaded any.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.loadTime = 100ms;
+    UpdaterVm one("one", fake, engines);
+    one.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return engines.receivedOrders.size() == 2;
+    }));
+    one.nameWeights(3);
+    REQUIRE(runUntil([&] {
+        return allHave(engines, 3);
+    }));
+    const auto again = std::find_if(engines.receivedOrders.begin() + 1, engines.receivedOrders.end(), [](const ReceivedOrder &it) {
+        return it.order.address == "e0:1";
+    });
+    std::set<std::string> before;
+    std::for_each(engines.receivedOrders.begin(), again, [&](const ReceivedOrder &it) {
+        before.insert(it.order.address);
+    });
+    CHECK(before.size() == 5);
+}
--- a/src/auburndrum/gateway/weightupdater_test.cpp
+++ b/src/auburndrum/gateway/weightupdater_test.cpp
@@ -1,7 +1,5 @@
-#include "auburndrum/gateway/weightupdater.h"
-
 #include "eventloop.h"
-#include "fakestore.h"
+#include "weightupdaterfixture.h"
 
 #include <doctest/doctest.h>
 
@@ -13,112 +11,6 @@
 
 namespace {
 
-struct ReceivedOrder
-{
-    Instant at;
-    WeightOrder order;
-};
-
-/// Engines that load weights immediately and record every order that they receive.
-class FakeEngines
-{
-public:
-    EngineControl hooks()
-    {
-        EngineControl it;
-        it.readReport = [this](const std::string &address, auto done) {
-            QTimer::singleShot(1ms, &m_context, [this, address, done] {
-                done(isSilent ? std::nullopt : std::optional(EngineReport{{{"m", versions[address]}}, false, accepted[address]}));
-            });
-        };
-        it.sendOrder = [this](const WeightOrder &order, auto done) {
-            QTimer::singleShot(1ms, &m_context, [this, order, done] {
-                receivedOrders.push_back({suspendAwareNow(), order});
-                if (order.expectedOrders != accepted[order.address]) {
-                    done(OrderAnswer::Conflict);
-                    return;
-                }
-                ++accepted[order.address];
-                versions[order.address] = order.version;
-                done(losesAnswers ? OrderAnswer::Unknown : OrderAnswer::Accepted);
-            });
-        };
-        return it;
-    }
-
-    std::map<std::string, std::uint64_t> versions; ///< by address
-    std::map<std::string, std::uint64_t> accepted;
-    std::vector<ReceivedOrder> receivedOrders;
-    bool isSilent = false;
-    bool losesAnswers = false;
-
-private:
-    QObject m_context;
-};
-
-/// The WeightUpdater of one entry VM, with its own view of five engines.
-class UpdaterVm
-{
-public:
-    UpdaterVm(const std::string &vm, FakeStore &fake, FakeEngines &engines)
-        : state({.zone = "z"},
-                {.vm = vm,
-                 .write =
-                     [](std::string_view) {
-                     }},
-                Wire{},
-                {})
-        , store(fake.hooks())
-        , control(engines.hooks())
-        , updater(std::make_unique<WeightUpdater>(options(vm), state, store, control))
-    {
-        for (int n = 0; n < 5; ++n) {
-            decision::BackendServer it;
-            it.id = "e" + std::to_string(n);
-            it.service = "llm";
-            it.address = it.id + ":1";
-            it.weightVersions["m"] = 1;
-            engines.versions[it.address] = 1;
-            state.servers.put(it, monotonicNow());
-        }
-        updater->start();
-    }
-
-    static WeightUpdaterOptions options(const std::string &vm)
-    {
-        WeightUpdaterOptions it;
-        it.vm = vm;
-        it.orderInterval = 400ms;
-        it.maxOrderDelay = 200ms;
-        it.leaseDuration = 300ms;
-        it.leaseMargin = 100ms;
-        it.minStandbyDelay = 20ms;
-        it.standbySpread = 30ms;
-        it.tickInterval = 5ms;
-        it.readInterval = 5ms;
-        it.announceLeadTime = 5ms;
-        it.loadPollInterval = 10ms;
-        return it;
-    }
-
-    void nameWeights(std::uint64_t version)
-    {
-        state.weights["m"].addVersion(version, monotonicNow(), false);
-    }
-
-    GatewayState state;
-    RecordStore store;
-    EngineControl control;
-    std::unique_ptr<WeightUpdater> updater;
-};
-
-bool allHave(const FakeEngines &engines, std::uint64_t version)
-{
-    return std::all_of(engines.versions.begin(), engines.versions.end(), [version](const auto &it) {
-        return it.second == version;
-    });
-}
-
 /// No two VMs order one engine within the order interval, fencing numbers never fall at one engine, and no two VMs share one.
 void checkOrderIntervals(const FakeEngines &engines, std::chrono::milliseconds orderInterval)
 {
--- /dev/null
+++ b/src/auburndrum/gateway/weightupdaterfixture.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "auburndrum/gateway/weightupdater.h"
+
+#include "fakestore.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace auburndrum::gateway {
+
+struct ReceivedOrder
+{
+    Instant at;
+    WeightOrder order;
+};
+
+/// Engines that load weights, immediately unless `loadTime` is set, and record every order that they receive.
+class FakeEngines
+{
+public:
+    EngineControl hooks()
+    {
+        EngineControl it;
+        it.readReport = [this](const std::string &address, auto done) {
+            QTimer::singleShot(std::chrono::milliseconds(1), &m_context, [this, address, done] {
+                done(isSilent ? std::nullopt : std::optional(EngineReport{{{"m", versions[address]}}, false, accepted[address]}));
+            });
+        };
+        it.sendOrder = [this](const WeightOrder &order, auto done) {
+            QTimer::singleShot(std::chrono::milliseconds(1), &m_context, [this, order, done] {
+                receivedOrders.push_back({suspendAwareNow(), order});
+                if (order.expectedOrders != accepted[order.address]) {
+                    done(OrderAnswer::Conflict);
+                    return;
+                }
+                if (lostOrders.contains(order.address)) {
+                    done(OrderAnswer::Unknown);
+                    return;
+                }
+                ++accepted[order.address];
+                if (loadTime == std::chrono::milliseconds(0)) {
+                    versions[order.address] = order.version;
+                } else {
+                    QTimer::singleShot(loadTime, &m_context, [this, order] {
+                        versions[order.address] = order.version;
+                    });
+                }
+                done(losesAnswers ? OrderAnswer::Unknown : OrderAnswer::Accepted);
+            });
+        };
+        return it;
+    }
+
+    std::map<std::string, std::uint64_t> versions; ///< by address
+    std::map<std::string, std::uint64_t> accepted;
+    std::vector<ReceivedOrder> receivedOrders;
+    bool isSilent = false;
+    bool losesAnswers = false;
+    std::set<std::string> lostOrders; ///< addresses whose orders have neither an effect nor an answer
+    std::chrono::milliseconds loadTime{0};
+
+private:
+    QObject m_context;
+};
+
+/// The list's entry of an engine with weights 1.
+inline decision::BackendServer newEngine(int n)
+{
+    decision::BackendServer it;
+    it.id = "e" + std::to_string(n);
+    it.service = "llm";
+    it.address = it.id + ":1";
+    it.weightVersions["m"] = 1;
+    return it;
+}
+
+/// The WeightUpdater of one entry VM, with its own view of five engines.
+class UpdaterVm
+{
+public:
+    UpdaterVm(const std::string &vm, FakeStore &fake, FakeEngines &engines)
+        : UpdaterVm(options(vm), fake, engines)
+    {
+    }
+
+    UpdaterVm(const WeightUpdaterOptions &options, FakeStore &fake, FakeEngines &engines)
+        : state({.zone = "z"},
+                {.vm = options.vm,
+                 .write =
+                     [](std::string_view) {
+                     }},
+                Wire{},
+                {})
+        , store(fake.hooks())
+        , control(engines.hooks())
+        , updater(std::make_unique<WeightUpdater>(options, state, store, control))
+    {
+        for (int n = 0; n < 5; ++n) {
+            const decision::BackendServer it = newEngine(n);
+            engines.versions[it.address] = 1;
+            state.servers.put(it, monotonicNow());
+        }
+        updater->start();
+    }
+
+    static WeightUpdaterOptions options(const std::string &vm)
+    {
+        WeightUpdaterOptions it;
+        it.vm = vm;
+        it.orderInterval = std::chrono::milliseconds(400);
+        it.maxOrderDelay = std::chrono::milliseconds(200);
+        it.leaseDuration = std::chrono::milliseconds(300);
+        it.leaseMargin = std::chrono::milliseconds(100);
+        it.minStandbyDelay = std::chrono::milliseconds(20);
+        it.standbySpread = std::chrono::milliseconds(30);
+        it.tickInterval = std::chrono::milliseconds(5);
+        it.readInterval = std::chrono::milliseconds(5);
+        it.announceLeadTime = std::chrono::milliseconds(5);
+        it.loadPollInterval = std::chrono::milliseconds(10);
+        return it;
+    }
+
+    void nameWeights(std::uint64_t version)
+    {
+        state.weights["m"].addVersion(version, monotonicNow(), false);
+    }
+
+    GatewayState state;
+    RecordStore store;
+    EngineControl control;
+    std::unique_ptr<WeightUpdater> updater;
+};
+
+inline bool allHave(const FakeEngines &engines, std::uint64_t version)
+{
+    return std::all_of(engines.versions.begin(), engines.versions.end(), [version](const auto &it) {
+        return it.second == version;
+    });
+}
+
+} // namespace auburndrum::gateway
