--- a/include/auburndrum/decision/orderplanner.h
+++ b/include/auburndrum/decision/orderplanner.h
@@ -75,6 +75,9 @@
     /// Servers that the last plan did not order to load because no other server would serve meanwhile.
     const std::vector<std::string> &blockedServers() const;
 
+    /// Why the last plan held an order back that was due, by server.
+    const std::map<std::string, const char *> &heldBack() const;
+
 private:
     struct IssuedOrder
     {
@@ -93,6 +96,7 @@
     Offset m_staleFencing = 0;
     std::map<std::string, IssuedOrder> m_issuedOrders; ///< by server
     std::vector<std::string> m_blockedServers;
+    std::map<std::string, const char *> m_heldBack;
 };
 
 } // namespace auburndrum::decision
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -65,7 +65,7 @@
     };
 
     void tick();
-    bool hasOutdatedServer() const;
+    std::size_t countOutdatedServers() const;
     void readTopic();
     std::chrono::milliseconds currentReadInterval() const;
     void handleBatch(const StoreResult<RecordBatch> &result);
@@ -77,6 +77,10 @@
     void prepareOrder(const std::string &model, const decision::Order &order, Instant announcedAt);
     void sendOrder(const std::string &model, const decision::Order &order, const EngineReport &report, Instant announcedAt);
     void pollLoads();
+    /// Writes why an order that is due isn't sent, once for each server and reason.
+    void logHeldOrder(const std::string &server, const std::string &reason);
+    /// Ends an order that didn't leave.
+    void skipOrder(const std::string &server, const std::string &reason);
     void recordLoaded(const std::string &server, const std::string &model, std::uint64_t version);
     std::vector<decision::ObservedServerState> observedStates(const std::string &model) const;
 
@@ -91,6 +95,7 @@
     std::map<std::string, OrderedLoad> m_loads; ///< loads that this process ordered, by server
     std::map<std::string, Instant> m_orderAllowedAt; ///< by server: earliest time of an order from this process after one from another process
     std::set<std::string> m_ordersInProgress; ///< servers whose order is being announced, prepared or sent
+    std::map<std::string, std::string> m_heldOrders; ///< by server: the last logged reason for which its order isn't sent
     QTimer m_timer;
     std::uint64_t m_nextOffset = 0; ///< next offset to read
     bool m_isReading = false;
--- a/src/auburndrum/decision/orderplanner.cpp
+++ b/src/auburndrum/decision/orderplanner.cpp
@@ -22,6 +22,7 @@
 std::vector<Order> OrderPlanner::plan(Instant now, Offset fencing, const DesiredServiceState &desired, const std::vector<ObservedServerState> &servers)
 {
     m_blockedServers.clear();
+    m_heldBack.clear();
     if (fencing <= m_staleFencing) {
         return {};
     }
@@ -36,11 +37,13 @@
         const bool isLoad = order->kind != OrderKind::SetRole;
         const bool isNewLoad = isLoad && !busy.contains(server.server);
         if (isNewLoad && busy.size() >= m_options.maxConcurrentLoads) {
+            m_heldBack[server.server] = "load limit";
             continue;
         }
         const bool isServing = !server.version.empty();
         if (isNewLoad && isServing && !hasOtherServingServer(server.server, servers, busy)) {
             m_blockedServers.push_back(server.server);
+            m_heldBack[server.server] = "no other server would serve";
             continue;
         }
         if (isLoad) {
@@ -65,6 +68,11 @@
     return m_blockedServers;
 }
 
+const std::map<std::string, const char *> &OrderPlanner::heldBack() const
+{
+    return m_heldBack;
+}
+
 std::optional<Order> OrderPlanner::neededOrder(const DesiredServiceState &desired, const ObservedServerState &server) const
 {
     if (server.isLeaving) {
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -23,6 +23,7 @@
                                        .buckets = LatencyBuckets}))
     , stateChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
+    , outdatedServers(metrics.gauges({.name = "auburndrum_gateway_outdated_servers", .help = "Backend servers without the newest named weights."}))
 {
 }
 
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace auburndrum::gateway {
 
@@ -52,16 +53,17 @@
     m_timer.start(m_options.tickInterval);
 }
 
-bool WeightUpdater::hasOutdatedServer() const
+std::size_t WeightUpdater::countOutdatedServers() const
 {
+    std::size_t count = 0;
     for (const auto &[model, named] : m_state.weights) {
         for (const decision::ObservedServerState &it : observedStates(model)) {
             if (!it.isLeaving && it.version != std::to_string(named.newestVersion())) {
-                return true;
+                ++count;
             }
         }
     }
-    return false;
+    return count;
 }
 
 std::vector<decision::ObservedServerState> WeightUpdater::observedStates(const std::string &model) const
@@ -88,9 +90,12 @@
 
 void WeightUpdater::tick()
 {
-    if (!hasOutdatedServer()) {
+    const std::size_t outdatedServers = countOutdatedServers();
+    m_state.metrics.outdatedServers.with().Set(static_cast<double>(outdatedServers));
+    if (outdatedServers == 0) {
         m_isCaughtUp = false;
         m_loads.clear();
+        m_heldOrders.clear();
         return;
     }
     if (!m_isReading && monotonicNow() - m_lastReadAt >= currentReadInterval()) {
@@ -130,6 +135,9 @@
         decision::DesiredServiceState desired;
         desired.version = std::to_string(named.newestVersion());
         const auto orders = planner->second.plan(suspendAwareNow(), *fencing, desired, servers);
+        for (const auto &[server, reason] : planner->second.heldBack()) {
+            logHeldOrder(server, reason);
+        }
         if (!orders.empty()) {
             announceOrders(model, orders);
         }
@@ -141,7 +149,11 @@
     for (const Order &order : orders) {
         const auto allowedAt = m_orderAllowedAt.find(order.server);
         const bool isOrderAllowed = allowedAt == m_orderAllowedAt.end() || suspendAwareNow() >= allowedAt->second;
-        if (m_ordersInProgress.contains(order.server) || !isOrderAllowed) {
+        if (!isOrderAllowed) {
+            logHeldOrder(order.server, "ordered by another VM");
+            continue;
+        }
+        if (m_ordersInProgress.contains(order.server)) {
             continue;
         }
         m_ordersInProgress.insert(order.server);
@@ -163,13 +175,12 @@
 {
     const auto *entry = m_state.servers.find(order.server);
     if (entry == nullptr) {
-        m_ordersInProgress.erase(order.server);
+        skipOrder(order.server, "not listed");
         return;
     }
     m_engines.readReport(entry->server.address, [this, model, order, announcedAt](const std::optional<EngineReport> &report) {
         if (!report) {
-            m_ordersInProgress.erase(order.server);
-            m_state.log.write(LinePriority::Notable, "order_skipped", {{"server", order.server}, {"reason", "no report"}});
+            skipOrder(order.server, "no report");
             return;
         }
         sendOrder(model, order, *report, announcedAt);
@@ -192,9 +203,15 @@
     const auto fencing = m_leaseHolder.fencingNumber(suspendAwareNow());
     const bool isLate = suspendAwareNow() - announcedAt > m_options.maxOrderDelay;
     if (entry == nullptr || !fencing || !isCurrent || report.isExecutingOrder || isLate) {
-        m_ordersInProgress.erase(order.server);
+        const char *const reason = entry == nullptr ? "not listed"
+            : !fencing                              ? "no lease"
+            : !isCurrent                            ? "newer version named"
+            : isLate                                ? "late"
+                                                    : "another order in progress";
+        skipOrder(order.server, reason);
         return;
     }
+    m_heldOrders.erase(order.server);
     WeightOrder it;
     it.address = entry->server.address;
     it.serverId = order.server;
@@ -220,6 +237,19 @@
     });
 }
 
+void WeightUpdater::logHeldOrder(const std::string &server, const std::string &reason)
+{
+    if (std::exchange(m_heldOrders[server], reason) != reason) {
+        m_state.log.write(LinePriority::Notable, "order_held", {{"server", server}, {"reason", reason}});
+    }
+}
+
+void WeightUpdater::skipOrder(const std::string &server, const std::string &reason)
+{
+    m_ordersInProgress.erase(server);
+    m_state.log.write(LinePriority::Notable, "order_skipped", {{"server", server}, {"reason", reason}});
+}
+
 void WeightUpdater::pollLoads()
 {
     const Instant now = monotonicNow();
