Roll-out of weights: goes on while orders get no answer and at a change of holder

Now the planner passes over servers that may not be ordered; an order that is unanswered after 500 ms and that the server's report doesn't show gives its slot to servers without an open order, and is called off in the topic by an announcement of version 0 (which a VM of the version before takes as not loading); an order that didn't leave does the same. The oldest weights are ordered first, then the least busy servers. The load limit is computed at each plan. An order may still take effect after it was called off: the wait of 4.2 s for other VMs counts from the announcement as before, and its server then refuses requests unexecuted until it has loaded.

Tests: the times of the fixture of weightupdater_test get the append time-out (200 ms instead of 800 ms), now an option. It was the only time that wasn't scaled down and was longer than the wait after a lost history (600 ms; in use 4.2 s against 800 ms). A holder's renewal that is lost with the history is appended again after that time-out; as call-offs bring the fifth record earlier, the dropped records now often include an unread renewal, and the test of a holder that is recognized failed in about half of its runs.

--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -38,6 +38,9 @@
     /// Returns the lease record to append now, if any.
     std::optional<LeaseRecord> tick(Instant now);
 
+    /// Lets other processes request a lease that ended this much earlier.
+    void addTakeoverDelay(std::chrono::milliseconds delay);
+
     /// Gives up the lease early. Returns the record to append; none when this process does not hold the lease.
     std::optional<LeaseRecord> resign();
 
--- a/include/auburndrum/decision/orderplanner.h
+++ b/include/auburndrum/decision/orderplanner.h
@@ -38,6 +38,7 @@
     std::set<std::string> adapters;
     std::string role;
     bool isLeaving = false;
+    bool isOrderable = true; ///< whether an order may leave now
 };
 
 /// The desired state of the servers of a service.
@@ -68,6 +69,11 @@
     /// Returns the orders to send now under this fencing number, and counts them as sent.
     std::vector<Order> plan(Instant now, Offset fencing, const DesiredServiceState &desired, const std::vector<ObservedServerState> &servers);
 
+    /// Handles that an order shows no effect: it no longer counts against the load limit, and servers without an open order come before its repeat.
+    void onNoEffect(const std::string &server);
+
+    void setMaxConcurrentLoads(std::size_t loads);
+
     /// Handles that a server refused an order because its fencing number is outdated: a newer lease holder exists. No orders are planned under
     /// this number or a lower one any more.
     void onStaleFencing(Offset fencing);
@@ -84,6 +90,7 @@
         Order order;
         Instant firstIssued; ///< time of the first of equal orders
         Instant lastIssued; ///< time of the last repeat
+        bool hasNoEffect = false;
     };
 
     std::optional<Order> neededOrder(const DesiredServiceState &desired, const ObservedServerState &server) const;
@@ -91,6 +98,7 @@
     bool hasOtherServingServer(const std::string &server, const std::vector<ObservedServerState> &servers, const std::set<std::string> &loading) const;
     void removeCompleted(const DesiredServiceState &desired, const std::vector<ObservedServerState> &servers);
     bool isOrderDue(Instant now, const std::string &server) const;
+    bool hasNoEffect(const std::string &server) const;
 
     OrderPlannerOptions m_options;
     Offset m_staleFencing = 0;
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -30,12 +30,15 @@
     std::chrono::milliseconds leaseMargin{500}; ///< no order leaves in this last part of the lease, since it could arrive after the lease expired
     std::chrono::milliseconds minStandbyDelay{100}; ///< delay before other VMs request the lease, so that the last holder can renew it first
     std::chrono::milliseconds standbySpread{400}; ///< random extra delay, so that entry VMs don't all request the lease at once
+    std::chrono::milliseconds appendTimeout{800}; ///< after this time the topic shows whether an append succeeded
+    std::chrono::milliseconds stoppingDelay{1000}; ///< extra delay before a VM that stops requests the lease, so that one that stays gets it
     std::chrono::milliseconds tickInterval{100};
     std::chrono::milliseconds readInterval{200}; ///< between two reads of the topic, since each call has a cost for each entry VM
     /// Read interval per listed server of VMs that don't hold the lease: a larger fleet announces more loads to more entry VMs.
     std::chrono::milliseconds readIntervalPerServer{15};
     std::chrono::milliseconds announceLeadTime{30}; ///< between announcement and order, so that the other entry VMs learn of a load before it begins
     std::chrono::milliseconds announcedLoadTimeout{6000}; ///< an announced engine gets no new requests for this time, unless it reports the weights earlier
+    std::chrono::milliseconds orderAnswerTimeout{500}; ///< an order unanswered for this time is called off unless the engine's report shows it
     std::chrono::milliseconds loadPollInterval{300}; ///< between polls whether a load is complete
     double maxLoadingShare = 0.2; ///< largest share of a service's engines that load at once; more slow each other down
 };
@@ -55,6 +58,10 @@
     WeightUpdater(WeightUpdaterOptions options, GatewayState &state, const RecordStore &store, const EngineControl &engines, QObject *parent = nullptr);
 
     void start();
+    /// From now on other VMs request a lease that ended first.
+    void beginStop();
+    /// Gives up the lease and sends no more orders. `done` is called when other VMs can know it, or after a short time.
+    void finishStop(std::function<void()> done);
 
 private:
     struct OrderedLoad
@@ -62,6 +69,7 @@
         std::string model;
         std::uint64_t version = 0;
         Instant lastPolledAt{};
+        bool isInEffect = false; ///< the engine's answer or report shows that it received the order
     };
 
     void tick();
@@ -80,7 +88,11 @@
     /// Writes why an order that is due isn't sent, once for each server and reason.
     void logHeldOrder(const std::string &server, const std::string &reason);
     /// Ends an order that didn't leave.
-    void skipOrder(const std::string &server, const std::string &reason);
+    void skipOrder(const decision::Order &order, const std::string &model, const std::string &reason);
+    void checkEffect(const WeightOrder &order);
+    /// Tells the other VMs that an announced load didn't begin.
+    void callOff(const std::string &model, const std::string &server);
+    bool isOrderAllowed(const std::string &server) const;
     void recordLoaded(const std::string &server, const std::string &model, std::uint64_t version);
     std::vector<decision::ObservedServerState> observedStates(const std::string &model) const;
 
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -38,6 +38,11 @@
     return requestLease(now);
 }
 
+void LeaseHolder::addTakeoverDelay(std::chrono::milliseconds delay)
+{
+    m_options.takeoverDelay += delay;
+}
+
 std::optional<LeaseRecord> LeaseHolder::resign()
 {
     if (!std::exchange(m_heldLease, std::nullopt)) {
--- a/src/auburndrum/decision/orderplanner.cpp
+++ b/src/auburndrum/decision/orderplanner.cpp
@@ -28,10 +28,14 @@
     }
     removeCompleted(desired, servers);
     std::set<std::string> busy = loadingServers(now);
+    std::vector<ObservedServerState> candidates = servers;
+    std::stable_partition(candidates.begin(), candidates.end(), [this](const ObservedServerState &it) {
+        return !hasNoEffect(it.server);
+    });
     std::vector<Order> orders;
-    for (const ObservedServerState &server : servers) {
+    for (const ObservedServerState &server : candidates) {
         std::optional<Order> order = neededOrder(desired, server);
-        if (!order || !isOrderDue(now, server.server)) {
+        if (!order || !server.isOrderable || !isOrderDue(now, server.server)) {
             continue;
         }
         const bool isLoad = order->kind != OrderKind::SetRole;
@@ -51,13 +55,26 @@
         }
         order->fencing = fencing;
         const auto issued = m_issuedOrders.find(server.server);
-        const bool isRepeated = issued != m_issuedOrders.end() && isSame(issued->second.order, *order);
+        const bool isRepeated = issued != m_issuedOrders.end() && !issued->second.hasNoEffect && isSame(issued->second.order, *order);
         m_issuedOrders[server.server] = {*order, isRepeated ? issued->second.firstIssued : now, now};
         orders.push_back(std::move(*order));
     }
     return orders;
 }
 
+void OrderPlanner::onNoEffect(const std::string &server)
+{
+    const auto it = m_issuedOrders.find(server);
+    if (it != m_issuedOrders.end()) {
+        it->second.hasNoEffect = true;
+    }
+}
+
+void OrderPlanner::setMaxConcurrentLoads(std::size_t loads)
+{
+    m_options.maxConcurrentLoads = loads;
+}
+
 void OrderPlanner::onStaleFencing(Offset fencing)
 {
     m_staleFencing = std::max(m_staleFencing, fencing);
@@ -98,7 +115,7 @@
     std::set<std::string> names;
     for (const auto &[name, issued] : m_issuedOrders) {
         const bool isLoad = issued.order.kind != OrderKind::SetRole;
-        if (isLoad && now < issued.firstIssued + m_options.loadTimeout) {
+        if (isLoad && !issued.hasNoEffect && now < issued.firstIssued + m_options.loadTimeout) {
             names.insert(name);
         }
     }
@@ -132,4 +149,10 @@
     return it == m_issuedOrders.end() || now >= it->second.lastIssued + m_options.repeatInterval;
 }
 
+bool OrderPlanner::hasNoEffect(const std::string &server) const
+{
+    const auto it = m_issuedOrders.find(server);
+    return it != m_issuedOrders.end() && it->second.hasNoEffect;
+}
+
 } // namespace auburndrum::decision
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -18,7 +18,6 @@
 
 constexpr milliseconds RepeatInterval{1500}; // between repeats of an order that had no effect; a load takes less than a second
 constexpr milliseconds LoadTimeout{4000}; // after this time a load that has no effect frees its slot
-constexpr milliseconds AppendTimeout{800}; // after this time the topic shows whether an append succeeded
 
 decision::LeaseHolderOptions holderOptions(const WeightUpdaterOptions &options, const std::string &incarnation, absl::BitGenRef random)
 {
@@ -29,7 +28,7 @@
     it.duration = options.leaseDuration;
     it.safetyMargin = options.leaseMargin;
     it.orderTimeout = milliseconds(0); // the order interval is enforced per engine
-    it.appendTimeout = AppendTimeout;
+    it.appendTimeout = options.appendTimeout;
     it.takeoverDelay = options.minStandbyDelay + milliseconds(absl::Uniform<std::int64_t>(random, 0, options.standbySpread.count()));
     return it;
 }
@@ -81,9 +80,12 @@
         it.isLeaving = entry->server.isDraining;
         list.push_back(std::move(it));
     }
-    // The least busy server first, since its load disturbs the fewest requests.
-    std::stable_sort(list.begin(), list.end(), [this](const auto &a, const auto &b) {
-        return m_state.chooser.ownRequests(a.server) < m_state.chooser.ownRequests(b.server);
+    // The oldest weights first, since they reach their limit first; then the least busy server, since its load disturbs the fewest requests.
+    const auto rank = [&](const decision::ObservedServerState &it) {
+        return std::pair(std::stoull(it.version), m_state.chooser.ownRequests(it.server));
+    };
+    std::stable_sort(list.begin(), list.end(), [&](const auto &a, const auto &b) {
+        return rank(a) < rank(b);
     });
     return list;
 }
@@ -122,18 +124,25 @@
         return;
     }
     for (const auto &[model, named] : m_state.weights) {
-        const auto servers = observedStates(model);
+        auto servers = observedStates(model);
         auto planner = m_planners.find(model);
         if (planner == m_planners.end()) {
             decision::OrderPlannerOptions options;
             options.repeatInterval = RepeatInterval;
             options.loadTimeout = LoadTimeout;
-            options.maxConcurrentLoads
-                = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(m_options.maxLoadingShare * static_cast<double>(servers.size()))));
             planner = m_planners.emplace(model, decision::OrderPlanner(options)).first;
         }
         decision::DesiredServiceState desired;
         desired.version = std::to_string(named.newestVersion());
+        for (decision::ObservedServerState &it : servers) {
+            const bool isAllowed = isOrderAllowed(it.server);
+            it.isOrderable = isAllowed && !m_ordersInProgress.contains(it.server);
+            if (!isAllowed && !it.isLeaving && it.version != desired.version) {
+                logHeldOrder(it.server, "ordered by another VM");
+            }
+        }
+        const auto loads = std::lround(m_options.maxLoadingShare * static_cast<double>(servers.size()));
+        planner->second.setMaxConcurrentLoads(std::max<std::size_t>(1, static_cast<std::size_t>(loads)));
         const auto orders = planner->second.plan(suspendAwareNow(), *fencing, desired, servers);
         for (const auto &[server, reason] : planner->second.heldBack()) {
             logHeldOrder(server, reason);
@@ -147,20 +156,11 @@
 void WeightUpdater::announceOrders(const std::string &model, const std::vector<Order> &orders)
 {
     for (const Order &order : orders) {
-        const auto allowedAt = m_orderAllowedAt.find(order.server);
-        const bool isOrderAllowed = allowedAt == m_orderAllowedAt.end() || suspendAwareNow() >= allowedAt->second;
-        if (!isOrderAllowed) {
-            logHeldOrder(order.server, "ordered by another VM");
-            continue;
-        }
-        if (m_ordersInProgress.contains(order.server)) {
-            continue;
-        }
         m_ordersInProgress.insert(order.server);
         const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}, {"holder", m_incarnation}};
         append(QByteArray::fromStdString(announcement.dump()), [this, model, order](bool isWritten) {
             if (!isWritten) {
-                m_ordersInProgress.erase(order.server); // without an announcement no other VM would know of the order; the planner repeats it
+                skipOrder(order, model, "not announced"); // no other VM would know of it
                 return;
             }
             const Instant announcedAt = suspendAwareNow();
@@ -175,12 +175,12 @@
 {
     const auto *entry = m_state.servers.find(order.server);
     if (entry == nullptr) {
-        skipOrder(order.server, "not listed");
+        skipOrder(order, model, "not listed");
         return;
     }
     m_engines.readReport(entry->server.address, [this, model, order, announcedAt](const std::optional<EngineReport> &report) {
         if (!report) {
-            skipOrder(order.server, "no report");
+            skipOrder(order, model, "no report");
             return;
         }
         sendOrder(model, order, *report, announcedAt);
@@ -202,13 +202,15 @@
     // Checked again just before the order leaves: the process may have been paused since the order was planned.
     const auto fencing = m_leaseHolder.fencingNumber(suspendAwareNow());
     const bool isLate = suspendAwareNow() - announcedAt > m_options.maxOrderDelay;
-    if (entry == nullptr || !fencing || !isCurrent || report.isExecutingOrder || isLate) {
-        const char *const reason = entry == nullptr ? "not listed"
-            : !fencing                              ? "no lease"
-            : !isCurrent                            ? "newer version named"
-            : isLate                                ? "late"
-                                                    : "another order in progress";
-        skipOrder(order.server, reason);
+    if (report.isExecutingOrder) {
+        m_ordersInProgress.erase(order.server);
+        m_loads[order.server] = OrderedLoad{model, version, monotonicNow(), true};
+        logHeldOrder(order.server, "another order in progress");
+        return;
+    }
+    if (entry == nullptr || !fencing || !isCurrent || isLate) {
+        const char *const reason = entry == nullptr ? "not listed" : !fencing ? "no lease" : !isCurrent ? "newer version named" : "late";
+        skipOrder(order, model, reason);
         return;
     }
     m_heldOrders.erase(order.server);
@@ -221,8 +223,15 @@
     it.fencing = static_cast<std::uint64_t>(*fencing);
     it.expectedOrders = report.ordersAccepted;
     m_loads[order.server] = OrderedLoad{model, version, monotonicNow()};
+    QTimer::singleShot(m_options.orderAnswerTimeout, this, [this, it] {
+        checkEffect(it);
+    });
     m_engines.sendOrder(it, [this, it](OrderAnswer answer) {
         m_ordersInProgress.erase(it.serverId);
+        const auto load = m_loads.find(it.serverId);
+        if (load != m_loads.end() && load->second.version == it.version) {
+            load->second.isInEffect = answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyHolds || answer == OrderAnswer::Conflict;
+        }
         if (answer == OrderAnswer::StaleFencing) {
             m_planners.at(it.model).onStaleFencing(static_cast<decision::Offset>(it.fencing));
         }
@@ -244,10 +253,51 @@
     }
 }
 
-void WeightUpdater::skipOrder(const std::string &server, const std::string &reason)
+void WeightUpdater::skipOrder(const Order &order, const std::string &model, const std::string &reason)
+{
+    m_ordersInProgress.erase(order.server);
+    m_state.log.write(LinePriority::Notable, "order_skipped", {{"server", order.server}, {"reason", reason}});
+    callOff(model, order.server);
+}
+
+void WeightUpdater::checkEffect(const WeightOrder &order)
+{
+    const auto isOpen = [this, order] {
+        const auto load = m_loads.find(order.serverId);
+        return load != m_loads.end() && load->second.version == order.version && !load->second.isInEffect;
+    };
+    if (!isOpen()) {
+        return;
+    }
+    m_engines.readReport(order.address, [this, order, isOpen](const std::optional<EngineReport> &report) {
+        if (!isOpen()) {
+            return;
+        }
+        if (report && (report->isExecutingOrder || report->ordersAccepted != order.expectedOrders)) {
+            m_loads[order.serverId].isInEffect = true;
+            return;
+        }
+        m_state.log.write(LinePriority::Notable, "order_called_off", {{"server", order.serverId}, {"version", order.version}});
+        callOff(order.model, order.serverId);
+    });
+}
+
+void WeightUpdater::callOff(const std::string &model, const std::string &server)
+{
+    m_planners.at(model).onNoEffect(server);
+    if (!m_leaseHolder.fencingNumber(suspendAwareNow())) {
+        return; // a successor may have announced a load of the same server meanwhile
+    }
+    const json announcement = {{"loading", server}, {"version", 0}, {"holder", m_incarnation}};
+    append(QByteArray::fromStdString(announcement.dump()), [](bool /*isWritten*/) {
+        // Without it the announcement times out.
+    });
+}
+
+bool WeightUpdater::isOrderAllowed(const std::string &server) const
 {
-    m_ordersInProgress.erase(server);
-    m_state.log.write(LinePriority::Notable, "order_skipped", {{"server", server}, {"reason", reason}});
+    const auto allowedAt = m_orderAllowedAt.find(server);
+    return allowedAt == m_orderAllowedAt.end() || suspendAwareNow() >= allowedAt->second;
 }
 
 void WeightUpdater::pollLoads()
--- a/src/auburndrum/gateway/weightupdater_test.cpp
+++ b/src/auburndrum/gateway/weightupdater_test.cpp
@@ -9,32 +9,6 @@
 using namespace auburndrum::gateway;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// No two VMs order one engine within the order interval, fencing numbers never fall at one engine, and no two VMs share one.
-void checkOrderIntervals(const FakeEngines &engines, std::chrono::milliseconds orderInterval)
-{
-    for (std::size_t n = 0; n < engines.receivedOrders.size(); ++n) {
-        for (std::size_t m = 0; m < n; ++m) {
-            const ReceivedOrder &later = engines.receivedOrders[n];
-            const ReceivedOrder &earlier = engines.receivedOrders[m];
-            const bool isOtherVm = later.order.holder != earlier.order.holder;
-            if (isOtherVm) {
-                CHECK(later.order.fencing != earlier.order.fencing);
-            }
-            if (later.order.address != earlier.order.address) {
-                continue;
-            }
-            CHECK(later.order.fencing >= earlier.order.fencing);
-            if (isOtherVm) {
-                CHECK(later.at - earlier.at >= orderInterval);
-            }
-        }
-    }
-}
-
-} // namespace
-
 TEST_CASE("no store calls are made while every engine has the named weights")
 {
     FakeStore fake;
--- a/src/auburndrum/gateway/weightupdaterfixture.h
+++ b/src/auburndrum/gateway/weightupdaterfixture.h
@@ -4,6 +4,8 @@
 
 #include "fakestore.h"
 
+#include <doctest/doctest.h>
+
 #include <algorithm>
 #include <map>
 #include <memory>
@@ -118,6 +120,7 @@
         it.leaseMargin = std::chrono::milliseconds(100);
         it.minStandbyDelay = std::chrono::milliseconds(20);
         it.standbySpread = std::chrono::milliseconds(30);
+        it.appendTimeout = std::chrono::milliseconds(200);
         it.tickInterval = std::chrono::milliseconds(5);
         it.readInterval = std::chrono::milliseconds(5);
         it.announceLeadTime = std::chrono::milliseconds(5);
@@ -143,4 +146,26 @@
     });
 }
 
+/// No two VMs order one engine within the order interval, fencing numbers never fall at one engine, and no two VMs share one.
+inline void checkOrderIntervals(const FakeEngines &engines, std::chrono::milliseconds orderInterval)
+{
+    for (std::size_t n = 0; n < engines.receivedOrders.size(); ++n) {
+        for (std::size_t m = 0; m < n; ++m) {
+            const ReceivedOrder &later = engines.receivedOrders[n];
+            const ReceivedOrder &earlier = engines.receivedOrders[m];
+            const bool isOtherVm = later.order.holder != earlier.order.holder;
+            if (isOtherVm) {
+                CHECK(later.order.fencing != earlier.order.fencing);
+            }
+            if (later.order.address != earlier.order.address) {
+                continue;
+            }
+            CHECK(later.order.fencing >= earlier.order.fencing);
+            if (isOtherVm) {
+                CHECK(later.at - earlier.at >= orderInterval);
+            }
+        }
+    }
+}
+
 } // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace auburndrum::gateway {
 
@@ -13,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr char AnyServer[] = ""; // in m_orderAllowedAt: all servers, while it is not known which were ordered
+constexpr milliseconds ResignTimeout{200}; // less than what a stopping process keeps in reserve
 constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
 
 QByteArray leaseText(const LeaseRecord &lease)
@@ -105,10 +108,12 @@
     }
     if (object.contains("loading")) {
         const auto server = object.value("loading", std::string());
-        if (object.value("holder", std::string()) != m_incarnation) {
+        const auto version = object.value("version", std::uint64_t{0});
+        // Version 0 calls off an announced load. Its order may still be under way.
+        if (version != 0 && object.value("holder", std::string()) != m_incarnation) {
             m_orderAllowedAt[server] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
         }
-        m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, object.value("version", std::uint64_t{0}));
+        m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, version);
         return;
     }
     LeaseRecord lease;
@@ -143,6 +148,31 @@
     });
 }
 
+void WeightUpdater::beginStop()
+{
+    m_leaseHolder.addTakeoverDelay(m_options.stoppingDelay);
+}
+
+void WeightUpdater::finishStop(std::function<void()> done)
+{
+    m_timer.stop();
+    const auto lease = m_leaseHolder.resign();
+    if (!lease) {
+        done();
+        return;
+    }
+    const auto shared = std::make_shared<std::function<void()>>(std::move(done));
+    const auto finish = [shared] {
+        if (const auto callback = std::exchange(*shared, nullptr)) {
+            callback();
+        }
+    };
+    append(leaseText(*lease), [finish](bool /*isWritten*/) {
+        finish();
+    });
+    QTimer::singleShot(ResignTimeout, this, finish);
+}
+
 void WeightUpdater::appendLease(const LeaseRecord &lease)
 {
     append(leaseText(lease), [](bool /*isWritten*/) {
