--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -6,71 +6,33 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace auburndrum::gateway {
 
 namespace {
 
-using decision::LeaseRecord;
 using decision::Order;
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr char Resource[] = "weights";
-constexpr char AnyServer[] = ""; // in m_orderAllowedAt: all servers, while it is not known which were ordered
-constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
 constexpr milliseconds RepeatInterval{1500}; // between repeats of an order that had no effect; a load takes less than a second
 constexpr milliseconds LoadTimeout{4000}; // after this time a load that has no effect frees its slot
-constexpr milliseconds AppendTimeout{800}; // after this time the topic shows whether an append succeeded
 
 decision::LeaseHolderOptions holderOptions(const WeightUpdaterOptions &options, const std::string &incarnation, absl::BitGenRef random)
 {
     decision::LeaseHolderOptions it;
-    it.resource = Resource;
+    it.resource = WeightUpdater::LeaseResource;
     it.incarnation = incarnation;
     it.newNonce = randomId;
     it.duration = options.leaseDuration;
     it.safetyMargin = options.leaseMargin;
     it.orderTimeout = milliseconds(0); // the order interval is enforced per engine
-    it.appendTimeout = AppendTimeout;
+    it.appendTimeout = options.appendTimeout;
     it.takeoverDelay = options.minStandbyDelay + milliseconds(absl::Uniform<std::int64_t>(random, 0, options.standbySpread.count()));
     return it;
 }
 
-QByteArray leaseText(const LeaseRecord &lease)
-{
-    const json object = {{"holder", lease.holder}, {"nonce", lease.nonce}, {"replaces", lease.replaces}, {"duration_ms", lease.duration.count()}};
-    return QByteArray::fromStdString(object.dump());
-}
-
-bool isText(const json &object, const char *field)
-{
-    return object.contains(field) && object[field].is_string();
-}
-
-bool isCount(const json &object, const char *field)
-{
-    return object.contains(field) && object[field].is_number_unsigned();
-}
-
-/// Whether a record has one of the two forms that entry VMs write to the topic: an announced load or a lease.
-bool isOrderRecord(const json &object)
-{
-    if (!object.is_object() || !isText(object, "holder")) {
-        return false;
-    }
-    if (object.contains("loading")) {
-        return isText(object, "loading") && isCount(object, "version");
-    }
-    return isText(object, "nonce") && isCount(object, "replaces") && isCount(object, "duration_ms");
-}
-
-/// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none.
-decision::Offset fencingOf(std::uint64_t offset)
-{
-    return static_cast<decision::Offset>(offset) + 1;
-}
-
 } // namespace
 
 WeightUpdater::WeightUpdater(WeightUpdaterOptions options, GatewayState &state, const RecordStore &store, const EngineControl &engines, QObject *parent)
@@ -90,16 +52,17 @@
     m_timer.start(m_options.tickInterval);
 }
 
-bool WeightUpdater::hasOutdatedServer() const
+std::size_t WeightUpdater::countOutdatedServers() const
 {
+    std::size_t count = 0;
     for (const auto &[model, named] : m_state.weights) {
         for (const decision::ObservedServerState &it : observedStates(model)) {
             if (!it.isLeaving && it.version != std::to_string(named.newestVersion())) {
-                return true;
+                ++count;
             }
         }
     }
-    return false;
+    return count;
 }
 
 std::vector<decision::ObservedServerState> WeightUpdater::observedStates(const std::string &model) const
@@ -117,18 +80,24 @@
         it.isLeaving = entry->server.isDraining;
         list.push_back(std::move(it));
     }
-    // The least busy server first, since its load disturbs the fewest requests.
-    std::stable_sort(list.begin(), list.end(), [this](const auto &a, const auto &b) {
-        return m_state.chooser.ownRequests(a.server) < m_state.chooser.ownRequests(b.server);
+    // The oldest weights first, since they reach their limit first; then the least busy server, since its load disturbs the fewest requests.
+    const auto rank = [&](const decision::ObservedServerState &it) {
+        return std::pair(std::stoull(it.version), m_state.chooser.ownRequests(it.server));
+    };
+    std::stable_sort(list.begin(), list.end(), [&](const auto &a, const auto &b) {
+        return rank(a) < rank(b);
     });
     return list;
 }
 
 void WeightUpdater::tick()
 {
-    if (!hasOutdatedServer()) {
+    const std::size_t outdatedServers = countOutdatedServers();
+    m_state.metrics.outdatedServers.with().Set(static_cast<double>(outdatedServers));
+    if (outdatedServers == 0) {
         m_isCaughtUp = false;
         m_loads.clear();
+        m_heldOrders.clear();
         return;
     }
     if (!m_isReading && monotonicNow() - m_lastReadAt >= currentReadInterval()) {
@@ -148,105 +117,6 @@
     pollLoads();
 }
 
-milliseconds WeightUpdater::currentReadInterval() const
-{
-    if (m_leaseHolder.fencingNumber(suspendAwareNow())) {
-        return m_options.readInterval;
-    }
-    return std::max(m_options.readInterval, m_options.readIntervalPerServer * static_cast<std::int64_t>(m_state.servers.size()));
-}
-
-void WeightUpdater::readTopic()
-{
-    m_isReading = true;
-    m_lastReadAt = monotonicNow();
-    // The first read returns what is there, the next ones wait for new records.
-    m_store.read(m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0), [this](const StoreResult<RecordBatch> &result) {
-        handleBatch(result);
-    });
-}
-
-void WeightUpdater::handleBatch(const StoreResult<RecordBatch> &result)
-{
-    m_isReading = false;
-    if (!result) {
-        return; // the next tick reads again
-    }
-    if (result.value().hasGap && m_nextOffset == 0) {
-        // The store dropped its history before this process read any. The dropped records may include recent orders and a lease in force.
-        m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
-        m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", result.value().nextOffset}});
-    }
-    for (const StoreRecord &it : result.value().records) {
-        applyRecord(it);
-    }
-    m_nextOffset = std::max(m_nextOffset, result.value().nextOffset);
-    const bool isEnd = result.value().records.empty() && !result.value().hasGap;
-    if (!m_isCaughtUp && !isEnd) {
-        readTopic();
-    }
-    const auto allowedAt = m_orderAllowedAt.find(AnyServer);
-    const bool isWaiting = allowedAt != m_orderAllowedAt.end() && suspendAwareNow() < allowedAt->second;
-    m_isCaughtUp = m_isCaughtUp || (isEnd && !isWaiting);
-}
-
-void WeightUpdater::applyRecord(const StoreRecord &record)
-{
-    const json object = record.value ? json::parse(record.value->constBegin(), record.value->constEnd(), nullptr, false) : json();
-    if (!isOrderRecord(object)) {
-        m_state.log.write(LinePriority::Notable,
-                          "record_skipped",
-                          {{"topic", m_options.topic}, {"offset", record.offset}, {"problem", "neither a lease nor an announced load"}});
-        m_state.metrics.recordsSkipped.with({m_options.topic}).Increment();
-        return;
-    }
-    if (object.contains("loading")) {
-        const auto server = object.value("loading", std::string());
-        if (object.value("holder", std::string()) != m_incarnation) {
-            m_orderAllowedAt[server] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
-        }
-        m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, object.value("version", std::uint64_t{0}));
-        return;
-    }
-    LeaseRecord lease;
-    lease.resource = Resource;
-    lease.holder = object.value("holder", std::string());
-    lease.nonce = object.value("nonce", std::string());
-    lease.replaces = object.value("replaces", decision::Offset{0});
-    lease.duration = milliseconds(object.value("duration_ms", std::int64_t{0}));
-    const auto allowedAt = m_orderAllowedAt.find(AnyServer);
-    if (allowedAt != m_orderAllowedAt.end() && suspendAwareNow() < allowedAt->second) {
-        // The lease that it replaces may be among the dropped records. A holder renews its lease several times in this wait, so the last lease read is
-        // in force.
-        decision::SnapshotRecord snapshot;
-        snapshot.leases.push_back({lease, fencingOf(record.offset)});
-        m_leaseTable.loadFrom(snapshot);
-        m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(Resource));
-        return;
-    }
-    if (m_leaseTable.apply(fencingOf(record.offset), lease)) {
-        m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(Resource));
-        m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset)}});
-    }
-}
-
-void WeightUpdater::append(const QByteArray &record, std::function<void(bool)> done)
-{
-    m_store.append(m_options.topic, record, [this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
-        if (!result) {
-            m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(result.error())}});
-        }
-        done(result.has_value());
-    });
-}
-
-void WeightUpdater::appendLease(const LeaseRecord &lease)
-{
-    append(leaseText(lease), [](bool /*isWritten*/) {
-        // The topic shows whether the record is there and in force.
-    });
-}
-
 void WeightUpdater::planOrders()
 {
     const auto fencing = m_leaseHolder.fencingNumber(suspendAwareNow());
@@ -254,19 +124,29 @@
         return;
     }
     for (const auto &[model, named] : m_state.weights) {
-        const auto servers = observedStates(model);
+        auto servers = observedStates(model);
         auto planner = m_planners.find(model);
         if (planner == m_planners.end()) {
             decision::OrderPlannerOptions options;
             options.repeatInterval = RepeatInterval;
             options.loadTimeout = LoadTimeout;
-            options.maxConcurrentLoads
-                = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(m_options.maxLoadingShare * static_cast<double>(servers.size()))));
             planner = m_planners.emplace(model, decision::OrderPlanner(options)).first;
         }
         decision::DesiredServiceState desired;
         desired.version = std::to_string(named.newestVersion());
+        for (decision::ObservedServerState &it : servers) {
+            const bool isAllowed = isOrderAllowed(it.server);
+            it.isOrderable = isAllowed && !m_ordersInProgress.contains(it.server);
+            if (!isAllowed && !it.isLeaving && it.version != desired.version) {
+                logHeldOrder(it.server, "ordered by another VM");
+            }
+        }
+        const auto loads = std::lround(m_options.maxLoadingShare * static_cast<double>(servers.size()));
+        planner->second.setMaxConcurrentLoads(std::max<std::size_t>(1, static_cast<std::size_t>(loads)));
         const auto orders = planner->second.plan(suspendAwareNow(), *fencing, desired, servers);
+        for (const auto &[server, reason] : planner->second.heldBack()) {
+            logHeldOrder(server, reason);
+        }
         if (!orders.empty()) {
             announceOrders(model, orders);
         }
@@ -276,16 +156,11 @@
 void WeightUpdater::announceOrders(const std::string &model, const std::vector<Order> &orders)
 {
     for (const Order &order : orders) {
-        const auto allowedAt = m_orderAllowedAt.find(order.server);
-        const bool isOrderAllowed = allowedAt == m_orderAllowedAt.end() || suspendAwareNow() >= allowedAt->second;
-        if (m_ordersInProgress.contains(order.server) || !isOrderAllowed) {
-            continue;
-        }
         m_ordersInProgress.insert(order.server);
         const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}, {"holder", m_incarnation}};
         append(QByteArray::fromStdString(announcement.dump()), [this, model, order](bool isWritten) {
             if (!isWritten) {
-                m_ordersInProgress.erase(order.server); // without an announcement no other VM would know of the order; the planner repeats it
+                skipOrder(order, model, "not announced"); // no other VM would know of it
                 return;
             }
             const Instant announcedAt = suspendAwareNow();
@@ -300,13 +175,12 @@
 {
     const auto *entry = m_state.servers.find(order.server);
     if (entry == nullptr) {
-        m_ordersInProgress.erase(order.server);
+        skipOrder(order, model, "not listed");
         return;
     }
     m_engines.readReport(entry->server.address, [this, model, order, announcedAt](const std::optional<EngineReport> &report) {
         if (!report) {
-            m_ordersInProgress.erase(order.server);
-            m_state.log.write(LinePriority::Notable, "order_skipped", {{"server", order.server}, {"reason", "no report"}});
+            skipOrder(order, model, "no report");
             return;
         }
         sendOrder(model, order, *report, announcedAt);
@@ -328,10 +202,18 @@
     // Checked again just before the order leaves: the process may have been paused since the order was planned.
     const auto fencing = m_leaseHolder.fencingNumber(suspendAwareNow());
     const bool isLate = suspendAwareNow() - announcedAt > m_options.maxOrderDelay;
-    if (entry == nullptr || !fencing || !isCurrent || report.isExecutingOrder || isLate) {
+    if (report.isExecutingOrder) {
         m_ordersInProgress.erase(order.server);
+        m_loads[order.server] = OrderedLoad{model, version, monotonicNow(), true};
+        logHeldOrder(order.server, "another order in progress");
+        return;
+    }
+    if (entry == nullptr || !fencing || !isCurrent || isLate) {
+        const char *const reason = entry == nullptr ? "not listed" : !fencing ? "no lease" : !isCurrent ? "newer version named" : "late";
+        skipOrder(order, model, reason);
         return;
     }
+    m_heldOrders.erase(order.server);
     WeightOrder it;
     it.address = entry->server.address;
     it.serverId = order.server;
@@ -341,8 +223,15 @@
     it.fencing = static_cast<std::uint64_t>(*fencing);
     it.expectedOrders = report.ordersAccepted;
     m_loads[order.server] = OrderedLoad{model, version, monotonicNow()};
+    QTimer::singleShot(m_options.orderAnswerTimeout, this, [this, it] {
+        checkEffect(it);
+    });
     m_engines.sendOrder(it, [this, it](OrderAnswer answer) {
         m_ordersInProgress.erase(it.serverId);
+        const auto load = m_loads.find(it.serverId);
+        if (load != m_loads.end() && load->second.version == it.version) {
+            load->second.isInEffect = answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyHolds || answer == OrderAnswer::Conflict;
+        }
         if (answer == OrderAnswer::StaleFencing) {
             m_planners.at(it.model).onStaleFencing(static_cast<decision::Offset>(it.fencing));
         }
@@ -357,6 +246,60 @@
     });
 }
 
+void WeightUpdater::logHeldOrder(const std::string &server, const std::string &reason)
+{
+    if (std::exchange(m_heldOrders[server], reason) != reason) {
+        m_state.log.write(LinePriority::Notable, "order_held", {{"server", server}, {"reason", reason}});
+    }
+}
+
+void WeightUpdater::skipOrder(const Order &order, const std::string &model, const std::string &reason)
+{
+    m_ordersInProgress.erase(order.server);
+    m_state.log.write(LinePriority::Notable, "order_skipped", {{"server", order.server}, {"reason", reason}});
+    callOff(model, order.server);
+}
+
+void WeightUpdater::checkEffect(const WeightOrder &order)
+{
+    const auto isOpen = [this, order] {
+        const auto load = m_loads.find(order.serverId);
+        return load != m_loads.end() && load->second.version == order.version && !load->second.isInEffect;
+    };
+    if (!isOpen()) {
+        return;
+    }
+    m_engines.readReport(order.address, [this, order, isOpen](const std::optional<EngineReport> &report) {
+        if (!isOpen()) {
+            return;
+        }
+        if (report && (report->isExecutingOrder || report->ordersAccepted != order.expectedOrders)) {
+            m_loads[order.serverId].isInEffect = true;
+            return;
+        }
+        m_state.log.write(LinePriority::Notable, "order_called_off", {{"server", order.serverId}, {"version", order.version}});
+        callOff(order.model, order.serverId);
+    });
+}
+
+void WeightUpdater::callOff(const std::string &model, const std::string &server)
+{
+    m_planners.at(model).onNoEffect(server);
+    if (!m_leaseHolder.fencingNumber(suspendAwareNow())) {
+        return; // a successor may have announced a load of the same server meanwhile
+    }
+    const json announcement = {{"loading", server}, {"version", 0}, {"holder", m_incarnation}};
+    append(QByteArray::fromStdString(announcement.dump()), [](bool /*isWritten*/) {
+        // Without it the announcement times out.
+    });
+}
+
+bool WeightUpdater::isOrderAllowed(const std::string &server) const
+{
+    const auto allowedAt = m_orderAllowedAt.find(server);
+    return allowedAt == m_orderAllowedAt.end() || suspendAwareNow() >= allowedAt->second;
+}
+
 void WeightUpdater::pollLoads()
 {
     const Instant now = monotonicNow();
