Roll-out of weights: a VM that stops hands the lease over, and a VM that starts may order servers whose last order is long ago

LeaseHolder::resign() was never called. The renewals after an announcement now prove how long ago it was: two of one holder are requested at least duration / 2 - margin apart. The first two count nothing, as they may have been requested before the announcement was stored.

--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -44,6 +44,9 @@
     /// Gives up the lease early. Returns the record to append; none when this process does not hold the lease.
     std::optional<LeaseRecord> resign();
 
+    /// Whether a record was appended that the fold hasn't shown yet.
+    bool hasPendingAppend() const;
+
     /// The fencing number for an order that is sent now; none when this process may not send orders.
     std::optional<Offset> fencingNumber(Instant now) const;
 
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -78,6 +78,8 @@
     std::chrono::milliseconds currentReadInterval() const;
     void handleBatch(const StoreResult<RecordBatch> &result);
     void applyRecord(const StoreRecord &record);
+    void addLeaseTime(std::chrono::milliseconds time);
+    void resign(const std::function<void()> &done);
     void appendLease(const decision::LeaseRecord &lease);
     void append(const QByteArray &record, std::function<void(bool isWritten)> done);
     void planOrders();
@@ -105,6 +107,9 @@
     decision::LeaseHolder m_leaseHolder;
     std::map<std::string, decision::OrderPlanner> m_planners; ///< by model
     std::map<std::string, OrderedLoad> m_loads; ///< loads that this process ordered, by server
+    /// Least time that passed between the first lease read and the last, as renewals of one holder follow each other at a known least distance.
+    std::chrono::milliseconds m_leaseTime{0};
+    std::map<std::string, std::chrono::milliseconds> m_announcedAtLeaseTime; ///< by server, for the entries of m_orderAllowedAt
     std::map<std::string, Instant> m_orderAllowedAt; ///< by server: earliest time of an order from this process after one from another process
     std::set<std::string> m_ordersInProgress; ///< servers whose order is being announced, prepared or sent
     std::map<std::string, std::string> m_heldOrders; ///< by server: the last logged reason for which its order isn't sent
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -58,6 +58,11 @@
     return mayOrder ? std::optional(m_heldLease->offset) : std::nullopt;
 }
 
+bool LeaseHolder::hasPendingAppend() const
+{
+    return m_pendingAppend.has_value();
+}
+
 bool LeaseHolder::isOwnRecord() const
 {
     return m_current && m_current->lease.holder == m_options.incarnation;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -299,6 +299,7 @@
     m_state.log.write(LinePriority::Notable, "stop", {{"open_requests", m_callerServer.openExchanges()}});
     m_callerServer.closeAfterAnswers();
     m_relayLink.stop();
+    m_weightUpdater.beginStop();
     m_stopTimer.start(StopCheckInterval);
 }
 
@@ -316,9 +317,11 @@
         return;
     }
     m_stopTimer.stop();
-    m_state.log.write(LinePriority::Notable, "stopped", {{"open_requests", m_callerServer.openExchanges()}});
-    m_state.log.flush();
-    m_onStopped();
+    m_weightUpdater.finishStop([this] {
+        m_state.log.write(LinePriority::Notable, "stopped", {{"open_requests", m_callerServer.openExchanges()}});
+        m_state.log.flush();
+        m_onStopped();
+    });
 }
 
 } // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/weightrollout_test.cpp
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -30,6 +30,18 @@
     return most;
 }
 
+/// Writes what a holder wrote that announced a load of e0 and then renewed its lease this often.
+void writeHistory(FakeStore &fake, int renewals)
+{
+    const std::string topic = WeightUpdaterOptions().topic;
+    fake.put(topic, {}, R"({"loading":"e0","version":2,"holder":"x"})");
+    for (int n = 0; n <= renewals; ++n) {
+        // The announcement has offset 0, so that the first lease has fencing number 2.
+        const QByteArray replaced = QByteArray::number(n == 0 ? 0 : n + 1);
+        fake.put(topic, {}, R"({"holder":"x","duration_ms":300,"nonce":"n)" + QByteArray::number(n) + R"(","replaces":)" + replaced + "}");
+    }
+}
+
 } // namespace
 
 TEST_CASE("a successor orders other engines at once while it may not order its predecessor's yet")
@@ -139,3 +151,103 @@
     });
     CHECK(before.size() == 5);
 }
+
+TEST_CASE("a holder that stops gives up its lease, and its successor orders without waiting for the end of it")
+{
+    // Guards against a roll-out that stands still in a rolling restart: each holder's lease ran on after its process had ended.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.isSilent = true;
+    auto options = UpdaterVm::options("one");
+    options.leaseDuration = 8s;
+    UpdaterVm one(options, fake, engines);
+    one.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return fake.records(options.topic).size() >= 2;
+    }));
+    options.vm = "two";
+    UpdaterVm two(options, fake, engines);
+    two.nameWeights(2);
+    runFor(300ms);
+    const Instant stoppedAt = suspendAwareNow();
+    bool isStopped = false;
+    one.updater->finishStop([&] {
+        isStopped = true;
+    });
+    engines.isSilent = false;
+    REQUIRE(runUntil([&] {
+        return isStopped && !engines.receivedOrders.empty();
+    }));
+    CHECK(engines.receivedOrders.front().order.holder == "two");
+    CHECK(engines.receivedOrders.front().at - stoppedAt < 3s);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+    checkOrderIntervals(engines, 400ms);
+}
+
+TEST_CASE("a VM that stops leaves the lease to one that stays")
+{
+    // Guards against a roll-out that stands still in a rolling restart: stopping VMs took the lease and were gone before they had ordered.
+    FakeStore fake;
+    FakeEngines engines;
+    auto options = UpdaterVm::options("one");
+    options.stoppingDelay = 500ms;
+    UpdaterVm one(options, fake, engines);
+    one.updater->beginStop();
+    one.nameWeights(2);
+    runFor(100ms); // a VM that stays would have the lease by now
+    UpdaterVm two("two", fake, engines);
+    two.nameWeights(2);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+    CHECK(engines.receivedOrders.front().order.holder == "two");
+}
+
+TEST_CASE("a VM that stops requests the lease when no other does")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    auto options = UpdaterVm::options("one");
+    options.stoppingDelay = 200ms;
+    UpdaterVm one(options, fake, engines);
+    one.updater->beginStop();
+    one.nameWeights(2);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
+
+TEST_CASE("a VM that starts may order an engine whose last order was renewals of the lease ago that take longer than the order interval")
+{
+    // Guards against a roll-out that stands still after each restart: a fresh VM took every order in the topic for one that had just left.
+    FakeStore fake;
+    FakeEngines engines;
+    writeHistory(fake, 80);
+    auto options = UpdaterVm::options("two");
+    options.orderInterval = 3s;
+    UpdaterVm two(options, fake, engines);
+    const Instant startedAt = suspendAwareNow();
+    two.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return orderedAddresses(engines).contains("e0:1");
+    }));
+    CHECK(suspendAwareNow() - startedAt < 2500ms);
+}
+
+TEST_CASE("a VM that starts waits the order interval at an engine whose last order was fewer renewals of the lease ago")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    writeHistory(fake, 10); // these take at least 500 ms
+    auto options = UpdaterVm::options("two");
+    options.orderInterval = 3s;
+    const Instant startedAt = suspendAwareNow();
+    UpdaterVm two(options, fake, engines);
+    two.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return orderedAddresses(engines).contains("e0:1");
+    }));
+    CHECK(suspendAwareNow() - startedAt > 2500ms);
+}
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr char AnyServer[] = ""; // in m_orderAllowedAt: all servers, while it is not known which were ordered
+constexpr milliseconds ResignCheckInterval{10};
 constexpr milliseconds ResignTimeout{200}; // less than what a stopping process keeps in reserve
 constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
 
@@ -112,6 +113,7 @@
         // Version 0 calls off an announced load. Its order may still be under way.
         if (version != 0 && object.value("holder", std::string()) != m_incarnation) {
             m_orderAllowedAt[server] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
+            m_announcedAtLeaseTime[server] = m_leaseTime;
         }
         m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, version);
         return;
@@ -132,12 +134,31 @@
         m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
         return;
     }
+    const auto *before = m_leaseTable.find(LeaseResource);
+    const bool isRenewal = before != nullptr && before->lease.holder == lease.holder;
     if (m_leaseTable.apply(fencingOf(record.offset), lease)) {
+        if (isRenewal) {
+            addLeaseTime(lease.duration / 2 - m_options.leaseMargin);
+        }
         m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
         m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset)}});
     }
 }
 
+void WeightUpdater::addLeaseTime(milliseconds time)
+{
+    time = std::max(time, milliseconds(0));
+    m_leaseTime += time;
+    std::erase_if(m_announcedAtLeaseTime, [this, time](const auto &it) {
+        // The first two renewals after an announcement may have been requested before it was in the topic.
+        const bool isOver = m_leaseTime - it.second > m_options.maxOrderDelay + m_options.orderInterval + 2 * time;
+        if (isOver) {
+            m_orderAllowedAt.erase(it.first);
+        }
+        return isOver;
+    });
+}
+
 void WeightUpdater::append(const QByteArray &record, std::function<void(bool)> done)
 {
     m_store.append(m_options.topic, record, [this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
@@ -156,21 +177,37 @@
 void WeightUpdater::finishStop(std::function<void()> done)
 {
     m_timer.stop();
-    const auto lease = m_leaseHolder.resign();
-    if (!lease) {
-        done();
-        return;
-    }
     const auto shared = std::make_shared<std::function<void()>>(std::move(done));
     const auto finish = [shared] {
         if (const auto callback = std::exchange(*shared, nullptr)) {
             callback();
         }
     };
-    append(leaseText(*lease), [finish](bool /*isWritten*/) {
-        finish();
-    });
     QTimer::singleShot(ResignTimeout, this, finish);
+    resign(finish);
+}
+
+void WeightUpdater::resign(const std::function<void()> &done)
+{
+    const bool mayHold = m_leaseHolder.fencingNumber(suspendAwareNow()).has_value();
+    if (mayHold && m_leaseHolder.hasPendingAppend()) {
+        // The resignation replaces the renewal that is under way, so its offset must be known first.
+        if (!m_isReading) {
+            readTopic();
+        }
+        QTimer::singleShot(ResignCheckInterval, this, [this, done] {
+            resign(done);
+        });
+        return;
+    }
+    const auto lease = m_leaseHolder.resign();
+    if (!lease) {
+        done();
+        return;
+    }
+    append(leaseText(*lease), [done](bool /*isWritten*/) {
+        done();
+    });
 }
 
 void WeightUpdater::appendLease(const LeaseRecord &lease)
