WeightUpdater: callbacks do nothing once the updater was deleted

Callbacks of the store and the engines held a bare pointer; weightrollout_test aborted once in its first case, where a holder is deleted while a report is read.

--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -8,12 +8,14 @@
 #include "auburndrum/gateway/recordstore.h"
 
 #include <QObject>
+#include <QPointer>
 #include <QTimer>
 
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace auburndrum::gateway {
 
@@ -72,6 +74,17 @@
         bool isInEffect = false; ///< the engine's answer or report shows that it received the order
     };
 
+    /// A callback that does nothing once this updater was deleted.
+    template<class Function>
+    auto guarded(Function function)
+    {
+        return [self = QPointer<WeightUpdater>(this), function = std::move(function)](const auto &...results) {
+            if (self) {
+                function(results...);
+            }
+        };
+    }
+
     void tick();
     std::size_t countOutdatedServers() const;
     void readTopic();
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -178,13 +178,13 @@
         skipOrder(order, model, "not listed");
         return;
     }
-    m_engines.readReport(entry->server.address, [this, model, order, announcedAt](const std::optional<EngineReport> &report) {
-        if (!report) {
-            skipOrder(order, model, "no report");
-            return;
-        }
-        sendOrder(model, order, *report, announcedAt);
-    });
+    m_engines.readReport(entry->server.address, guarded([this, model, order, announcedAt](const std::optional<EngineReport> &report) {
+                             if (!report) {
+                                 skipOrder(order, model, "no report");
+                                 return;
+                             }
+                             sendOrder(model, order, *report, announcedAt);
+                         }));
 }
 
 void WeightUpdater::sendOrder(const std::string &model, const Order &order, const EngineReport &report, Instant announcedAt)
@@ -226,24 +226,25 @@
     QTimer::singleShot(m_options.orderAnswerTimeout, this, [this, it] {
         checkEffect(it);
     });
-    m_engines.sendOrder(it, [this, it](OrderAnswer answer) {
-        m_ordersInProgress.erase(it.serverId);
-        const auto load = m_loads.find(it.serverId);
-        if (load != m_loads.end() && load->second.version == it.version) {
-            load->second.isInEffect = answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyHolds || answer == OrderAnswer::Conflict;
-        }
-        if (answer == OrderAnswer::StaleFencing) {
-            m_planners.at(it.model).onStaleFencing(static_cast<decision::Offset>(it.fencing));
-        }
-        m_state.log.write(LinePriority::Notable,
-                          "weight_order",
-                          {{"server", it.serverId},
-                           {"model", it.model},
-                           {"version", it.version},
-                           {"fencing", it.fencing},
-                           {"expected_orders", it.expectedOrders},
-                           {"answer", toText(answer)}});
-    });
+    m_engines.sendOrder(it, guarded([this, it](OrderAnswer answer) {
+                            m_ordersInProgress.erase(it.serverId);
+                            const auto load = m_loads.find(it.serverId);
+                            if (load != m_loads.end() && load->second.version == it.version) {
+                                load->second.isInEffect
+                                    = answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyHolds || answer == OrderAnswer::Conflict;
+                            }
+                            if (answer == OrderAnswer::StaleFencing) {
+                                m_planners.at(it.model).onStaleFencing(static_cast<decision::Offset>(it.fencing));
+                            }
+                            m_state.log.write(LinePriority::Notable,
+                                              "weight_order",
+                                              {{"server", it.serverId},
+                                               {"model", it.model},
+                                               {"version", it.version},
+                                               {"fencing", it.fencing},
+                                               {"expected_orders", it.expectedOrders},
+                                               {"answer", toText(answer)}});
+                        }));
 }
 
 void WeightUpdater::logHeldOrder(const std::string &server, const std::string &reason)
@@ -269,17 +270,17 @@
     if (!isOpen()) {
         return;
     }
-    m_engines.readReport(order.address, [this, order, isOpen](const std::optional<EngineReport> &report) {
-        if (!isOpen()) {
-            return;
-        }
-        if (report && (report->isExecutingOrder || report->ordersAccepted != order.expectedOrders)) {
-            m_loads[order.serverId].isInEffect = true;
-            return;
-        }
-        m_state.log.write(LinePriority::Notable, "order_called_off", {{"server", order.serverId}, {"version", order.version}});
-        callOff(order.model, order.serverId);
-    });
+    m_engines.readReport(order.address, guarded([this, order, isOpen](const std::optional<EngineReport> &report) {
+                             if (!isOpen()) {
+                                 return;
+                             }
+                             if (report && (report->isExecutingOrder || report->ordersAccepted != order.expectedOrders)) {
+                                 m_loads[order.serverId].isInEffect = true;
+                                 return;
+                             }
+                             m_state.log.write(LinePriority::Notable, "order_called_off", {{"server", order.serverId}, {"version", order.version}});
+                             callOff(order.model, order.serverId);
+                         }));
 }
 
 void WeightUpdater::callOff(const std::string &model, const std::string &server)
@@ -312,12 +313,12 @@
         if (entry == nullptr) {
             continue;
         }
-        m_engines.readReport(entry->server.address, [this, server = server, load = load](const std::optional<EngineReport> &report) {
-            const auto has = report ? report->weightVersions.find(load.model) : decltype(report->weightVersions.end()){};
-            if (report && has != report->weightVersions.end() && has->second == load.version) {
-                recordLoaded(server, load.model, load.version);
-            }
-        });
+        m_engines.readReport(entry->server.address, guarded([this, server = server, load = load](const std::optional<EngineReport> &report) {
+                                 const auto has = report ? report->weightVersions.find(load.model) : decltype(report->weightVersions.end()){};
+                                 if (report && has != report->weightVersions.end() && has->second == load.version) {
+                                     recordLoaded(server, load.model, load.version);
+                                 }
+                             }));
     }
 }
 
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -68,9 +68,9 @@
     m_isReading = true;
     m_lastReadAt = monotonicNow();
     // The first read returns what is there, the next ones wait for new records.
-    m_store.read(m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0), [this](const StoreResult<RecordBatch> &result) {
-        handleBatch(result);
-    });
+    m_store.read(m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0), guarded([this](const StoreResult<RecordBatch> &result) {
+                     handleBatch(result);
+                 }));
 }
 
 void WeightUpdater::handleBatch(const StoreResult<RecordBatch> &result)
@@ -161,12 +161,12 @@
 
 void WeightUpdater::append(const QByteArray &record, std::function<void(bool)> done)
 {
-    m_store.append(m_options.topic, record, [this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
-        if (!result) {
-            m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(result.error())}});
-        }
-        done(result.has_value());
-    });
+    m_store.append(m_options.topic, record, guarded([this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
+                       if (!result) {
+                           m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(result.error())}});
+                       }
+                       done(result.has_value());
+                   }));
 }
 
 void WeightUpdater::beginStop()
