--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -62,7 +62,9 @@
             const std::uint64_t offset = m_topics[topic].endOffset;
             put(topic, {}, record);
             if (!m_losesAnswers) {
-                done(offset);
+                QTimer::singleShot(m_appendAnswerDelay, &m_context, [done, offset] {
+                    done(offset);
+                });
                 return;
             }
             QTimer::singleShot(CallTimeout, &m_context, [done] {
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -29,6 +29,11 @@
     {
         m_losesAnswers = loses;
     }
+    /// Appends are executed at once, but answered only after this time.
+    void setAppendAnswerDelay(std::chrono::milliseconds delay)
+    {
+        m_appendAnswerDelay = delay;
+    }
     /// No read that is pending now, or sent while this holds, is ever answered, so the caller sees a timeout.
     void setLosesReads(bool loses);
     const std::vector<StoreRecord> &records(const std::string &topic)
@@ -64,6 +69,7 @@
     std::vector<std::shared_ptr<PendingRead>> m_pendingReads;
     std::optional<StoreError> m_error;
     bool m_losesAnswers = false;
+    std::chrono::milliseconds m_appendAnswerDelay{0};
     bool m_losesReads = false;
     int m_calls = 0;
     QObject m_context;
--- a/src/auburndrum/gateway/weightrollout_test.cpp
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -251,3 +251,37 @@
     }));
     CHECK(suspendAwareNow() - startedAt > 2500ms);
 }
+
+TEST_CASE("a VM gets the lease however many servers are listed")
+{
+    // Guards against a large fleet without any roll-out: the interval between two reads grew beyond the lease, so each VM read its lease after it had expired.
+    FakeStore fake;
+    FakeEngines engines;
+    auto options = UpdaterVm::options("one");
+    options.readIntervalPerServer = options.leaseDuration;
+    UpdaterVm one(options, fake, engines);
+    one.nameWeights(2);
+    CHECK(runUntil(
+        [&] {
+            return allHave(engines, 2);
+        },
+        5s));
+}
+
+TEST_CASE("no order leaves later than allowed after its announcement was sent")
+{
+    // Guards against orders of two VMs within the order interval: others count from the announcement's record, which they may read before its sender gets the
+    // store's answer.
+    FakeStore fake;
+    FakeEngines engines;
+    const auto options = UpdaterVm::options("one");
+    fake.setAppendAnswerDelay(options.maxOrderDelay + 50ms);
+    UpdaterVm one(options, fake, engines);
+    one.nameWeights(2);
+    runFor(1s);
+    CHECK(engines.receivedOrders.empty());
+    fake.setAppendAnswerDelay(0ms);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
