Weights: read the order topic often enough for the lease, however many servers are listed

Cause: a VM that isn't the holder reads the topic every 15 ms times the number of servers, 2.58 s for 172, while a lease lasts 1.5 s. It read its own lease after that had expired and requested it anew, every 2.54 s to 2.66 s, and never ordered.

Change: the interval is bounded by half of the lease, and a VM that waits for its own record reads as often as the holder.

--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -57,10 +57,12 @@
 
 milliseconds WeightUpdater::currentReadInterval() const
 {
-    if (m_leaseHolder.fencingNumber(suspendAwareNow())) {
+    if (m_leaseHolder.fencingNumber(suspendAwareNow()) || m_leaseHolder.isAppendPending()) {
         return m_options.readInterval;
     }
-    return std::max(m_options.readInterval, m_options.readIntervalPerServer * static_cast<std::int64_t>(m_state.servers.size()));
+    // A lease must be read well before it expires, its own by a new holder too.
+    const auto grown = m_options.readIntervalPerServer * static_cast<std::int64_t>(m_state.servers.size());
+    return std::clamp<milliseconds>(grown, m_options.readInterval, m_options.leaseDuration / 2);
 }
 
 void WeightUpdater::readTopic()
