Weights: an order's delay counts from before its announcement is sent

Seen: gateway_test failed once beside load, with orders of two VMs to one engine less than the order interval apart.

Cause: the longest delay of an order, 1.2 s, counted from the moment at which the store's response to its announcement was handled, while other VMs count the delay and the order interval from the moment at which they read the record. With a slow store, or a VM that is busy, the second is earlier by as much as 1 s.

Change: the delay counts from before the announcement is sent, so from before any VM can read it.

The case "no order leaves later than allowed after its announcement was sent" failed before and passes. The failure beside load wasn't seen again, but it was seen only once before, so that it had this cause is suspected.

--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -158,12 +158,12 @@
     for (const Order &order : orders) {
         m_ordersInProgress.insert(order.server);
         const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}, {"holder", m_incarnation}};
-        append(QByteArray::fromStdString(announcement.dump()), [this, model, order](bool isWritten) {
+        // Other VMs may read the record before the store's response arrives here.
+        append(QByteArray::fromStdString(announcement.dump()), [this, model, order, announcedAt = suspendAwareNow()](bool isWritten) {
             if (!isWritten) {
                 skipOrder(order, model, "not announced"); // no other VM would know of it
                 return;
             }
-            const Instant announcedAt = suspendAwareNow();
             QTimer::singleShot(m_options.announceLeadTime, this, [this, model, order, announcedAt] {
                 prepareOrder(model, order, announcedAt);
             });
