Long polls of 1.5 s: time for the connect, too

A request may be sent just before a missed change is read, and its connect takes up to 400 ms: with the longest read interval of 0.5 s, 1.75 s left no reserve to the 2.5 s.

--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -17,8 +17,8 @@
 {
     std::string topic;
     /// A read that finds no records ends after this time. The store may fail to wake a waiting read for a new record, and a connection may go silent:
-    /// together with the read interval this stays below the 2.5 s in which a change must be in force.
-    std::chrono::milliseconds longPollTimeout{1750};
+    /// together with the longest read interval and a connect to a server this stays below the 2.5 s in which a change must be in force.
+    std::chrono::milliseconds longPollTimeout{1500};
     /// Between two reads, so that records that arrive together are read in one call, since each call has a cost. Grows with the number of keys,
     /// since more of them change at once in a larger fleet, up to a fraction of the 2.5 s in which a change must be in force.
     std::chrono::milliseconds readInterval{150};
