--- a/src/auburndrum/gateway/gatewayweights_test.cpp
+++ b/src/auburndrum/gateway/gatewayweights_test.cpp
@@ -12,41 +12,41 @@
 const std::vector<net::Header> Sealed = {{"Id", "request-1"}, {"Seal", "s"}};
 constexpr auto WeightsLimit = 800ms; // shorter than the routes' timeout, so that the limit ends a wait first
 
-/// A gateway whose servers both have weights 1, and a newer version that is named while the first server holds a request back.
+/// A gateway whose two servers have weights 1, for tests that name weights 2 while a request waits.
 class NamedWhileWaiting
 {
 public:
     using Responder = GatewayFixture::Responder;
 
     explicit NamedWhileWaiting(Responder answer)
-        : it(std::move(answer), true, [](GatewayFixture &, GatewayOptions &options) {
+        : gateway(std::move(answer), true, [](GatewayFixture &, GatewayOptions &options) {
             options.outdatedWeightsLimit = WeightsLimit;
         })
     {
-        it.extraHeaders = {{"Model", "m"}};
-        it.store.put("servers", "a", it.serverAddresses[0] + " 1");
-        it.store.put("servers", "b", it.serverAddresses[1] + " 1");
+        gateway.extraHeaders = {{"Model", "m"}};
+        gateway.store.put("servers", "a", gateway.serverAddresses[0] + " 1");
+        gateway.store.put("servers", "b", gateway.serverAddresses[1] + " 1");
         REQUIRE(runUntil([&] {
-            return it.hasLogged("backend_server", 4);
+            return gateway.hasLogged("backend_server", 4);
         }));
         // The second answer of the operator's topic sets the time from which the next naming counts.
-        it.store.put("operator", "configuration", "2");
+        gateway.store.put("operator", "configuration", "2");
         REQUIRE(runUntil([&] {
-            return it.hasLogged("configuration", 2);
+            return gateway.hasLogged("configuration", 2);
         }));
         namedFrom = monotonicNow();
     }
 
-    /// Names weights 2 while the request that was received last waits; one server then has them.
+    /// Names weights 2, and returns when the gateway has read them.
     void nameWeights()
     {
-        it.store.put("operator", "weights", "2");
+        gateway.store.put("operator", "weights", "2");
         REQUIRE(runUntil([&] {
-            return it.hasLogged("weights_named");
+            return gateway.hasLogged("weights_named");
         }));
     }
 
-    GatewayFixture it;
+    GatewayFixture gateway;
     Instant namedFrom{}; ///< earliest time at which the newer weights may have been named
 };
 
@@ -64,22 +64,22 @@
             });
             fixture.nameWeights();
             const bool isFirst = exchange->header("Server") == "a";
-            fixture.it.store.put("servers", isFirst ? "b" : "a", fixture.it.serverAddresses[isFirst ? 1 : 0] + " 2");
+            fixture.gateway.store.put("servers", isFirst ? "b" : "a", fixture.gateway.serverAddresses[isFirst ? 1 : 0] + " 2");
             return;
         }
         exchange->startStream(200, Sealed);
         exchange->writeChunk("id: 1\ndata: a\n\n");
         exchange->finishStream();
     });
-    fixture.it.sendRequest("/stream/"); // earns half a retry
-    const auto result = fixture.it.sendRequest("/stream/");
+    fixture.gateway.sendRequest("/stream/"); // earns half a retry
+    const auto result = fixture.gateway.sendRequest("/stream/");
     CHECK(result.head.status == 200);
     CHECK(result.body == "id: 1\ndata: a\n\n");
-    REQUIRE(fixture.it.receivedRequests.size() == 3);
-    CHECK(fixture.it.receivedRequests[2]->header("Server") != fixture.it.receivedRequests[1]->header("Server"));
+    REQUIRE(fixture.gateway.receivedRequests.size() == 3);
+    CHECK(fixture.gateway.receivedRequests[2]->header("Server") != fixture.gateway.receivedRequests[1]->header("Server"));
     REQUIRE(takenBackAt);
     CHECK(*takenBackAt < fixture.namedFrom + WeightsLimit);
-    const auto &line = fixture.it.lastLine("request");
+    const auto &line = fixture.gateway.lastLine("request");
     CHECK(line["outcome"] == "served");
     CHECK(line["attempts"][0]["result"] == "outdated_weights");
 }
@@ -94,16 +94,17 @@
         });
         fixture.nameWeights();
     });
-    const auto result = fixture.it.sendRequest("/brief/");
+    const auto result = fixture.gateway.sendRequest("/brief/");
     CHECK(result.head.status == 502);
     CHECK(monotonicNow() < fixture.namedFrom + WeightsLimit);
     REQUIRE(takenBackAt);
     CHECK(*takenBackAt < fixture.namedFrom + WeightsLimit);
-    CHECK(fixture.it.receivedRequests.size() == 1);
+    CHECK(fixture.gateway.receivedRequests.size() == 1);
 }
 
 TEST_CASE("a stream that has begun goes on when its server's weights reach their limit")
 {
+    // Guards against a take-back of requests that began in time.
     NamedWhileWaiting fixture([&](const std::shared_ptr<net::Exchange> &exchange, int) {
         exchange->startStream(200, Sealed);
         exchange->writeChunk("id: 1\ndata: a\n\n");
@@ -113,7 +114,7 @@
             exchange->finishStream();
         });
     });
-    const auto result = fixture.it.sendRequest("/brief/");
+    const auto result = fixture.gateway.sendRequest("/brief/");
     CHECK(result.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
