--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -122,6 +122,7 @@
     bool m_followsStores = false;
     bool m_isFresh = false; ///< whether the relay's last response was recent
     Instant m_lastResponseAt{}; ///< time of the relay's last response, suspend-aware
+    bool m_needsSnapshot = false; ///< the next poll requests the relay's whole log of the prompt stores
     std::string m_relayLogName; ///< name of the relay's log of prompt store updates
     std::uint64_t m_relayLogNext = 0;
 };
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -174,7 +174,7 @@
         return !m_state.storedPrompts.snapshot(it);
     });
     if (hasUnknown) {
-        m_relayLogName.clear(); // the relay may have reported a new prompt store before this VM's configuration named it
+        m_needsSnapshot = true; // the relay may have reported a new prompt store before this VM's configuration named it
     }
     updateMode();
 }
@@ -238,6 +238,9 @@
     for (const auto &[topic, it] : m_pendingReads) {
         request.topics[topic] = it.from;
     }
+    if (std::exchange(m_needsSnapshot, false)) {
+        m_relayLogName.clear();
+    }
     request.promptStoreLogName = m_relayLogName;
     request.promptStoreLogFrom = m_relayLogNext;
     m_isPolling = true;
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -181,6 +181,30 @@
     CHECK(vm.promptStoreEntries.size() == n);
 }
 
+TEST_CASE("a snapshot that is needed while the relay is polled is requested with the next poll")
+{
+    // Guards against a prompt store that a VM never learns of: a configuration that named it came into force while a poll was under way, and the response to
+    // that poll took the request for a snapshot back.
+    Fleet fleet(6);
+    REQUIRE(fleet.isRelayed());
+    Vm &vm = *fleet.vms[1];
+    const decision::PromptStoreUpdate report{.incarnation = 1, .nextChange = 1, .changes = {{true, "scope", "part", 10}}};
+    fleet.vms[0]->state.storedPrompts.applyUpdate(PromptStore, report);
+    fleet.vms[0]->link.promptStoreLog().addUpdate(PromptStore, report);
+    for (int n = 0; n < 50; ++n) {
+        runFor(std::chrono::milliseconds(n % 13)); // at another phase of the polls each time
+        vm.promptStoreEntries.clear();
+        vm.link.configure();
+        REQUIRE(runUntil(
+            [&vm] {
+                return std::any_of(vm.promptStoreEntries.begin(), vm.promptStoreEntries.end(), [](const PromptStoreLogEntry &it) {
+                    return it.update && it.update->isSnapshot;
+                });
+            },
+            2s));
+    }
+}
+
 TEST_CASE("a read that begins while the relay is polled waits for the next response")
 {
     Fleet fleet(6);
