--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -38,12 +38,6 @@
     /// Returns the lease record to append now, if any.
     std::optional<LeaseRecord> tick(Instant now);
 
-    /// Whether a lease record was appended that onLeaseChanged() has not reported yet.
-    bool isAppendPending() const
-    {
-        return m_pendingAppend.has_value();
-    }
-
     /// Lets other processes request a lease that ended this much earlier.
     void addTakeoverDelay(std::chrono::milliseconds delay);
 
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -57,7 +57,7 @@
 
 milliseconds WeightUpdater::currentReadInterval() const
 {
-    if (m_leaseHolder.fencingNumber(suspendAwareNow()) || m_leaseHolder.isAppendPending()) {
+    if (m_leaseHolder.fencingNumber(suspendAwareNow()) || m_leaseHolder.hasPendingAppend()) {
         return m_options.readInterval;
     }
     // A lease must be read well before it expires, its own by a new holder too.
