--- a/include/auburndrum/net/httpclient.h
+++ b/include/auburndrum/net/httpclient.h
@@ -54,6 +54,7 @@
     HttpFailure failure = HttpFailure::None;
     bool sent = false; ///< whether a byte of the request may have reached the peer
     bool reused = false; ///< whether the connection had carried an earlier call
+    bool endedByClose = false; ///< the body had neither a length nor chunks: the end of the connection was taken for its end
     HttpHead head;
     QByteArray body; ///< the complete body; empty when HttpHooks::onBody is set
 };
--- a/include/auburndrum/net/responseparser.h
+++ b/include/auburndrum/net/responseparser.h
@@ -36,6 +36,8 @@
     /// Must be called when the peer has closed the connection; returns false when the response is incomplete.
     bool finishOnPeerClose();
     bool isDone() const;
+    /// Whether the body has neither a length nor chunks, so that only the end of the connection marks its end.
+    bool endsWithConnection() const;
     bool keepsAlive() const;
     /// Returns and clears the bytes received after the end of the response.
     QByteArray takeUnparsedBytes();
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -99,6 +99,7 @@
     if (m_isConcluded || !m_attempt) {
         return;
     }
+    m_attempt->endedByClose = result.endedByClose;
     if (result.failure != net::HttpFailure::None) {
         handleFailedCall(result);
         return;
@@ -151,11 +152,13 @@
 
 void ForwardedRequest::finishStream()
 {
+    const int status = m_attempt->head->status;
+    const auto events = m_attempt->events; // its unended event is logged with the attempt
     const QByteArray remainder = m_attempt->events.takeIncompleteEvent();
     if (!remainder.isEmpty() || !m_isStreaming) {
         forwardToCaller(remainder);
     }
-    const int status = m_attempt->head->status;
+    m_attempt->events = events;
     endAttempt("served");
     m_exchange->finishStream();
     conclude(Outcome::Served, status, "");
@@ -167,7 +170,6 @@
     if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
         m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
     }
-    m_attempt->events.discardIncompleteEvent();
     endAttempt(net::toText(result.failure));
     retryOrConclude(result.sent, result.sent ? Delivery::Delivered : Delivery::NotSent);
 }
@@ -177,7 +179,11 @@
     if (!m_attempt) {
         return;
     }
-    m_record.attempts.push_back({m_attempt->choice, result, std::chrono::floor<milliseconds>(monotonicNow() - m_attempt->sentAt)});
+    m_record.attempts.push_back({m_attempt->choice,
+                                 result,
+                                 std::chrono::floor<milliseconds>(monotonicNow() - m_attempt->sentAt),
+                                 m_attempt->endedByClose,
+                                 m_attempt->events.incompleteEventBytes()});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
     m_attempt.reset();
 }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -23,6 +23,7 @@
     AnswerMetadata metadata;
     QByteArray body; ///< buffered until the response is complete
     net::EventSplitter events;
+    bool endedByClose = false; ///< only the end of the connection marked the end of the response
 };
 
 /// @brief Forwards one caller's request: chooses servers, retries where allowed, returns the response and enforces the caller's timeout.
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -30,7 +30,9 @@
             {"weights", it.choice.weightVersion},
             {"weights_replaced_ms", it.choice.weightsReplacedFor.count()},
             {"result", it.result},
-            {"ms", it.duration.count()}};
+            {"ms", it.duration.count()},
+            {"ended_by_close", it.endedByClose},
+            {"partial_event_bytes", it.partialEventBytes}};
 }
 
 } // namespace
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -29,6 +29,8 @@
     decision::ServerChoice choice;
     std::string result;
     std::chrono::milliseconds duration{0};
+    bool endedByClose = false; ///< only the end of the connection marked the end of the response
+    std::int64_t partialEventBytes = 0; ///< bytes of an event that had not ended when the response did
 };
 
 /// What the log states of one request.
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -274,6 +274,7 @@
     if (how == TcpEnd::Closed && m_responseStarted && m_parser->finishOnPeerClose()) {
         flushBody();
         if (m_call) {
+            m_result.endedByClose = m_parser->endsWithConnection();
             finish(HttpFailure::None);
         }
         return;
--- a/src/auburndrum/net/responseparser.cpp
+++ b/src/auburndrum/net/responseparser.cpp
@@ -146,6 +146,11 @@
     return d->takeUnparsedBytes();
 }
 
+bool ResponseParser::endsWithConnection() const
+{
+    return d->need_eof();
+}
+
 bool ResponseParser::keepsAlive() const
 {
     return d->keep_alive();
