--- a/include/auburndrum/net/eventsplitter.h
+++ b/include/auburndrum/net/eventsplitter.h
@@ -6,7 +6,7 @@
 
 namespace auburndrum::net {
 
-/// Splits a stream of server-sent events at event boundaries, without parsing the events.
+/// Splits a stream of server-sent events at event boundaries, without parsing the events. Lines may end with LF, CR LF or CR.
 class EventSplitter
 {
 public:
@@ -25,16 +25,29 @@
     }
     /// Discards the buffered bytes of an incomplete event, before the stream is resumed.
     void discardIncompleteEvent();
-    /// Returns and clears the buffered bytes of an incomplete event, for a stream that ended in order without a final blank line.
-    QByteArray takeIncompleteEvent();
     /// Number of buffered bytes of an incomplete event.
     qsizetype incompleteEventBytes() const
     {
-        return m_incompleteEvent.size();
+        return m_buffer.size();
     }
 
 private:
-    QByteArray m_incompleteEvent;
+    enum class LineEnd {
+        Lf,
+        Cr,
+        CrLf,
+    };
+
+    /// Handles the line from m_lineStart to `contentEnd`. Returns `end`, where the next line begins, when no event continues there, and 0 otherwise.
+    qsizetype finishLine(qsizetype contentEnd, qsizetype end, LineEnd how);
+
+    QByteArray m_buffer; ///< the incomplete event
+    qsizetype m_scanned = 0; ///< bytes of m_buffer that were examined
+    qsizetype m_lineStart = 0;
+    std::uint32_t m_lines = 0; ///< lines of the incomplete event
+    bool m_isDoneEvent = false; ///< whether the incomplete event is the final [DONE] so far
+    bool m_endsWithCr = false; ///< the last examined byte is a CR, after which an LF may belong to the same line end
+    LineEnd m_previousLineEnd = LineEnd::Lf;
     std::uint64_t m_events = 0;
     bool m_done = false;
 };
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -11,16 +11,20 @@
 constexpr milliseconds MinAttemptTime{50}; // with less time left a further attempt can't complete
 constexpr std::uint32_t MaxAttempts = 4; // attempts of one request, including those that reached no server
 
-/// The id of the last event in a sequence of complete events; empty when none has an id.
+/// The id of the last event in a sequence of complete events; empty when none has an id. Lines may end with LF, CR LF or CR.
 std::string lastIdIn(const QByteArray &events)
 {
-    const auto at = events.startsWith("id:") && events.lastIndexOf("\nid:") < 0 ? 0 : events.lastIndexOf("\nid:") + 1;
-    if (!QByteArrayView(events).sliced(at).startsWith("id:")) {
-        return {};
+    constexpr QByteArrayView Field = "id:";
+    qsizetype end = events.size();
+    while (end > 0) {
+        const qsizetype begin = std::max(events.lastIndexOf('\n', end - 1), events.lastIndexOf('\r', end - 1)) + 1;
+        const QByteArrayView line = QByteArrayView(events).sliced(begin, end - begin);
+        if (line.startsWith(Field)) {
+            return line.sliced(Field.size()).trimmed().toByteArray().toStdString();
+        }
+        end = begin - 1;
     }
-    const auto begin = at + 3;
-    const auto end = events.indexOf('\n', begin);
-    return events.mid(begin, end < 0 ? -1 : end - begin).trimmed().toStdString();
+    return {};
 }
 
 bool isSuccess(int status)
@@ -153,12 +157,9 @@
 void ForwardedRequest::finishStream()
 {
     const int status = m_attempt->head->status;
-    const auto events = m_attempt->events; // its unended event is logged with the attempt
-    const QByteArray remainder = m_attempt->events.takeIncompleteEvent();
-    if (!remainder.isEmpty() || !m_isStreaming) {
-        forwardToCaller(remainder);
+    if (!m_isStreaming) {
+        forwardToCaller({});
     }
-    m_attempt->events = events;
     endAttempt("served");
     m_exchange->finishStream();
     conclude(Outcome::Served, status, "");
--- a/src/auburndrum/net/eventsplitter.cpp
+++ b/src/auburndrum/net/eventsplitter.cpp
@@ -1,12 +1,12 @@
 #include "auburndrum/net/eventsplitter.h"
 
+#include <algorithm>
+
 namespace auburndrum::net {
 
 namespace {
 
-constexpr char EventEnd[] = "\n\n";
-constexpr qsizetype EventEndBytes = 2;
-constexpr char DoneEvent[] = "data: [DONE]";
+constexpr char DoneLine[] = "data: [DONE]";
 
 } // namespace
 
@@ -15,39 +15,67 @@
     if (m_done) {
         return {};
     }
-    // The end of an event may be split between the buffered bytes and the new ones.
-    qsizetype from = std::max<qsizetype>(0, m_incompleteEvent.size() - 1);
-    m_incompleteEvent += bytes;
-    qsizetype begin = 0;
-    while (!m_done) {
-        const qsizetype end = m_incompleteEvent.indexOf(EventEnd, from);
-        if (end < 0) {
-            break;
+    m_buffer += bytes;
+    qsizetype boundary = 0;
+    for (; m_scanned < m_buffer.size() && !m_done; ++m_scanned) {
+        const char c = m_buffer[m_scanned];
+        if (std::exchange(m_endsWithCr, false)) {
+            if (c == '\n') {
+                boundary = std::max(boundary, finishLine(m_scanned - 1, m_scanned + 1, LineEnd::CrLf));
+                continue;
+            }
+            boundary = std::max(boundary, finishLine(m_scanned - 1, m_scanned, LineEnd::Cr));
         }
-        if (QByteArrayView(m_incompleteEvent).sliced(begin, end - begin) == QByteArrayView(DoneEvent)) {
-            m_done = true;
-        } else {
-            ++m_events;
+        if (c == '\n') {
+            boundary = std::max(boundary, finishLine(m_scanned, m_scanned + 1, LineEnd::Lf));
         }
-        begin = end + EventEndBytes;
-        from = begin;
+        m_endsWithCr = c == '\r';
+    }
+    // Where lines end with CR alone, no LF will follow that would have to be awaited.
+    if (m_endsWithCr && !m_done && m_lineStart == m_scanned - 1 && m_previousLineEnd == LineEnd::Cr) {
+        m_endsWithCr = false;
+        boundary = std::max(boundary, finishLine(m_scanned - 1, m_scanned, LineEnd::Cr));
     }
-    if (begin == m_incompleteEvent.size()) {
-        return std::exchange(m_incompleteEvent, {});
+    QByteArray complete = m_buffer.left(boundary);
+    if (m_done) {
+        discardIncompleteEvent(); // nothing follows the final event
+        return complete;
     }
-    QByteArray complete = m_incompleteEvent.left(begin);
-    m_incompleteEvent.remove(0, begin);
+    m_buffer.remove(0, boundary);
+    m_scanned -= boundary;
+    m_lineStart -= boundary;
     return complete;
 }
 
-QByteArray EventSplitter::takeIncompleteEvent()
+qsizetype EventSplitter::finishLine(qsizetype contentEnd, qsizetype end, LineEnd how)
 {
-    return std::exchange(m_incompleteEvent, {});
+    const QByteArrayView line = QByteArrayView(m_buffer).sliced(m_lineStart, contentEnd - m_lineStart);
+    m_lineStart = end;
+    m_previousLineEnd = how;
+    if (line.isEmpty()) {
+        m_done = m_isDoneEvent;
+        m_events += m_lines > 0 && !m_done ? 1 : 0;
+        m_lines = 0;
+        m_isDoneEvent = false;
+        return end;
+    }
+    if (m_lines == 0 && line.startsWith(':')) {
+        return end; // a comment between events
+    }
+    ++m_lines;
+    m_isDoneEvent = m_lines == 1 && line == QByteArrayView(DoneLine);
+    return 0;
 }
 
 void EventSplitter::discardIncompleteEvent()
 {
-    m_incompleteEvent.clear();
+    m_buffer.clear();
+    m_scanned = 0;
+    m_lineStart = 0;
+    m_lines = 0;
+    m_isDoneEvent = false;
+    m_endsWithCr = false;
+    m_previousLineEnd = LineEnd::Lf;
 }
 
 } // namespace auburndrum::net
