--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -140,11 +140,11 @@
         concludeWithoutAnswer();
         return;
     }
-    m_state.chooser.recordSuccess(server);
     if (isEventStream()) {
         finishStream();
         return;
     }
+    m_state.chooser.recordSuccess(server);
     m_state.chooser.onFirstEvent(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     m_attempt->hasResponded = true;
     const QByteArray body = m_attempt->body;
@@ -154,12 +154,25 @@
     conclude(Outcome::Served, head.status, "");
 }
 
+bool ForwardedRequest::isStreamBrokenOff() const
+{
+    // A connection that closes before the first event shows that the server ended, not that its stream is empty.
+    return m_attempt->events.incompleteEventBytes() > 0 || (m_attempt->endedByClose && m_attempt->events.events() == 0);
+}
+
 void ForwardedRequest::finishStream()
 {
-    const int status = m_attempt->head->status;
+    if (isStreamBrokenOff()) {
+        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
+        endAttempt("broken_stream");
+        retryOrConclude(true, Delivery::Delivered);
+        return;
+    }
+    m_state.chooser.recordSuccess(m_attempt->choice.id);
     if (!m_isStreaming) {
         forwardToCaller({});
     }
+    const int status = m_attempt->head->status;
     endAttempt("served");
     m_exchange->finishStream();
     conclude(Outcome::Served, status, "");
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -61,6 +61,8 @@
     void handleDone(const net::HttpResult &result);
     void handleCompleteAnswer();
     void handleFailedCall(const net::HttpResult &result);
+    /// Whether the events show that the stream ended before its end, however its framing ended.
+    bool isStreamBrokenOff() const;
     void finishStream();
     void retryOrConclude(bool mayHaveRun, Delivery delivery);
     bool acquireRetry(Delivery delivery);
