--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -271,7 +271,7 @@
         finish(HttpFailure::ConnectFailed);
         return;
     }
-    if (how == TcpEnd::Closed && m_responseStarted && m_parser->finishOnPeerClose()) {
+    if (how == TcpEnd::Closed && m_responseStarted && !m_skipsResponse && m_parser->finishOnPeerClose()) {
         flushBody();
         if (m_call) {
             m_result.endedByClose = m_parser->endsWithConnection();
--- a/src/auburndrum/net/httpserver_test.cpp
+++ b/src/auburndrum/net/httpserver_test.cpp
@@ -309,6 +309,41 @@
     CHECK(result.body == "fresh");
 }
 
+TEST_CASE("a response to another call that only the close of its connection ends is no response to this call")
+{
+    // Guards against a call that succeeds without a response: the header of another call's response arrives in two parts, its body has no length.
+    QTcpServer peer;
+    REQUIRE(peer.listen(QHostAddress::LocalHost, 0));
+    QObject::connect(&peer, &QTcpServer::newConnection, [&] {
+        QTcpSocket *socket = peer.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] {
+            socket->readAll();
+            socket->write("HTTP/1.1 200 OK\r\nX-Id: ot");
+            socket->flush();
+            QTimer::singleShot(50ms, socket, [socket] {
+                socket->write("her\r\n\r\nstale");
+                socket->disconnectFromHost();
+            });
+        });
+    });
+    HttpClient client;
+    QEventLoop loop;
+    HttpResult result;
+    HttpHooks hooks;
+    hooks.isForCall = [](const HttpHead &head) {
+        return head.header("X-Id") == "mine";
+    };
+    hooks.onDone = [&](const HttpResult &it) {
+        result = it;
+        loop.quit();
+    };
+    client.start({.peer = {peer.serverAddress(), peer.serverPort()}}, hooks);
+    QTimer::singleShot(CallTimeout, &loop, &QEventLoop::quit);
+    loop.exec();
+    CHECK(result.failure == HttpFailure::Closed);
+    CHECK(result.body.isEmpty());
+}
+
 TEST_CASE("a kept-alive connection is not reused when bytes followed the response")
 {
     int connections = 0;
