--- a/src/auburndrum/backend/enginestream.cpp
+++ b/src/auburndrum/backend/enginestream.cpp
@@ -142,7 +142,8 @@
         resumeOrFail();
         return;
     }
-    if (result.failure == net::HttpFailure::None) {
+    // Nothing tells a response that only the close of its connection ends from one that the server broke off.
+    if (result.failure == net::HttpFailure::None && !result.endedByClose) {
         handleStatus(result);
         return;
     }
--- a/src/auburndrum/backend/plaincall.cpp
+++ b/src/auburndrum/backend/plaincall.cpp
@@ -11,6 +11,9 @@
     if (result.failure != net::HttpFailure::None) {
         return result.sent ? PlainEndKind::Broken : PlainEndKind::NotSent;
     }
+    if (result.endedByClose) {
+        return PlainEndKind::Broken; // nothing tells a whole response from one that the server broke off
+    }
     if (result.head.header("X-Attempt-Id") != attempt.attemptId) {
         return PlainEndKind::WrongAttempt;
     }
