--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -26,11 +26,16 @@
         const QByteArray model = net::headerValue(head.headers, "Model");
         if (!model.isEmpty()) {
             metadata.prompt = decision::Prompt{.model = model.toStdString(), .inputTokens = 100, .maxOutputTokens = 10, .parts = {}};
+            const QByteArray parts = net::headerValue(head.headers, "Parts");
+            for (const QByteArray &part : parts.isEmpty() ? QList<QByteArray>() : parts.split(',')) {
+                metadata.prompt->parts.push_back({part.toStdString(), 30});
+            }
         }
         return metadata;
     };
-    it.forwardHeaders = [](const net::RequestHead &, const ForwardMetadata &metadata) {
-        return std::vector<net::Header>{{"Server", QByteArray::fromStdString(metadata.serverId)},
+    it.forwardHeaders = [](const net::RequestHead &head, const ForwardMetadata &metadata) {
+        return std::vector<net::Header>{{"Parts", net::headerValue(head.headers, "Parts")},
+                                        {"Server", QByteArray::fromStdString(metadata.serverId)},
                                         {"Left", QByteArray::number(static_cast<qint64>(metadata.timeLeft.count()))},
                                         {"Organisation", QByteArray::fromStdString(metadata.organisation)},
                                         {"After", QByteArray::fromStdString(metadata.lastEventId)}};
--- a/src/auburndrum/gateway/gatewayfixture.h
+++ b/src/auburndrum/gateway/gatewayfixture.h
@@ -16,8 +16,8 @@
 /// A gateway between a store, two backend servers and a caller, in one process.
 ///
 /// Routes by path: /once/ and /single/ (unsafe, two servers and one), /safe/, /stream/ (resumable) and /brief/ (not resumable, removed in configuration version
-/// 5). A request with the header Model is a prompt. The operator's key "weights" names weights of the model "m"; a server's value is its address, with the
-/// version of its weights after a blank.
+/// 5). A request with the header Model is a prompt, whose parts the header Parts lists. The operator's key "weights" names weights of the model "m"; a server's
+/// value is its address, with the version of its weights after a blank.
 class GatewayFixture
 {
 public:
