--- /dev/null
+++ b/src/auburndrum/decision/traffic/partquarantineexchange.cpp
@@ -0,0 +1,174 @@
+#include "auburndrum/decision/traffic/partquarantine.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+// The exchange of evidence between entry VMs.
+
+namespace auburndrum::decision {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds SharedCrashAge{15000}; // older crashes are known to all VMs, or their verdict is
+constexpr std::size_t MaxSharedCrashes = 32;
+constexpr std::size_t MaxSharedParts = 64; // of one crash; those without any response go first
+constexpr milliseconds OneCrashTime{2000}; // reports of one incarnation within this time are of one end of its process
+// Reports reach a VM over several others; each one adds the time of a call to the times in it.
+constexpr milliseconds ExchangeDelay{500};
+constexpr milliseconds SameDecisionTime{2000};
+constexpr milliseconds OpenTime{5000}; // crashes are exchanged often for this long
+constexpr milliseconds OftenInterval{150};
+constexpr milliseconds SeldomInterval{1000};
+
+} // namespace
+
+CrashEvidence PartQuarantine::evidence(Instant now) const
+{
+    CrashEvidence shared;
+    std::set<std::string> named;
+    for (const auto &[server, it] : m_crashes) {
+        if (now - it.at > SharedCrashAge) {
+            continue;
+        }
+        CrashReport crash = it;
+        std::erase_if(crash.lostParts, [&](const auto &part) {
+            named.insert(part.first);
+            return lastSuccess(part.first) >= it.at;
+        });
+        while (crash.lostParts.size() > MaxSharedParts) {
+            crash.lostParts.erase(std::prev(crash.lostParts.end()));
+        }
+        shared.crashes.push_back(std::move(crash));
+    }
+    std::sort(shared.crashes.begin(), shared.crashes.end(), [](const CrashReport &a, const CrashReport &b) {
+        return a.at > b.at;
+    });
+    shared.crashes.resize(std::min(shared.crashes.size(), MaxSharedCrashes));
+    for (const std::string &part : named) {
+        if (const auto own = m_responses.find(part)) {
+            const auto number = std::chrono::floor<milliseconds>(own->time_since_epoch()).count();
+            shared.successes.push_back({part, m_options.vm, static_cast<std::uint64_t>(number), *own});
+        }
+        const auto others = m_successes.find(part);
+        if (others == m_successes.end()) {
+            continue;
+        }
+        for (const auto &[vm, it] : others->second) {
+            shared.successes.push_back(it);
+        }
+    }
+    for (const auto &[part, it] : m_verdicts) {
+        shared.verdicts.push_back(it.verdict);
+    }
+    return shared;
+}
+
+bool PartQuarantine::mergeCrash(const CrashReport &crash)
+{
+    const auto [known, isNew] = m_crashes.try_emplace(crash.server, crash);
+    CrashReport &it = known->second;
+    if (isNew) {
+        return true;
+    }
+    if (it.isRefuted && !crash.isRefuted && crash.at > it.at + OneCrashTime) {
+        it = crash; // the connections that ended before were another matter
+        return true;
+    }
+    if (crash.isRefuted && !it.isRefuted && it.at > crash.at + OneCrashTime) {
+        return false;
+    }
+    bool isChanged = (crash.isRefuted && !it.isRefuted) || (crash.isConfirmed && !it.isConfirmed);
+    it.isRefuted = (it.isRefuted || crash.isRefuted) && !it.isConfirmed;
+    it.isConfirmed = it.isConfirmed || crash.isConfirmed;
+    it.at = std::min(it.at, crash.at);
+    for (const auto &[part, sentAt] : crash.lostParts) {
+        if (it.lostParts.size() >= m_options.maxPartsPerCrash && !it.lostParts.contains(part)) {
+            continue;
+        }
+        const auto [lost, isNewPart] = it.lostParts.try_emplace(part, sentAt);
+        isChanged = isChanged || isNewPart;
+        if (sentAt > lost->second + ExchangeDelay) {
+            lost->second = sentAt;
+        }
+    }
+    return isChanged;
+}
+
+bool PartQuarantine::mergeSuccess(const PartSuccess &success)
+{
+    if (success.vm == m_options.vm) {
+        return false;
+    }
+    const auto [known, isNew] = m_successes[success.part].try_emplace(success.vm, success);
+    if (!isNew && success.number <= known->second.number) {
+        return false; // received before, over another VM
+    }
+    known->second = success;
+    m_lastResponseAt = std::max(m_lastResponseAt, success.at);
+    return true;
+}
+
+bool PartQuarantine::mergeVerdict(const PartVerdict &verdict)
+{
+    const auto [known, isNew] = m_verdicts.try_emplace(verdict.part, Verdict{.verdict = verdict});
+    PartVerdict &it = known->second.verdict;
+    if (isNew) {
+        return true;
+    }
+    if (it.id == verdict.id) {
+        const bool isChanged = verdict.isLifted && !it.isLifted;
+        if (isChanged) {
+            lift(known->second);
+        }
+        return isChanged;
+    }
+    if (verdict.decidedAt > it.decidedAt + SameDecisionTime) {
+        const bool isTakenOver = !verdict.isLifted;
+        if (isTakenOver) {
+            known->second = Verdict{.verdict = verdict};
+        }
+        return isTakenOver;
+    }
+    if (it.decidedAt > verdict.decidedAt + SameDecisionTime) {
+        return false;
+    }
+    // VMs that decide at the same time from the same evidence agree on one id, so that each can lift the decision for all.
+    const bool isChanged = verdict.id < it.id || (verdict.isLifted && !it.isLifted);
+    it.id = std::min(it.id, verdict.id);
+    if (verdict.isLifted && !it.isLifted) {
+        lift(known->second);
+    }
+    return isChanged;
+}
+
+bool PartQuarantine::merge(const CrashEvidence &evidence, Instant now)
+{
+    bool isChanged = false;
+    for (const CrashReport &it : evidence.crashes) {
+        isChanged = (now - it.at <= m_options.evidenceLifetime && mergeCrash(it)) || isChanged;
+    }
+    for (const PartSuccess &it : evidence.successes) {
+        isChanged = mergeSuccess(it) || isChanged;
+    }
+    for (const PartVerdict &it : evidence.verdicts) {
+        isChanged = mergeVerdict(it) || isChanged;
+    }
+    forgetOld(now);
+    return isChanged;
+}
+
+std::optional<milliseconds> PartQuarantine::exchangeInterval(Instant now) const
+{
+    for (const auto &[server, it] : m_crashes) {
+        if (now - it.at <= OpenTime) {
+            return OftenInterval;
+        }
+    }
+    return m_verdicts.empty() ? std::nullopt : std::optional(SeldomInterval);
+}
+
+} // namespace auburndrum::decision
