--- a/include/auburndrum/decision/traffic/relaydirectory.h
+++ b/include/auburndrum/decision/traffic/relaydirectory.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace auburndrum::decision {
 
@@ -52,6 +53,8 @@
     void recordFailure(std::string_view name, Instant now);
     void recordSuccess(std::string_view name);
     std::size_t size() const;
+    /// All known VMs, this one included.
+    std::vector<EntryVm> vms() const;
 
 private:
     struct KnownVm
--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "auburndrum/gateway/gatewaystate.h"
 #include "auburndrum/gateway/keyedfeed.h"
 #include "auburndrum/gateway/promptstorereader.h"
+#include "auburndrum/gateway/quarantinelink.h"
 #include "auburndrum/gateway/recordstore.h"
 #include "auburndrum/gateway/relaylink.h"
 #include "auburndrum/gateway/weightupdater.h"
@@ -89,6 +90,7 @@
     net::HttpServer m_callerServer;
     net::HttpServer m_readinessServer;
     RelayLink m_relayLink;
+    QuarantineLink m_quarantineLink;
     RecordStore m_store; ///< its reads may go through another entry VM
     KeyedFeed m_operatorFeed;
     KeyedFeed m_backendFeed;
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -3,6 +3,7 @@
 #include "auburndrum/decision/traffic/backendlist.h"
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/namedweights.h"
+#include "auburndrum/decision/traffic/partquarantine.h"
 #include "auburndrum/decision/traffic/retryallowance.h"
 #include "auburndrum/decision/traffic/serverchooser.h"
 #include "auburndrum/decision/traffic/storedprompts.h"
@@ -13,6 +14,7 @@
 
 #include <absl/random/random.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,6 +28,7 @@
         : wire(std::move(wireHooks))
         , storedPrompts({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
         , chooser(std::move(chooserOptions), servers, storedPrompts)
+        , quarantine({.vm = logOptions.vm})
         , log(std::move(logOptions))
         , metrics(registry)
         , retryOptions(retries)
@@ -46,6 +49,8 @@
     std::map<std::string, decision::NamedWeights> weights; ///< by model
     std::chrono::milliseconds outdatedWeightsLimit{10000}; ///< time after newer weights are named from which no request may begin on older ones
     net::HttpClient client;
+    decision::PartQuarantine quarantine;
+    std::function<void()> onCrashEvidence; ///< called when a connection to a server ended before its response
     DecisionLog log;
     Metrics registry;
     GatewayMetrics metrics;
--- /dev/null
+++ b/include/auburndrum/gateway/quarantinemessages.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "auburndrum/base/errors.h"
+#include "auburndrum/decision/traffic/crashevidence.h"
+#include "auburndrum/decision/traffic/relaydirectory.h"
+
+#include <string>
+
+namespace auburndrum::gateway {
+
+/// What an entry VM knows about crashes, with its own registration.
+struct QuarantineMessage
+{
+    decision::EntryVm from;
+    decision::CrashEvidence evidence;
+};
+
+/// @{ Conversion to and from JSON text. Times travel as ages, since the clocks of two VMs differ; `now` is this VM's clock that counts suspension.
+std::string toJson(const QuarantineMessage &message, Instant now);
+Result<QuarantineMessage, std::string> quarantineMessageFrom(const std::string &json, Instant now);
+/// @}
+
+} // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -69,6 +69,26 @@
     void configure();
     /// Whether records come from a relay that reads them from the store itself.
     bool isRelayed() const;
+    /// @{ For other calls between entry VMs: the client, the methods that this VM serves, and the VMs known.
+    entry::PeerClient &peers()
+    {
+        return m_peers;
+    }
+    void addMethod(const std::string &name, std::function<entry::RpcResult(const std::string &request)> handler);
+    void addVm(const decision::EntryVm &vm);
+    std::vector<decision::EntryVm> knownVms() const
+    {
+        return m_directory.vms();
+    }
+    const decision::EntryVm &self() const
+    {
+        return m_options.self;
+    }
+    bool isDirectoryKnown() const
+    {
+        return m_isDirectoryKnown;
+    }
+    /// @}
     /// The updates that this VM receives from the prompt stores, for other VMs.
     PromptStoreLog &promptStoreLog()
     {
--- a/src/auburndrum/decision/traffic/relaydirectory.cpp
+++ b/src/auburndrum/decision/traffic/relaydirectory.cpp
@@ -94,6 +94,15 @@
     }
 }
 
+std::vector<EntryVm> RelayDirectory::vms() const
+{
+    std::vector<EntryVm> list;
+    for (const auto &[name, it] : m_vms) {
+        list.push_back(it.vm);
+    }
+    return list;
+}
+
 std::size_t RelayDirectory::size() const
 {
     return m_vms.size();
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -50,6 +50,7 @@
 {
     m_attempt->head = head;
     m_weightsTimer.stop();
+    recordResponse();
     m_attempt->metadata = m_state.wire.readAnswer(head);
     if (m_attempt->metadata.load) {
         m_state.chooser.onLoadReport(m_attempt->choice.id, *m_attempt->metadata.load, monotonicNow());
@@ -76,6 +77,7 @@
     }
     if (!m_attempt->hasResponded) {
         m_attempt->hasResponded = true;
+        m_attempt->firstEventAt = monotonicNow();
         m_state.chooser.onFirstEvent(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     }
     forwardToCaller(events);
@@ -145,6 +147,7 @@
         return;
     }
     m_state.chooser.recordSuccess(server);
+    recordWholeResponse();
     m_state.chooser.onFirstEvent(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     m_attempt->hasResponded = true;
     const QByteArray body = m_attempt->body;
@@ -163,12 +166,14 @@
 void ForwardedRequest::finishStream()
 {
     if (isStreamBrokenOff()) {
+        recordLost();
         m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
         endAttempt("broken_stream");
         retryOrConclude(true, Delivery::Delivered);
         return;
     }
     m_state.chooser.recordSuccess(m_attempt->choice.id);
+    recordWholeResponse();
     if (!m_isStreaming) {
         forwardToCaller({});
     }
@@ -184,6 +189,11 @@
     if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
         m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
     }
+    if (result.failure == net::HttpFailure::Closed && result.sent) {
+        recordLost();
+    } else if (result.failure == net::HttpFailure::ConnectFailed) {
+        recordRefusedConnection();
+    }
     endAttempt(net::toText(result.failure));
     retryOrConclude(result.sent, result.sent ? Delivery::Delivered : Delivery::NotSent);
 }
@@ -222,7 +232,9 @@
     }
     const bool isAllowed = !m_mayHaveRun || m_route->isRepeatable();
     const bool isResumeAllowed = !m_isStreaming || m_route->isResumable;
-    if (isAllowed && isResumeAllowed && acquireRetry(delivery)) {
+    // A request that crashed its server would crash the next one.
+    const bool isSuspect = m_wasLost && m_metadata.prompt && m_state.quarantine.isSuspect(*m_metadata.prompt);
+    if (isAllowed && isResumeAllowed && !isSuspect && acquireRetry(delivery)) {
         tryNextServer();
         return;
     }
@@ -245,6 +257,10 @@
         refuse(502, "no usable answer; the request may have run");
         return;
     }
+    if (m_partDecision.admission == decision::PartAdmission::Refused) {
+        refuse(503, "backend servers crash under a part of the prompt");
+        return;
+    }
     refuse(503, m_record.noServerReason.empty() ? "no backend server took the request" : "no backend server to send to");
 }
 
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -40,6 +40,9 @@
     m_metadata = m_state.wire.readRequest(m_exchange->head());
     m_record.id = m_metadata.id;
     m_record.affinityKey = m_metadata.prompt ? decision::affinityKey(*m_metadata.prompt) : std::string();
+    for (std::size_t n = 0; m_metadata.prompt && n + 1 < m_metadata.prompt->parts.size(); ++n) {
+        m_record.parts.push_back(m_metadata.prompt->parts[n].id);
+    }
     m_record.arrivedAt = m_exchange->arrivedAt();
     m_configuration = m_state.configuration;
     if (!m_configuration) {
@@ -131,6 +134,10 @@
 
 void ForwardedRequest::tryNextServer()
 {
+    if (isKeptAway()) {
+        concludeWithoutAnswer();
+        return;
+    }
     decision::ServerQuery query;
     query.service = m_service;
     query.prompt = m_metadata.prompt ? &*m_metadata.prompt : nullptr;
@@ -224,6 +231,11 @@
     m_attempt.emplace();
     m_attempt->choice = choice;
     m_attempt->sentAt = now;
+    if (const auto *server = m_metadata.prompt ? m_state.servers.find(choice.id) : nullptr) {
+        m_attempt->incarnation = choice.id + '/' + std::to_string(server->server.startedAt.time_since_epoch().count());
+        m_attempt->sentAtSuspendAware = suspendAwareNow();
+        m_state.quarantine.onSent(m_partDecision, m_attempt->sentAtSuspendAware);
+    }
     m_state.chooser.onSent(choice, m_metadata.prompt ? &*m_metadata.prompt : nullptr, now);
     const auto self = shared_from_this();
     net::HttpHooks hooks;
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -18,6 +18,9 @@
     decision::ServerChoice choice;
     net::HttpCallHandle call;
     Instant sentAt{};
+    std::string incarnation; ///< the server's process, for evidence on crashes; empty for plain services
+    Instant sentAtSuspendAware{};
+    std::optional<Instant> firstEventAt;
     bool hasResponded = false; ///< whether the first event was reported to the chooser
     std::optional<net::HttpHead> head;
     AnswerMetadata metadata;
@@ -64,6 +67,13 @@
     /// Whether the events show that the stream ended before its end, however its framing ended.
     bool isStreamBrokenOff() const;
     void finishStream();
+    /// @{ Evidence on prompt parts that crash their servers, in forwardedcrash.cpp.
+    bool isKeptAway();
+    void recordResponse();
+    void recordWholeResponse();
+    void recordLost();
+    void recordRefusedConnection();
+    /// @}
     void retryOrConclude(bool mayHaveRun, Delivery delivery);
     bool acquireRetry(Delivery delivery);
     void concludeWithoutAnswer();
@@ -98,6 +108,8 @@
     std::vector<std::string> m_triedServers;
     std::uint32_t m_deliveries = 0; ///< number of backend servers that the request reached
     std::uint32_t m_attemptCount = 0;
+    decision::PartDecision m_partDecision; ///< whether the prompt's parts may be sent
+    bool m_wasLost = false; ///< the last attempt's connection ended before the response
     bool m_mayHaveRun = false;
     bool m_isBodyRepeatable = true;
     bool m_isStreaming = false; ///< whether the response head, and maybe parts of the body, were sent to the caller
--- /dev/null
+++ b/src/auburndrum/gateway/quarantinelink.cpp
@@ -0,0 +1,147 @@
+#include "auburndrum/gateway/quarantinelink.h"
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using decision::EntryVm;
+using decision::PartVerdict;
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{50}; // while there is evidence
+constexpr milliseconds FirstAskInterval{500}; // until another VM has answered after the start
+constexpr std::size_t PeersPerExchange = 3; // news reach 340 VMs in six rounds or so
+constexpr milliseconds SkipTime{2000}; // a VM that did not answer is not called for this time
+
+} // namespace
+
+QuarantineLink::QuarantineLink(GatewayState &state, RelayLink &relayLink, QObject *parent)
+    : QObject(parent)
+    , m_state(state)
+    , m_relayLink(relayLink)
+{
+    m_timer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, &QuarantineLink::tick);
+    m_relayLink.addMethod(QuarantineMethod, [this](const std::string &request) {
+        return handleExchange(request);
+    });
+    m_state.onCrashEvidence = [this] {
+        wake();
+    };
+}
+
+void QuarantineLink::start()
+{
+    wake();
+}
+
+void QuarantineLink::wake()
+{
+    if (!m_timer.isActive()) {
+        m_timer.start(TickInterval);
+    }
+}
+
+void QuarantineLink::tick()
+{
+    logChanges();
+    const Instant now = suspendAwareNow();
+    const auto interval = m_state.quarantine.exchangeInterval(now);
+    const bool isDue = interval && now - m_exchangedAt >= *interval;
+    const bool asks = !m_hasAsked && m_relayLink.isDirectoryKnown() && now - m_exchangedAt >= FirstAskInterval;
+    if (isDue || asks) {
+        m_exchangedAt = now;
+        exchange();
+    }
+    if (interval) {
+        m_timer.start(TickInterval);
+    } else if (!m_hasAsked) {
+        m_timer.start(FirstAskInterval);
+    }
+}
+
+void QuarantineLink::logChanges()
+{
+    for (const PartVerdict &it : m_state.quarantine.update(suspendAwareNow())) {
+        m_state.metrics.stateChanges.with({"prompt_part"}).Increment();
+        m_state.log.write(LinePriority::Notable,
+                          "prompt_part",
+                          {{"part", it.part},
+                           {"change", it.isLifted ? "lifted" : "kept_away"},
+                           {"decision", it.id},
+                           {"age_ms", std::chrono::floor<milliseconds>(suspendAwareNow() - it.decidedAt).count()},
+                           {"hold_ms", it.hold.count()},
+                           {"crashed_servers", it.servers},
+                           {"kept_away", m_state.quarantine.keptAway()}});
+    }
+}
+
+void QuarantineLink::exchange()
+{
+    const Instant now = suspendAwareNow();
+    std::vector<EntryVm> peers;
+    std::vector<std::string> names;
+    for (const EntryVm &it : m_relayLink.knownVms()) {
+        names.push_back(it.name);
+        const auto skipped = m_skippedUntil.find(it.name);
+        if (it.name != m_relayLink.self().name && (skipped == m_skippedUntil.end() || now >= skipped->second)) {
+            peers.push_back(it);
+        }
+    }
+    m_hasAsked = m_hasAsked || names.size() == 1;
+    m_state.quarantine.setVms(std::move(names));
+    std::shuffle(peers.begin(), peers.end(), m_state.random);
+    peers.resize(std::min(peers.size(), PeersPerExchange));
+    for (const EntryVm &it : peers) {
+        callPeer(it);
+    }
+}
+
+void QuarantineLink::callPeer(const EntryVm &vm)
+{
+    const std::string request = toJson(message(), suspendAwareNow());
+    m_relayLink.peers().call({vm.name, vm.address, QuarantineMethod, request}, [this, vm](const entry::EntryResult<std::string> &result) {
+        if (!result) {
+            m_skippedUntil[vm.name] = suspendAwareNow() + SkipTime;
+            return;
+        }
+        const auto response = quarantineMessageFrom(result.value(), suspendAwareNow());
+        if (!response) {
+            m_skippedUntil[vm.name] = suspendAwareNow() + SkipTime;
+            m_state.log.write(LinePriority::Notable, "evidence_skipped", {{"peer", vm.name}, {"problem", response.error()}});
+            return;
+        }
+        m_skippedUntil.erase(vm.name);
+        m_hasAsked = true;
+        merge(response.value());
+    });
+}
+
+entry::RpcResult QuarantineLink::handleExchange(const std::string &text)
+{
+    const auto request = quarantineMessageFrom(text, suspendAwareNow());
+    if (!request) {
+        m_state.log.write(LinePriority::Notable, "evidence_skipped", {{"peer", ""}, {"problem", request.error()}});
+        return entry::rpcError(entry::RpcInvalidParams, request.error());
+    }
+    m_relayLink.addVm(request.value().from);
+    merge(request.value());
+    return entry::rpcResult(toJson(message(), suspendAwareNow()));
+}
+
+QuarantineMessage QuarantineLink::message() const
+{
+    return {m_relayLink.self(), m_state.quarantine.evidence(suspendAwareNow())};
+}
+
+void QuarantineLink::merge(const QuarantineMessage &message)
+{
+    if (m_state.quarantine.merge(message.evidence, suspendAwareNow())) {
+        logChanges();
+        wake();
+    }
+}
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/quarantinelink_test.cpp
@@ -0,0 +1,141 @@
+#include "auburndrum/gateway/quarantinelink.h"
+
+#include "eventloop.h"
+#include "fakestore.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+decision::Prompt promptOf(const std::vector<std::string> &parts)
+{
+    decision::Prompt it{.model = "m"};
+    for (const std::string &part : parts) {
+        it.parts.push_back({part, 10});
+    }
+    return it;
+}
+
+const decision::Prompt Bad = promptOf({"shared", "bad", "own"});
+const decision::Prompt Sound = promptOf({"shared", "sound", "own"});
+
+/// The QuarantineLink of one entry VM.
+class Vm
+{
+public:
+    Vm(FakeStore &fake, const std::string &name)
+        : state({.zone = "zone"},
+                {.vm = name,
+                 .write =
+                     [this](std::string_view line) {
+                         log += line;
+                     }},
+                Wire{},
+                {})
+        , relayLink(options(name),
+                    state,
+                    fake.hooks(),
+                    {.onFollowsStoresChanged =
+                         [](bool) {
+                         },
+                     .onPromptStoreEntry =
+                         [](const PromptStoreLogEntry &) {
+                         }})
+        , link(state, relayLink)
+    {
+        relayLink.start();
+        link.start();
+    }
+
+    static RelayLinkOptions options(const std::string &name)
+    {
+        RelayLinkOptions it;
+        it.self = {name, "127.0.0.1:0", "zone", 10};
+        it.directoryTopic = "entries";
+        it.directoryDelay = 50ms;
+        return it;
+    }
+
+    void lose(const std::string &server)
+    {
+        const Instant now = suspendAwareNow();
+        state.quarantine.onLost(server, Bad, now - 10ms, now);
+        state.onCrashEvidence();
+    }
+
+    bool keepsAway()
+    {
+        return state.quarantine.decide(Bad, suspendAwareNow()).admission == decision::PartAdmission::Refused;
+    }
+
+    std::string log;
+    GatewayState state;
+    RelayLink relayLink;
+    QuarantineLink link;
+};
+
+} // namespace
+
+TEST_CASE("VMs of which each sees one crash keep the part away together, and one that starts later learns it")
+{
+    // Guards against crashes that no VM sees often enough, and against a VM that starts after the others decided (BUDGET).
+    FakeStore store;
+    std::vector<std::unique_ptr<Vm>> vms;
+    for (const char *name : {"a", "b", "c"}) {
+        vms.push_back(std::make_unique<Vm>(store, name));
+    }
+    CHECK(runUntil([&] {
+        return std::all_of(vms.begin(), vms.end(), [](const auto &it) {
+            return it->relayLink.isDirectoryKnown();
+        });
+    }));
+    for (std::size_t n = 0; n < vms.size(); ++n) {
+        vms[n]->lose("server-" + std::to_string(n));
+        runFor(200ms);
+        vms[0]->state.quarantine.onWholeResponse("alive", Sound, true, suspendAwareNow());
+    }
+    CHECK(runUntil(
+        [&] {
+            return std::all_of(vms.begin(), vms.end(), [](const auto &it) {
+                return it->keepsAway();
+            });
+        },
+        3s));
+    CHECK(vms[1]->log.find("prompt_part") != std::string::npos);
+    Vm started(store, "d");
+    CHECK(runUntil(
+        [&] {
+            return started.keepsAway();
+        },
+        3s));
+}
+
+TEST_CASE("evidence arrives as it was sent, with its times on the receiver's clock")
+{
+    const Instant now{5000s};
+    QuarantineMessage message;
+    message.from = {"a", "10.0.0.1:1", "zone", 10};
+    message.evidence.crashes.push_back({"server", now - 2s, false, true, {{"bad", now - 3s}}});
+    message.evidence.successes.push_back({"shared", "b", 7, now - 1s});
+    message.evidence.verdicts.push_back({"bad", "a:1:1", now - 500ms, 60s, true, {"server"}});
+    const Instant later{90000s};
+    const auto read = quarantineMessageFrom(toJson(message, now), later);
+    REQUIRE(read);
+    const auto &evidence = read.value().evidence;
+    CHECK(read.value().from == message.from);
+    REQUIRE(evidence.crashes.size() == 1);
+    CHECK(evidence.crashes[0].at == later - 2s);
+    CHECK(evidence.crashes[0].isConfirmed);
+    CHECK(evidence.crashes[0].lostParts.at("bad") == later - 3s);
+    REQUIRE(evidence.successes.size() == 1);
+    CHECK(evidence.successes[0].number == 7);
+    REQUIRE(evidence.verdicts.size() == 1);
+    CHECK(evidence.verdicts[0].isLifted);
+    CHECK(evidence.verdicts[0].hold == 60s);
+    CHECK_FALSE(quarantineMessageFrom("{}", now));
+    CHECK_FALSE(quarantineMessageFrom("nonsense", now));
+}
--- /dev/null
+++ b/src/auburndrum/gateway/quarantinemessages.cpp
@@ -0,0 +1,114 @@
+#include "auburndrum/gateway/quarantinemessages.h"
+
+#include "auburndrum/gateway/relaymessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using decision::CrashReport;
+using decision::PartSuccess;
+using decision::PartVerdict;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::int64_t ageOf(Instant moment, Instant now)
+{
+    return std::chrono::floor<milliseconds>(now - moment).count();
+}
+
+Instant momentOf(const json &age, Instant now)
+{
+    return now - milliseconds(age.get<std::int64_t>());
+}
+
+json jsonOf(const CrashReport &it, Instant now)
+{
+    json parts = json::array();
+    for (const auto &[part, sentAt] : it.lostParts) {
+        parts.push_back({part, ageOf(sentAt, now)});
+    }
+    return {{"server", it.server}, {"age_ms", ageOf(it.at, now)}, {"refuted", it.isRefuted}, {"confirmed", it.isConfirmed}, {"parts", std::move(parts)}};
+}
+
+CrashReport crashOf(const json &object, Instant now)
+{
+    CrashReport it;
+    it.server = object.at("server").get<std::string>();
+    it.at = momentOf(object.at("age_ms"), now);
+    it.isRefuted = object.at("refuted").get<bool>();
+    it.isConfirmed = object.at("confirmed").get<bool>();
+    for (const json &part : object.at("parts")) {
+        it.lostParts[part.at(0).get<std::string>()] = momentOf(part.at(1), now);
+    }
+    return it;
+}
+
+json jsonOf(const PartVerdict &it, Instant now)
+{
+    return {
+        {"part", it.part}, {"id", it.id}, {"age_ms", ageOf(it.decidedAt, now)}, {"hold_ms", it.hold.count()}, {"lifted", it.isLifted}, {"servers", it.servers}};
+}
+
+PartVerdict verdictOf(const json &object, Instant now)
+{
+    PartVerdict it;
+    it.part = object.at("part").get<std::string>();
+    it.id = object.at("id").get<std::string>();
+    it.decidedAt = momentOf(object.at("age_ms"), now);
+    it.hold = milliseconds(object.at("hold_ms").get<std::int64_t>());
+    it.isLifted = object.at("lifted").get<bool>();
+    it.servers = object.at("servers").get<std::vector<std::string>>();
+    return it;
+}
+
+} // namespace
+
+std::string toJson(const QuarantineMessage &message, Instant now)
+{
+    json crashes = json::array();
+    for (const CrashReport &it : message.evidence.crashes) {
+        crashes.push_back(jsonOf(it, now));
+    }
+    json successes = json::array();
+    for (const PartSuccess &it : message.evidence.successes) {
+        successes.push_back({it.part, it.vm, it.number, ageOf(it.at, now)});
+    }
+    json verdicts = json::array();
+    for (const PartVerdict &it : message.evidence.verdicts) {
+        verdicts.push_back(jsonOf(it, now));
+    }
+    const json object = {
+        {"from", json::parse(toJson(message.from))}, {"crashes", std::move(crashes)}, {"successes", std::move(successes)}, {"verdicts", std::move(verdicts)}};
+    return object.dump();
+}
+
+Result<QuarantineMessage, std::string> quarantineMessageFrom(const std::string &text, Instant now)
+{
+    try {
+        const json object = json::parse(text);
+        QuarantineMessage message;
+        const auto from = entryVmFrom(object.at("from").dump());
+        if (!from) {
+            return failure(from.error());
+        }
+        message.from = from.value();
+        for (const json &it : object.at("crashes")) {
+            message.evidence.crashes.push_back(crashOf(it, now));
+        }
+        for (const json &it : object.at("successes")) {
+            message.evidence.successes.push_back(
+                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<std::uint64_t>(), momentOf(it.at(3), now)});
+        }
+        for (const json &it : object.at("verdicts")) {
+            message.evidence.verdicts.push_back(verdictOf(it, now));
+        }
+        return message;
+    } catch (const json::exception &ec) {
+        return failure(std::string(ec.what()));
+    }
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds RetryDelay{1000}; // between attempts to register and to read the directory; the fleet works without a relay, at a higher cost
-constexpr qint64 MaxRequestBytes = 16 * 1024; // enough for several topics and names
+constexpr qint64 MaxRequestBytes = 256 * 1024; // enough for all evidence on crashes that a VM keeps
 
 milliseconds since(Instant moment)
 {
--- a/src/auburndrum/gateway/relayserving.cpp
+++ b/src/auburndrum/gateway/relayserving.cpp
@@ -6,6 +6,21 @@
 
 using decision::EntryVm;
 
+void RelayLink::addMethod(const std::string &name, std::function<entry::RpcResult(const std::string &)> handler)
+{
+    m_peerServer.addMethod(name, [handler = std::move(handler)](const std::string & /*peer*/, const std::string &request) {
+        return handler(request);
+    });
+}
+
+void RelayLink::addVm(const EntryVm &vm)
+{
+    if (vm.name != m_options.self.name && m_directory.put(vm)) {
+        m_state.log.write(LinePriority::Notable, "entry_vm", {{"peer", vm.name}, {"address", vm.address}, {"zone", vm.zone}});
+        updateMode();
+    }
+}
+
 entry::RpcResult RelayLink::handlePoll(const std::string &text)
 {
     if (m_isStopped) {
@@ -16,11 +31,7 @@
         m_state.log.write(LinePriority::Notable, "relay_question_skipped", {{"problem", request.error()}});
         return entry::rpcError(entry::RpcInvalidParams, request.error());
     }
-    const EntryVm &from = request.value().from;
-    if (from.name != m_options.self.name && m_directory.put(from)) {
-        m_state.log.write(LinePriority::Notable, "entry_vm", {{"peer", from.name}, {"address", from.address}, {"zone", from.zone}});
-        updateMode();
-    }
+    addVm(request.value().from);
     if (m_relay.empty()) {
         setFollowsStores(true); // the polling VM knows more VMs, or lost a relay that this one has not tried
     }
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -90,6 +90,10 @@
     }
     line["attempts"] = std::move(attempts);
     if (outcome != Outcome::Served) {
+        line["parts"] = record.parts;
+        if (record.partDecision) {
+            line["kept_away"] = {{"part", record.partDecision->part}, {"decision", record.partDecision->verdict}, {"age_ms", record.partDecision->age.count()}};
+        }
         line["no_server"] = record.noServerReason;
         line["servers_known"] = record.serversKnown;
         line["retries_left"] = record.retriesLeft;
