--- a/include/auburndrum/decision/traffic/partquarantine.h
+++ b/include/auburndrum/decision/traffic/partquarantine.h
@@ -67,8 +67,8 @@
 
     /// A request is sent; `decision` is what decide() returned for it.
     void onSent(const PartDecision &decision, Instant now);
-    /// The connection to a server ended before the response did. A request whose events had been arriving for a while is not to be reported: a part that crashes
-    /// its server does so when the server begins to write.
+    /// The connection to a server ended before the response did. A request whose events had been arriving for a while is not to be reported: a part that
+    /// crashes its server does so when the server begins to write.
     void onLost(const std::string &server, const Prompt &prompt, Instant sentAt, Instant now);
     /// The server refused a connection.
     void onRefusedConnection(const std::string &server, Instant now);
