--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -42,6 +42,7 @@
     std::vector<StoreRecord> records;
     std::uint64_t nextOffset = 0; ///< the first offset that was not read
     bool hasGap = false; ///< requested records were dropped; `nextOffset` is the first that is still there
+    std::uint64_t era = 0; ///< rises each time that the store returns from an older copy, after which offsets are given out again; 0 when unknown
     std::chrono::milliseconds age{0}; ///< time since the store had no further records; 0 for a response from the store itself
 };
 
@@ -50,6 +51,7 @@
 {
     std::vector<StoreRecord> records;
     std::uint64_t endOffset = 0;
+    std::uint64_t era = 0; ///< as in RecordBatch
     bool hasMore = false;
 };
 
--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -22,6 +22,7 @@
             }
             NewestPage page;
             page.endOffset = m_topics[topic].endOffset;
+            page.era = m_era;
             for (const auto &[key, record] : m_topics[topic].newest) {
                 page.records.push_back(record);
             }
@@ -107,6 +108,18 @@
     it.firstOffset = it.endOffset;
 }
 
+void FakeStore::restoreCopy()
+{
+    ++m_era;
+    m_topics = m_copy;
+    const auto pending = std::exchange(m_pendingReads, {});
+    for (const auto &it : pending) {
+        if (it->done) {
+            std::exchange(it->done, {})(failure(StoreError::Unreachable)); // the connections of an earlier era end with it
+        }
+    }
+}
+
 void FakeStore::setLosesReads(bool loses)
 {
     m_losesReads = loses;
@@ -119,8 +132,12 @@
 {
     const Topic &it = m_topics[topic];
     RecordBatch batch;
-    batch.nextOffset = std::max(from, it.endOffset);
-    batch.hasGap = from < it.firstOffset;
+    batch.era = m_era;
+    batch.hasGap = from < it.firstOffset || from > it.endOffset;
+    batch.nextOffset = batch.hasGap ? it.firstOffset : it.endOffset;
+    if (batch.hasGap) {
+        return batch;
+    }
     std::copy_if(it.records.begin(), it.records.end(), std::back_inserter(batch.records), [from](const StoreRecord &record) {
         return record.offset >= from;
     });
@@ -131,7 +148,7 @@
 {
     const auto pending = m_pendingReads;
     for (const auto &it : pending) {
-        const bool hasNewRecords = it->from < m_topics[topic].endOffset || it->from < m_topics[topic].firstOffset;
+        const bool hasNewRecords = it->from != m_topics[topic].endOffset;
         if (it->topic != topic || !it->done || it->isLost || !hasNewRecords) {
             continue;
         }
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -19,6 +19,12 @@
     void put(const std::string &topic, const std::string &key, const std::optional<QByteArray> &value);
     /// Deletes all records; the newest of each key stays readable.
     void forgetHistory(const std::string &topic);
+    /// Remembers the present records; restoreCopy() returns to them, as a store does that lost what was written since, and begins a new era.
+    void makeCopy()
+    {
+        m_copy = m_topics;
+    }
+    void restoreCopy();
     /// Every call fails with this error from now on; nothing: calls succeed again.
     void setError(std::optional<StoreError> error)
     {
@@ -66,6 +72,8 @@
     void completeReads(const std::string &topic);
 
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, Topic> m_copy;
+    std::uint64_t m_era = 1;
     std::vector<std::shared_ptr<PendingRead>> m_pendingReads;
     std::optional<StoreError> m_error;
     bool m_losesAnswers = false;
