--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -35,6 +35,9 @@
     /// Handles a change of the lease in the fold. @p current is the record in force, null for none.
     void onLeaseChanged(Instant now, const LeaseState *current);
 
+    /// Forgets all leases, an own one too: the log lost records. A successor waits as after one that has just been renewed.
+    void forget(Instant now);
+
     /// Returns the lease record to append now, if any.
     std::optional<LeaseRecord> tick(Instant now);
 
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -38,11 +38,13 @@
     std::function<void()> onSynced; ///< everything that the store held at one moment has been reported
     std::function<void(StoreError)> onStoreLost; ///< the store doesn't respond
     std::function<void()> onStoreRegained;
+    std::function<void(std::uint64_t era)> onNewEra; ///< the store returned from an older copy of its records
 };
 
 /// @brief Follows the newest value of each key of one topic, and never reports an older one afterwards.
 ///
-/// Reads the newest record of each key once, then long-polls from there. When records expired before they were read, it starts over.
+/// Reads the newest record of each key once, then long-polls from there. When records expired before they were read, it starts over; also when the store
+/// returned from an older copy of its records. What such a copy still lists, though it was dropped since, is not reported before it is written again.
 class KeyedFeed : public QObject
 {
     Q_OBJECT
@@ -66,6 +68,8 @@
     void readPage(const std::string &afterKey);
     void handlePage(const StoreResult<NewestPage> &result);
     void finishSnapshot();
+    /// Notes the era of a response. Returns whether the response can be used; when a new era has begun, the feed starts over.
+    bool acceptEra(std::uint64_t era);
     void readNext();
     std::chrono::milliseconds currentReadInterval() const;
     void handleBatch(const StoreResult<RecordBatch> &result);
@@ -86,6 +90,8 @@
     std::set<std::string> m_snapshotKeys; ///< keys seen in the snapshot being read
     std::optional<std::uint64_t> m_snapshotEnd; ///< end of the topic when the snapshot began
     Instant m_snapshotAt{}; ///< when the snapshot began
+    std::set<std::string> m_droppedBeforeEra; ///< keys dropped before the store returned from a copy, while the snapshot after that is read
+    std::uint64_t m_era = 0; ///< of the last response; 0 when unknown
     std::uint64_t m_nextOffset = 0;
     bool m_isSynced = false;
     bool m_isStoreLost = false;
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -109,6 +109,7 @@
     void read(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done);
     void readDirectly(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done);
     void readPendingDirectly();
+    void handleEra(std::uint64_t era);
     entry::RpcResult handlePoll(const std::string &request);
     bool exceedsAllowedReaders() const;
     void updateMode();
@@ -136,6 +137,7 @@
     std::map<std::string, PendingRead> m_pendingReads; ///< by topic
     std::set<std::string> m_failedTopics; ///< topics whose last direct read failed
     std::string m_relay; ///< name of the relay in use; empty while this VM reads directly
+    std::uint64_t m_era = 0; ///< of the store, as the last response told it; 0 when unknown
     bool m_isPolling = false;
     bool m_isStopped = false;
     bool m_isDirectoryKnown = false;
--- a/include/auburndrum/gateway/topiccache.h
+++ b/include/auburndrum/gateway/topiccache.h
@@ -38,6 +38,7 @@
         std::deque<StoreRecord> records;
         std::uint64_t firstOffset = 0; ///< all records that are still in the topic from this offset on are in `records`
         std::uint64_t nextOffset = 0;
+        std::uint64_t era = 0;
         std::size_t bytes = 0;
         Instant readAt{};
     };
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -90,6 +90,8 @@
     void readTopic();
     std::chrono::milliseconds currentReadInterval() const;
     void handleBatch(const StoreResult<RecordBatch> &result);
+    /// Notes the era of a response. Returns whether the response can be used; when a new era has begun, the topic is read anew.
+    bool acceptEra(std::uint64_t era);
     void applyRecord(const StoreRecord &record);
     void addLeaseTime(std::chrono::milliseconds time);
     void resign(const std::function<void()> &done);
@@ -128,6 +130,7 @@
     std::map<std::string, std::string> m_heldOrders; ///< by server: the last logged reason for which its order isn't sent
     QTimer m_timer;
     std::uint64_t m_nextOffset = 0; ///< next offset to read
+    std::uint64_t m_era = 0; ///< of the store's last response; 0 when unknown
     bool m_isReading = false;
     Instant m_lastReadAt{}; ///< when the last read began
     bool m_isCaughtUp = false;
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -29,6 +29,14 @@
     m_pendingAppend.reset();
 }
 
+void LeaseHolder::forget(Instant now)
+{
+    m_current.reset();
+    m_heldLease.reset();
+    m_pendingAppend.reset();
+    m_currentSeenAt = now + m_options.duration;
+}
+
 std::optional<LeaseRecord> LeaseHolder::tick(Instant now)
 {
     const bool isWaiting = m_pendingAppend && now < m_pendingAppend->startedAt + m_options.appendTimeout;
--- a/src/auburndrum/decision/traffic/backendlist.cpp
+++ b/src/auburndrum/decision/traffic/backendlist.cpp
@@ -16,7 +16,9 @@
     Entry &entry = it->second;
     const bool hadLapsed = entry.expiredAt.has_value();
     entry.expiredAt.reset();
-    if (entry.server == server) {
+    // A process that drains never takes requests again; a registration that says otherwise is an older one.
+    const bool isOlder = entry.server.isDraining && !server.isDraining && entry.server.startedAt == server.startedAt;
+    if (entry.server == server || isOlder) {
         return hadLapsed ? BackendChange::Restored : BackendChange::None;
     }
     const bool isRestart = entry.server.startedAt != server.startedAt;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -143,6 +143,9 @@
     hooks.onStoreLost = [this, topic](StoreError error) {
         m_state.log.write(LinePriority::Notable, "dependency_lost", {{"dependency", "store"}, {"topic", topic}, {"error", toText(error)}});
     };
+    hooks.onNewEra = [this, topic](std::uint64_t era) {
+        m_state.log.write(LinePriority::Notable, "store_era", {{"topic", topic}, {"era", era}});
+    };
     hooks.onStoreRegained = [this, topic] {
         m_state.log.write(LinePriority::Notable, "dependency_regained", {{"dependency", "store"}, {"topic", topic}});
     };
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -63,6 +63,9 @@
     }
     recordAnswer(std::chrono::milliseconds(0));
     const NewestPage &page = result.value();
+    if (!acceptEra(page.era)) {
+        return;
+    }
     if (page.endOffset < m_nextOffset) {
         handleFailure(StoreError::Stale); // the response is older than what was already read
         return;
@@ -75,7 +78,9 @@
     }
     for (const StoreRecord &it : page.records) {
         m_snapshotKeys.insert(it.key);
-        apply(it);
+        if (!m_droppedBeforeEra.contains(it.key)) {
+            apply(it);
+        }
     }
     if (page.hasMore && !page.records.empty()) {
         readPage(page.records.back().key);
@@ -93,6 +98,7 @@
             apply({*m_snapshotEnd - 1, it, std::nullopt});
         }
     }
+    m_droppedBeforeEra.clear();
     m_nextOffset = *m_snapshotEnd;
     m_completeAt = m_snapshotAt;
     m_isSynced = true;
@@ -102,6 +108,34 @@
     readNext();
 }
 
+bool KeyedFeed::acceptEra(std::uint64_t era)
+{
+    if (era == m_era) {
+        return true;
+    }
+    if (era < m_era) {
+        handleFailure(StoreError::Stale);
+        return false;
+    }
+    if (std::exchange(m_era, era) == 0) {
+        return true; // the first one known
+    }
+    for (const auto &[key, offset] : m_offsets) {
+        if (!m_presentKeys.contains(key)) {
+            m_droppedBeforeEra.insert(key);
+        }
+    }
+    m_offsets.clear();
+    m_nextOffset = 0;
+    m_regainedAt = suspendAwareNow(); // what is missing now may be written again, as after an outage
+    m_isSynced = false;
+    if (m_hooks.onNewEra) {
+        m_hooks.onNewEra(era);
+    }
+    start();
+    return false;
+}
+
 std::chrono::milliseconds KeyedFeed::currentReadInterval() const
 {
     const auto grown = std::min(m_options.intervalPerKey * static_cast<std::int64_t>(m_presentKeys.size()), m_options.maxInterval);
@@ -129,6 +163,9 @@
         return;
     }
     recordAnswer(result.value().age);
+    if (!acceptEra(result.value().era)) {
+        return;
+    }
     if (result.value().hasGap) {
         m_isSynced = false;
         start();
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -126,6 +126,12 @@
 RecordStore RelayLink::relayedStore()
 {
     RecordStore it = m_store;
+    it.readNewest = [this](const std::string &topic, const std::string &afterKey, auto done) {
+        m_store.readNewest(topic, afterKey, [this, done = std::move(done)](const StoreResult<NewestPage> &page) {
+            handleEra(page ? page.value().era : 0);
+            done(page);
+        });
+    };
     it.read = [this](const std::string &topic, std::uint64_t from, milliseconds wait, auto done) {
         read(topic, from, wait, std::move(done));
     };
@@ -149,6 +155,7 @@
     }
     m_store.read(topic, from, longest, [this, topic, from, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
         if (result) {
+            handleEra(result.value().era);
             m_failedTopics.erase(topic);
             m_topicCache.addBatch(topic, from, result.value(), m_pauses.earliestAnswerTime(sentAt));
         } else {
@@ -158,6 +165,15 @@
     });
 }
 
+void RelayLink::handleEra(std::uint64_t era)
+{
+    const bool isNew = m_era != 0 && era > m_era;
+    m_era = std::max(m_era, era);
+    if (isNew && !m_options.directoryTopic.empty()) {
+        registerSelf(); // the copy that the store returned from may lack this VM
+    }
+}
+
 void RelayLink::readPendingDirectly()
 {
     const auto pending = std::exchange(m_pendingReads, {});
@@ -297,6 +313,7 @@
         }
         RecordBatch batch = relayed->second;
         batch.age += since(polledAt);
+        handleEra(batch.era);
         if (batch.records.empty() && suspendAwareNow() < it.deadline) {
             m_pendingReads.try_emplace(topic, it);
             continue;
--- a/src/auburndrum/gateway/relaymessages.cpp
+++ b/src/auburndrum/gateway/relaymessages.cpp
@@ -34,13 +34,14 @@
         }
         records.push_back({it.offset, it.key, std::move(value)});
     }
-    return {{"next", batch.nextOffset}, {"age_ms", batch.age.count()}, {"records", std::move(records)}};
+    return {{"next", batch.nextOffset}, {"era", batch.era}, {"age_ms", batch.age.count()}, {"records", std::move(records)}};
 }
 
 RecordBatch batchOf(const json &object)
 {
     RecordBatch batch;
     batch.nextOffset = object.at("next").get<std::uint64_t>();
+    batch.era = object.value("era", std::uint64_t{0}); // a VM of an earlier version sends none
     batch.age = std::chrono::milliseconds(object.at("age_ms").get<std::int64_t>());
     for (const json &it : object.at("records")) {
         StoreRecord record;
--- a/src/auburndrum/gateway/topiccache.cpp
+++ b/src/auburndrum/gateway/topiccache.cpp
@@ -22,8 +22,12 @@
         m_topics.erase(it); // the reader starts over with the newest record of each key
         return;
     }
-    if (isNew || from > known.nextOffset) {
+    if (!isNew && batch.era < known.era) {
+        return; // given before the store returned from an older copy
+    }
+    if (isNew || from > known.nextOffset || batch.era > known.era) {
         known = Topic{};
+        known.era = batch.era;
         known.firstOffset = from;
         known.nextOffset = from;
     }
@@ -57,6 +61,7 @@
     }
     const Topic &known = it->second;
     RecordBatch batch;
+    batch.era = known.era;
     batch.nextOffset = std::max(from, known.nextOffset);
     batch.age = std::chrono::ceil<std::chrono::milliseconds>(now - known.readAt);
     std::size_t bytes = 0;
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -19,9 +19,10 @@
 constexpr milliseconds ResignTimeout{200}; // less than what a stopping process keeps in reserve
 constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
 
-QByteArray leaseText(const LeaseRecord &lease)
+/// @p era of the store as the writer knows it.
+QByteArray leaseText(const LeaseRecord &lease, std::uint64_t era)
 {
-    const json object = {{"holder", lease.holder}, {"nonce", lease.nonce}, {"replaces", lease.replaces}, {"duration_ms", lease.duration.count()}};
+    const json object = {{"holder", lease.holder}, {"nonce", lease.nonce}, {"replaces", lease.replaces}, {"duration_ms", lease.duration.count()}, {"era", era}};
     return QByteArray::fromStdString(object.dump());
 }
 
@@ -47,10 +48,11 @@
     return isText(object, "nonce") && isCount(object, "replaces") && isCount(object, "duration_ms");
 }
 
-/// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none.
-decision::Offset fencingOf(std::uint64_t offset)
+/// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none. A new era gives offsets out again, so it counts first.
+decision::Offset fencingOf(std::uint64_t offset, const json &record)
 {
-    return static_cast<decision::Offset>(offset) + 1;
+    constexpr unsigned OffsetBits = 40; // leaves 13 bits for the era in the integers that JSON carries exactly
+    return static_cast<decision::Offset>((record.value("era", std::uint64_t{0}) << OffsetBits) + offset + 1);
 }
 
 } // namespace
@@ -81,6 +83,9 @@
     if (!result) {
         return; // the next tick reads again
     }
+    if (!acceptEra(result.value().era)) {
+        return;
+    }
     if (result.value().hasGap && m_nextOffset == 0) {
         // The store dropped its history before this process read any. The dropped records may include recent orders and a lease in force.
         m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
@@ -99,6 +104,24 @@
     m_isCaughtUp = m_isCaughtUp || (isEnd && !isWaiting);
 }
 
+bool WeightUpdater::acceptEra(std::uint64_t era)
+{
+    if (era <= m_era) {
+        return era == m_era; // an older response says nothing about the present records
+    }
+    if (std::exchange(m_era, era) == 0) {
+        return true; // the first one known
+    }
+    // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
+    m_nextOffset = 0;
+    m_isCaughtUp = false;
+    m_leaseTable = {};
+    m_leaseHolder.forget(suspendAwareNow());
+    m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
+    m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", 0}, {"era", era}});
+    return false;
+}
+
 void WeightUpdater::applyRecord(const StoreRecord &record)
 {
     const json object = record.value ? json::parse(record.value->constBegin(), record.value->constEnd(), nullptr, false) : json();
@@ -131,19 +154,19 @@
         // The lease that it replaces may be among the dropped records. A holder renews its lease several times in this wait, so the last lease read is
         // in force.
         decision::SnapshotRecord snapshot;
-        snapshot.leases.push_back({lease, fencingOf(record.offset)});
+        snapshot.leases.push_back({lease, fencingOf(record.offset, object)});
         m_leaseTable.loadFrom(snapshot);
         m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
         return;
     }
     const auto *before = m_leaseTable.find(LeaseResource);
     const bool isRenewal = before != nullptr && before->lease.holder == lease.holder;
-    if (m_leaseTable.apply(fencingOf(record.offset), lease)) {
+    if (m_leaseTable.apply(fencingOf(record.offset, object), lease)) {
         if (isRenewal) {
             addLeaseTime(lease.duration / 2 - m_options.leaseMargin);
         }
         m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
-        m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset)}});
+        m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset, object)}});
     }
 }
 
@@ -207,14 +230,14 @@
         done();
         return;
     }
-    append(leaseText(*lease), [done](bool /*isWritten*/) {
+    append(leaseText(*lease, m_era), [done](bool /*isWritten*/) {
         done();
     });
 }
 
 void WeightUpdater::appendLease(const LeaseRecord &lease)
 {
-    append(leaseText(lease), [](bool /*isWritten*/) {
+    append(leaseText(lease, m_era), [](bool /*isWritten*/) {
         // The topic shows whether the record is there and in force.
     });
 }
