--- a/include/auburndrum/decision/traffic/partquarantine.h
+++ b/include/auburndrum/decision/traffic/partquarantine.h
@@ -116,6 +116,8 @@
     std::size_t crashesNaming(const std::string &part) const;
     void convict(const std::string &part, const Case &it, Instant now);
     void lift(Verdict &it);
+    /// Whether a crash that a decision rests on is none, or is explained by a part that was in more crashes.
+    bool isUnfounded(const std::string &server, const std::string &part) const;
     void liftUnfounded();
     void renew(Verdict &it, Instant now);
     void forgetOld(Instant now);
--- a/src/auburndrum/decision/traffic/partquarantine.cpp
+++ b/src/auburndrum/decision/traffic/partquarantine.cpp
@@ -300,31 +300,36 @@
     }));
 }
 
+bool PartQuarantine::isUnfounded(const std::string &server, const std::string &part) const
+{
+    const auto crash = m_crashes.find(server);
+    if (crash == m_crashes.end()) {
+        return false; // forgotten meanwhile
+    }
+    const CrashReport &report = crash->second;
+    const std::size_t total = crashesNaming(part);
+    const bool isBetterExplained = std::any_of(m_verdicts.begin(), m_verdicts.end(), [&](const auto &other) {
+        return other.first != part && !other.second.verdict.isLifted && report.lostParts.contains(other.first) && crashesNaming(other.first) > total;
+    });
+    return report.isRefuted || report.at <= lastSuccess(part) || isBetterExplained;
+}
+
 void PartQuarantine::liftUnfounded()
 {
-    for (auto &[part, it] : m_verdicts) {
+    for (auto &entry : m_verdicts) {
+        const std::string &part = entry.first;
+        Verdict &it = entry.second;
         if (it.verdict.isLifted) {
             continue;
         }
-        const Instant soundUntil = lastSuccess(part);
-        if (soundUntil > it.verdict.decidedAt) {
+        if (lastSuccess(part) > it.verdict.decidedAt) {
             lift(it);
             continue;
         }
-        const std::size_t total = crashesNaming(part);
-        const auto isUnfounded = [&](const std::string &server) {
-            const auto crash = m_crashes.find(server);
-            if (crash == m_crashes.end()) {
-                return false; // forgotten meanwhile
-            }
-            const bool isBetterExplained = std::any_of(m_verdicts.begin(), m_verdicts.end(), [&, &convicted = part](const auto &other) {
-                return other.first != convicted && !other.second.verdict.isLifted && crash->second.lostParts.contains(other.first)
-                    && crashesNaming(other.first) > total;
-            });
-            return crash->second.isRefuted || crash->second.at <= soundUntil || isBetterExplained;
-        };
         const auto &servers = it.verdict.servers;
-        const auto unfounded = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), isUnfounded));
+        const auto unfounded = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&](const std::string &server) {
+            return isUnfounded(server, part);
+        }));
         if (unfounded > 0 && servers.size() - unfounded + 1 < m_options.minCrashes) {
             lift(it);
         }
--- a/src/auburndrum/decision/traffic/partquarantineexchange.cpp
+++ b/src/auburndrum/decision/traffic/partquarantineexchange.cpp
@@ -30,7 +30,8 @@
 {
     CrashEvidence shared;
     std::set<std::string> named;
-    for (const auto &[server, it] : m_crashes) {
+    for (const auto &entry : m_crashes) {
+        const CrashReport &it = entry.second;
         if (now - it.at > SharedCrashAge) {
             continue;
         }
