--- a/src/auburndrum/decision/traffic/partquarantine.cpp
+++ b/src/auburndrum/decision/traffic/partquarantine.cpp
@@ -13,6 +13,8 @@
 
 // Losses at one incarnation within this time belong to one end of its process.
 constexpr milliseconds OneCrashTime{2000};
+constexpr milliseconds SameMoment{200}; // reports of crashes at the same moment differ by the time of an exchange
+constexpr std::ptrdiff_t MinHerd = 2;
 // With this many crashes in all, one less than usual has to follow the one before.
 constexpr std::size_t ManyCrashes = 5;
 constexpr std::size_t MaxVerdictServers = 8; // named in a verdict and in the log
@@ -23,6 +25,16 @@
     return std::chrono::floor<milliseconds>(now - moment);
 }
 
+/// Whether several servers ended at the same moment that had no request with the part: then they have another cause, and so has this crash.
+bool isOneOfHerd(const std::map<std::string, CrashReport> &crashes, const CrashReport &crash, const std::string &part)
+{
+    const auto others = std::count_if(crashes.begin(), crashes.end(), [&](const auto &it) {
+        const auto apart = std::chrono::abs(it.second.at - crash.at);
+        return !it.second.isRefuted && apart <= SameMoment && !it.second.lostParts.contains(part);
+    });
+    return others >= MinHerd;
+}
+
 /// Calls `visit` with each part that other requests may share.
 template<typename Visit>
 void forEachSharedPart(const Prompt &prompt, const Visit &visit)
@@ -180,7 +192,8 @@
     const Instant soundUntil = lastSuccess(part);
     std::vector<const CrashReport *> crashes;
     for (const auto &[server, it] : m_crashes) {
-        if (!it.isRefuted && it.at > soundUntil && it.at <= settledBefore && it.lostParts.contains(part) && !isExplained(it, part)) {
+        const bool isOpen = !it.isRefuted && it.at > soundUntil && it.at <= settledBefore && it.lostParts.contains(part);
+        if (isOpen && !isExplained(it, part) && !isOneOfHerd(m_crashes, it, part)) {
             crashes.push_back(&it);
         }
     }
--- a/src/auburndrum/decision/traffic/partquarantineexchange.cpp
+++ b/src/auburndrum/decision/traffic/partquarantineexchange.cpp
@@ -15,13 +15,13 @@
 
 constexpr milliseconds SharedCrashAge{15000}; // older crashes are known to all VMs, or their verdict is
 constexpr std::size_t MaxSharedCrashes = 32;
-constexpr std::size_t MaxSharedParts = 64; // of one crash; those without any response go first
+constexpr std::size_t MaxSharedParts = 64; // of one crash
 constexpr milliseconds OneCrashTime{2000}; // reports of one incarnation within this time are of one end of its process
 // Reports reach a VM over several others; each one adds the time of a call to the times in it.
 constexpr milliseconds ExchangeDelay{500};
 constexpr milliseconds SameDecisionTime{2000};
 constexpr milliseconds OpenTime{5000}; // crashes are exchanged often for this long
-constexpr milliseconds OftenInterval{150};
+constexpr milliseconds OftenInterval{250}; // news reach 90 VMs in about a second
 constexpr milliseconds SeldomInterval{1000};
 
 } // namespace
@@ -40,6 +40,11 @@
             named.insert(part.first);
             return lastSuccess(part.first) >= it.at;
         });
+        if (crash.lostParts.size() > MaxSharedParts) {
+            std::erase_if(crash.lostParts, [&](const auto &part) {
+                return lastSuccess(part.first) != Instant{}; // the less likely causes
+            });
+        }
         while (crash.lostParts.size() > MaxSharedParts) {
             crash.lostParts.erase(std::prev(crash.lostParts.end()));
         }
@@ -50,16 +55,19 @@
     });
     shared.crashes.resize(std::min(shared.crashes.size(), MaxSharedCrashes));
     for (const std::string &part : named) {
+        // One response is as good as many; more would grow with the number of VMs.
+        std::optional<PartSuccess> newest;
         if (const auto own = m_responses.find(part)) {
             const auto number = std::chrono::floor<milliseconds>(own->time_since_epoch()).count();
-            shared.successes.push_back({part, m_options.vm, static_cast<std::uint64_t>(number), *own});
+            newest = PartSuccess{part, m_options.vm, static_cast<std::uint64_t>(number), *own};
         }
-        const auto others = m_successes.find(part);
-        if (others == m_successes.end()) {
-            continue;
+        if (const auto others = m_successes.find(part); others != m_successes.end()) {
+            for (const auto &[vm, it] : others->second) {
+                newest = !newest || it.at > newest->at ? it : *newest;
+            }
         }
-        for (const auto &[vm, it] : others->second) {
-            shared.successes.push_back(it);
+        if (newest) {
+            shared.successes.push_back(*newest);
         }
     }
     for (const auto &[part, it] : m_verdicts) {
