--- a/src/auburndrum/decision/traffic/crashingfleet.cpp
+++ b/src/auburndrum/decision/traffic/crashingfleet.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds WritingTime{500}; // a request whose events arrive for this long has not crashed its server
 constexpr int FirstParts = 3;
 constexpr int Sessions = 60;
-constexpr int PeersPerExchange = 3;
+constexpr int PeersPerExchange = 2;
 
 } // namespace
 
--- a/src/auburndrum/decision/traffic/partquarantineexchange.cpp
+++ b/src/auburndrum/decision/traffic/partquarantineexchange.cpp
@@ -1,7 +1,7 @@
 #include "auburndrum/decision/traffic/partquarantine.h"
 
 #include <algorithm>
-#include <iterator>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -13,17 +13,33 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds SharedCrashAge{15000}; // older crashes are known to all VMs, or their verdict is
-constexpr std::size_t MaxSharedCrashes = 32;
-constexpr std::size_t MaxSharedParts = 64; // of one crash
+constexpr milliseconds SharedCrashAge{5000}; // older crashes are known to all VMs, or their verdict is
+constexpr std::size_t MaxSharedCrashes = 16;
+constexpr std::size_t MaxSharedParts = 32; // of one crash
 constexpr milliseconds OneCrashTime{2000}; // reports of one incarnation within this time are of one end of its process
 // Reports reach a VM over several others; each one adds the time of a call to the times in it.
 constexpr milliseconds ExchangeDelay{500};
 constexpr milliseconds SameDecisionTime{2000};
-constexpr milliseconds OpenTime{5000}; // crashes are exchanged often for this long
-constexpr milliseconds OftenInterval{250}; // news reach 90 VMs in about a second
+constexpr milliseconds OpenTime{2000}; // crashes are exchanged often for this long, in which news reach 340 VMs
+constexpr milliseconds OftenInterval{250};
 constexpr milliseconds SeldomInterval{1000};
 
+/// Leaves some parts out when there are too many, other ones in each crash.
+void limitParts(CrashReport &crash)
+{
+    if (crash.lostParts.size() <= MaxSharedParts) {
+        return;
+    }
+    std::vector<std::pair<std::size_t, std::string>> ranked;
+    for (const auto &[part, sentAt] : crash.lostParts) {
+        ranked.emplace_back(std::hash<std::string>{}(part + crash.server), part);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    for (auto it = ranked.begin() + static_cast<std::ptrdiff_t>(MaxSharedParts); it != ranked.end(); ++it) {
+        crash.lostParts.erase(it->second);
+    }
+}
+
 } // namespace
 
 CrashEvidence PartQuarantine::evidence(Instant now) const
@@ -45,9 +61,7 @@
                 return lastSuccess(part.first) != Instant{}; // the less likely causes
             });
         }
-        while (crash.lostParts.size() > MaxSharedParts) {
-            crash.lostParts.erase(std::prev(crash.lostParts.end()));
-        }
+        limitParts(crash);
         shared.crashes.push_back(std::move(crash));
     }
     std::sort(shared.crashes.begin(), shared.crashes.end(), [](const CrashReport &a, const CrashReport &b) {
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -50,7 +50,9 @@
 {
     m_attempt->head = head;
     m_weightsTimer.stop();
-    recordResponse();
+    if (head.status != 421) { // which another server gives that has the address now
+        recordResponse();
+    }
     m_attempt->metadata = m_state.wire.readAnswer(head);
     if (m_attempt->metadata.load) {
         m_state.chooser.onLoadReport(m_attempt->choice.id, *m_attempt->metadata.load, monotonicNow());
--- a/src/auburndrum/gateway/quarantinelink.cpp
+++ b/src/auburndrum/gateway/quarantinelink.cpp
@@ -12,7 +12,7 @@
 
 constexpr milliseconds TickInterval{50}; // while there is evidence
 constexpr milliseconds FirstAskInterval{500}; // until another VM has answered after the start
-constexpr std::size_t PeersPerExchange = 3; // news reach 340 VMs in six rounds or so
+constexpr std::size_t PeersPerExchange = 2; // both sides learn, so that news reach 340 VMs in six rounds or so
 constexpr milliseconds SkipTime{2000}; // a VM that did not answer is not called for this time
 
 } // namespace
