--- a/src/auburndrum/decision/traffic/crashingfleet.cpp
+++ b/src/auburndrum/decision/traffic/crashingfleet.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds WritingTime{500}; // a request whose events arrive for this long has not crashed its server
 constexpr int FirstParts = 3;
 constexpr int Sessions = 60;
-constexpr int PeersPerExchange = 2;
+constexpr std::size_t Zones = 3;
+constexpr double FarExchanges = 8; // of the whole fleet in one interval
 
 } // namespace
 
@@ -155,12 +156,22 @@
 void CrashingFleet::exchange(std::size_t vm)
 {
     Vm &self = m_vms[vm];
-    for (int n = 0; n < PeersPerExchange; ++n) {
-        const auto peer = static_cast<std::size_t>(random() * static_cast<double>(m_vms.size()));
-        Vm &other = m_vms[peer];
-        if (peer == vm || other.isFrozen || other.isIsolated) {
+    const double farShare = std::min(1.0, FarExchanges / static_cast<double>(m_vms.size()));
+    for (const bool isFar : {false, true}) {
+        if (isFar && random() >= farShare) {
             continue;
         }
+        std::vector<std::size_t> peers;
+        for (std::size_t n = 0; n < m_vms.size(); ++n) {
+            const bool isOtherZone = n % Zones != vm % Zones;
+            if (n != vm && isOtherZone == isFar && !m_vms[n].isFrozen && !m_vms[n].isIsolated) {
+                peers.push_back(n);
+            }
+        }
+        if (peers.empty()) {
+            continue;
+        }
+        Vm &other = m_vms[peers[static_cast<std::size_t>(random() * static_cast<double>(peers.size()))]];
         // The time that a message takes makes what it tells look younger.
         const auto delay = between(1ms, 30ms);
         other.quarantine->merge(self.quarantine->evidence(m_now - delay), m_now);
--- a/src/auburndrum/decision/traffic/partquarantineexchange.cpp
+++ b/src/auburndrum/decision/traffic/partquarantineexchange.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds SharedCrashAge{5000}; // older crashes are known to all VMs, or their verdict is
 constexpr std::size_t MaxSharedCrashes = 16;
 constexpr std::size_t MaxSharedParts = 32; // of one crash
+constexpr std::size_t MaxSharedSuccesses = 128;
 constexpr milliseconds OneCrashTime{2000}; // reports of one incarnation within this time are of one end of its process
 // Reports reach a VM over several others; each one adds the time of a call to the times in it.
 constexpr milliseconds ExchangeDelay{500};
@@ -44,17 +45,29 @@
 
 CrashEvidence PartQuarantine::evidence(Instant now) const
 {
+    std::vector<const CrashReport *> newest;
+    for (const auto &[server, it] : m_crashes) {
+        if (now - it.at <= SharedCrashAge) {
+            newest.push_back(&it);
+        }
+    }
+    std::sort(newest.begin(), newest.end(), [](const CrashReport *a, const CrashReport *b) {
+        return a->at > b->at;
+    });
+    newest.resize(std::min(newest.size(), MaxSharedCrashes));
     CrashEvidence shared;
-    std::set<std::string> named;
-    for (const auto &entry : m_crashes) {
-        const CrashReport &it = entry.second;
-        if (now - it.at > SharedCrashAge) {
-            continue;
+    std::set<std::string> sound;
+    for (const CrashReport *it : newest) {
+        CrashReport crash = *it;
+        if (crash.isRefuted) {
+            crash.lostParts.clear();
         }
-        CrashReport crash = it;
         std::erase_if(crash.lostParts, [&](const auto &part) {
-            named.insert(part.first);
-            return lastSuccess(part.first) >= it.at;
+            const bool isSound = lastSuccess(part.first) >= it->at;
+            if (isSound && sound.size() < MaxSharedSuccesses) {
+                sound.insert(part.first);
+            }
+            return isSound;
         });
         if (crash.lostParts.size() > MaxSharedParts) {
             std::erase_if(crash.lostParts, [&](const auto &part) {
@@ -64,24 +77,20 @@
         limitParts(crash);
         shared.crashes.push_back(std::move(crash));
     }
-    std::sort(shared.crashes.begin(), shared.crashes.end(), [](const CrashReport &a, const CrashReport &b) {
-        return a.at > b.at;
-    });
-    shared.crashes.resize(std::min(shared.crashes.size(), MaxSharedCrashes));
-    for (const std::string &part : named) {
+    for (const std::string &part : sound) {
         // One response is as good as many; more would grow with the number of VMs.
-        std::optional<PartSuccess> newest;
+        std::optional<PartSuccess> latest;
         if (const auto own = m_responses.find(part)) {
             const auto number = std::chrono::floor<milliseconds>(own->time_since_epoch()).count();
-            newest = PartSuccess{part, m_options.vm, static_cast<std::uint64_t>(number), *own};
+            latest = PartSuccess{part, m_options.vm, static_cast<std::uint64_t>(number), *own};
         }
         if (const auto others = m_successes.find(part); others != m_successes.end()) {
             for (const auto &[vm, it] : others->second) {
-                newest = !newest || it.at > newest->at ? it : *newest;
+                latest = !latest || it.at > latest->at ? it : *latest;
             }
         }
-        if (newest) {
-            shared.successes.push_back(*newest);
+        if (latest) {
+            shared.successes.push_back(*latest);
         }
     }
     for (const auto &[part, it] : m_verdicts) {
--- a/src/auburndrum/gateway/quarantinelink.cpp
+++ b/src/auburndrum/gateway/quarantinelink.cpp
@@ -12,7 +12,8 @@
 
 constexpr milliseconds TickInterval{50}; // while there is evidence
 constexpr milliseconds FirstAskInterval{500}; // until another VM has answered after the start
-constexpr std::size_t PeersPerExchange = 2; // both sides learn, so that news reach 340 VMs in six rounds or so
+// Exchanges between availability zones in one interval, of the whole fleet: links between zones are narrow, and some exchanges are enough.
+constexpr double FarExchanges = 8;
 constexpr milliseconds SkipTime{2000}; // a VM that did not answer is not called for this time
 
 } // namespace
@@ -81,21 +82,24 @@
 void QuarantineLink::exchange()
 {
     const Instant now = suspendAwareNow();
-    std::vector<EntryVm> peers;
+    std::vector<EntryVm> near; // of this availability zone
+    std::vector<EntryVm> far;
     std::vector<std::string> names;
     for (const EntryVm &it : m_relayLink.knownVms()) {
         names.push_back(it.name);
         const auto skipped = m_skippedUntil.find(it.name);
         if (it.name != m_relayLink.self().name && (skipped == m_skippedUntil.end() || now >= skipped->second)) {
-            peers.push_back(it);
+            (it.zone == m_relayLink.self().zone ? near : far).push_back(it);
         }
     }
     m_hasAsked = m_hasAsked || names.size() == 1;
+    const double farShare = std::min(1.0, FarExchanges / static_cast<double>(names.size()));
     m_state.quarantine.setVms(std::move(names));
-    std::shuffle(peers.begin(), peers.end(), m_state.random);
-    peers.resize(std::min(peers.size(), PeersPerExchange));
-    for (const EntryVm &it : peers) {
-        callPeer(it);
+    for (auto *peers : {&near, &far}) {
+        const bool isCalled = peers == &near || near.empty() || absl::Uniform<double>(m_state.random, 0, 1) < farShare;
+        if (isCalled && !peers->empty()) {
+            callPeer((*peers)[absl::Uniform<std::size_t>(m_state.random, 0, peers->size())]);
+        }
     }
 }
 
