--- a/src/auburndrum/decision/traffic/backendlist_test.cpp
+++ b/src/auburndrum/decision/traffic/backendlist_test.cpp
@@ -82,3 +82,18 @@
     list.put(it, Start);
     CHECK(list.remove("a", Start, true) == BackendChange::Removed);
 }
+
+TEST_CASE("a server that drains is not taken back by an older registration of the same process, but by a new process")
+{
+    // Guards against requests to a leaving server after the store returned from a copy in which it doesn't drain yet (DRAIN).
+    BackendList list;
+    BackendServer it = server("a");
+    it.isDraining = true;
+    list.put(it, Start);
+    it.isDraining = false;
+    CHECK(list.put(it, Start) == BackendChange::None);
+    CHECK_FALSE(BackendList::acceptsRequests(*list.find("a")));
+    it.startedAt += 1ms;
+    CHECK(list.put(it, Start) == BackendChange::Restarted);
+    CHECK(BackendList::acceptsRequests(*list.find("a")));
+}
--- a/src/auburndrum/gateway/crashingpart_test.cpp
+++ b/src/auburndrum/gateway/crashingpart_test.cpp
@@ -112,3 +112,158 @@
     CHECK(it.badArrivals - before <= AllowedCrashes);
     CHECK(served == 12);
 }
+
+namespace {
+
+/// A gateway before one engine at a time, which answers sound requests and does with bad ones what the test says.
+class OneEngine
+{
+    int m_started = 0;
+
+public:
+    using Responder = std::function<void(QTcpSocket *)>;
+
+    explicit OneEngine(Responder onBad)
+        : m_onBad(std::move(onBad))
+        , gateway(
+              [](const std::shared_ptr<net::Exchange> &, int) {
+              },
+              true,
+              [this](GatewayFixture &it, GatewayOptions &options) {
+                  options.retries = {.ratio = 5, .window = 10s};
+                  store = &it.store;
+                  store->put("servers", "a", std::nullopt);
+                  store->put("servers", "b", std::nullopt);
+                  startEngine();
+              })
+    {
+    }
+
+    void startEngine(quint16 port = 0)
+    {
+        id = "engine-" + std::to_string(++m_started);
+        engine = std::make_unique<RawServer>(
+            [this](QTcpSocket *socket, const QByteArray &request) {
+                if (request.contains("bad")) {
+                    m_onBad(socket);
+                } else {
+                    socket->write(Response);
+                }
+            },
+            port);
+        store->put("servers", id, engine->address());
+    }
+
+    net::HttpResult send(const QByteArray &parts, const QByteArray &target = "/brief/")
+    {
+        gateway.extraHeaders = {{"Model", "m"}, {"Parts", parts + ",own"}};
+        return gateway.sendRequest(target);
+    }
+
+    bool keepsAway() const
+    {
+        return gateway.hasLogged("prompt_part");
+    }
+
+private:
+    Responder m_onBad;
+
+public:
+    FakeStore *store = nullptr;
+    std::string id;
+    std::unique_ptr<RawServer> engine;
+    GatewayFixture gateway;
+};
+
+} // namespace
+
+TEST_CASE("a part of requests that end with a leaving server is not kept away")
+{
+    // Guards against an outage for sound parts while servers are replaced (LOST).
+    OneEngine *running = nullptr;
+    OneEngine it([&running](QTcpSocket *socket) {
+        running->store->put("servers", running->id, std::nullopt);
+        QTimer::singleShot(100ms, socket, [socket] {
+            socket->abort();
+        });
+    });
+    running = &it;
+    for (int n = 0; n < 5; ++n) {
+        it.send("shared,bad");
+        it.startEngine();
+        CHECK(runUntil([&] {
+            return it.send("shared,sound").head.status == 200;
+        }));
+        runFor(50ms);
+    }
+    runFor(700ms);
+    CHECK_FALSE(it.keepsAway());
+}
+
+TEST_CASE("a part of streams that break after they went on for a while is not kept away")
+{
+    // Guards against an outage for sound parts: a part that crashes its server does so when the server begins to write (LOST).
+    OneEngine *running = nullptr;
+    OneEngine it([&running](QTcpSocket *socket) {
+        socket->write("HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\n");
+        QTimer::singleShot(600ms, &running->gateway.client, [&running] {
+            running->engine.reset();
+        });
+    });
+    running = &it;
+    for (int n = 0; n < 5; ++n) {
+        it.send("shared,bad");
+        it.startEngine();
+        CHECK(runUntil([&] {
+            return it.send("shared,sound").head.status == 200;
+        }));
+    }
+    runFor(700ms);
+    CHECK_FALSE(it.keepsAway());
+}
+
+TEST_CASE("a request under which its server ended is not repeated once its part is suspect")
+{
+    // Guards against repeats that end one more server each (BUDGET).
+    CrashingEngines it;
+    for (int n = 0; n < 2; ++n) {
+        it.send("shared,sound");
+        it.send("shared,bad");
+        runFor(50ms);
+    }
+    REQUIRE(it.badArrivals == 2);
+    for (int n = 0; n < 8; ++n) {
+        it.send("shared,sound", "/stream/"); // earns retries
+    }
+    it.send("shared,bad", "/stream/");
+    CHECK(it.badArrivals == 3);
+}
+
+TEST_CASE("another server at the address of one that ended is no sign of life")
+{
+    // Guards against forgetting crashes whose address is taken over at once (BUDGET).
+    OneEngine *running = nullptr;
+    OneEngine it([&running](QTcpSocket *) {
+        QTimer::singleShot(10ms, &running->gateway.client, [&running] {
+            running->engine.reset();
+        });
+    });
+    running = &it;
+    for (int n = 0; n < 3; ++n) {
+        const quint16 port = it.engine->port();
+        it.send("shared,bad");
+        RawServer other(
+            [](QTcpSocket *socket, const QByteArray &) {
+                socket->write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+            },
+            port);
+        it.send("shared,another"); // refused by the server that has the address now
+        it.startEngine();
+        CHECK(runUntil([&] {
+            return it.send("shared,sound").head.status == 200;
+        }));
+        runFor(100ms);
+    }
+    runFor(700ms);
+    CHECK(it.keepsAway());
+}
--- a/src/auburndrum/gateway/rawserver.h
+++ b/src/auburndrum/gateway/rawserver.h
@@ -17,9 +17,10 @@
     /// Called once the header of a request has arrived on a new connection.
     using Responder = std::function<void(QTcpSocket *socket, const QByteArray &request)>;
 
-    explicit RawServer(Responder respond)
+    /// @param port 0: any free one
+    explicit RawServer(Responder respond, quint16 port = 0)
     {
-        m_server.listen(QHostAddress::LocalHost, 0);
+        m_server.listen(QHostAddress::LocalHost, port);
         QObject::connect(&m_server, &QTcpServer::newConnection, [this, respond = std::move(respond)] {
             QTcpSocket *socket = m_server.nextPendingConnection();
             QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, respond] {
@@ -36,6 +37,10 @@
     {
         return QByteArray::fromStdString(net::toText({m_server.serverAddress(), m_server.serverPort()}));
     }
+    quint16 port() const
+    {
+        return m_server.serverPort();
+    }
     int requests() const
     {
         return m_requests;
--- a/src/auburndrum/gateway/storeera_test.cpp
+++ b/src/auburndrum/gateway/storeera_test.cpp
@@ -149,3 +149,60 @@
         },
         3s));
 }
+
+TEST_CASE("a VM that starts after the store lost leases and orders waits the order interval, and uses no fencing number again")
+{
+    // Guards against orders of two VMs within the order interval, with one fencing number: the copy knows nothing of the first VM's (ONE).
+    FakeStore store;
+    FakeEngines engines;
+    store.makeCopy();
+    store.restoreCopy();
+    store.restoreCopy(); // the number of the era shows that records may have been lost
+    auto first = std::make_unique<UpdaterVm>("first", store, engines);
+    first->nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+    first.reset();
+    store.restoreCopy();
+    UpdaterVm second("second", store, engines);
+    for (int n = 0; n < 5; ++n) {
+        decision::BackendServer engine = newEngine(n);
+        engine.weightVersions["m"] = 2;
+        engines.versions[engine.address] = 2;
+        second.state.servers.put(engine, monotonicNow());
+    }
+    second.nameWeights(3);
+    CHECK(runUntil([&] {
+        return allHave(engines, 3);
+    }));
+    checkOrderIntervals(engines, UpdaterVm::options("").orderInterval);
+}
+
+TEST_CASE("a holder whose lease the store lost gives no more orders beside its successor")
+{
+    // Guards against two holders: the successor sees no lease in the copy, while the first one goes on with the lease that it knows (ONE).
+    FakeStore store;
+    FakeEngines engines;
+    store.makeCopy();
+    UpdaterVm first("first", store, engines);
+    UpdaterVm second("second", store, engines);
+    engines.loadTime = 100ms;
+    for (std::uint64_t version = 2; version <= 5; ++version) {
+        first.nameWeights(version);
+        second.nameWeights(version);
+        REQUIRE(runUntil([&] {
+            return !engines.receivedOrders.empty() && engines.receivedOrders.back().order.version == version;
+        }));
+        store.restoreCopy();
+    }
+    CHECK(runUntil([&] {
+        return allHave(engines, 5);
+    }));
+    checkOrderIntervals(engines, UpdaterVm::options("").orderInterval);
+    std::set<std::uint64_t> holdersFencing;
+    for (const ReceivedOrder &it : engines.receivedOrders) {
+        holdersFencing.insert(it.order.fencing);
+    }
+    CHECK(holdersFencing.size() >= 4); // a lease of its own in each era
+}
--- a/src/auburndrum/gateway/topiccache_test.cpp
+++ b/src/auburndrum/gateway/topiccache_test.cpp
@@ -85,3 +85,22 @@
     CHECK_FALSE(relay.readFrom(Topic, 120, Start));
     CHECK(relay.readFrom(Topic, 140, Start)->records.size() == 10);
 }
+
+TEST_CASE("a new era of the store restarts the cache, and a response of an earlier one changes nothing")
+{
+    // Guards against readers that get records which the store has lost, at offsets that it gave out again.
+    TopicCache relay({});
+    RecordBatch before = batch(0, 5);
+    before.era = 1;
+    relay.addBatch(Topic, 0, before, Start);
+    RecordBatch after = batch(3, 4);
+    after.era = 2;
+    relay.addBatch(Topic, 3, after, Start);
+    relay.addBatch(Topic, 5, before, Start);
+    CHECK_FALSE(relay.readFrom(Topic, 0, Start));
+    const auto now = relay.readFrom(Topic, 3, Start);
+    REQUIRE(now);
+    CHECK(now->era == 2);
+    CHECK(now->records.size() == 1);
+    CHECK(now->nextOffset == 4);
+}
