--- a/src/auburndrum/decision/traffic/partquarantine_test.cpp
+++ b/src/auburndrum/decision/traffic/partquarantine_test.cpp
@@ -201,3 +201,18 @@
     CHECK_FALSE(responses.find("0"));
     CHECK(responses.find("4999"));
 }
+
+TEST_CASE("a part that was served before is kept away after five crashes in a row, not after three")
+{
+    // Guards against an outage for a part whose servers ended a few times for another reason (LOST).
+    PartQuarantine it({.vm = "a"});
+    it.onWholeResponse("alive", Bad, true, Begin);
+    Instant now = crashThrice(it, Begin + 1s);
+    CHECK_FALSE(isKeptAway(it, Bad, now));
+    for (int n = 3; n < 5; ++n) {
+        it.onLost("engine-" + std::to_string(n), Bad, now + 200ms, now + 300ms);
+        now += 400ms;
+    }
+    it.update(now + 1s);
+    CHECK(isKeptAway(it, Bad, now + 1s));
+}
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr char AnyServer[] = ""; // in m_orderAllowedAt: all servers, while it is not known which were ordered
+constexpr std::uint64_t LatestFirstEra = 2; // eras may begin at 0 or 1, which are 1 and 2 here; a later one shows that the store returned from a copy
 constexpr milliseconds ResignCheckInterval{10};
 constexpr milliseconds ResignTimeout{200}; // less than what a stopping process keeps in reserve
 constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
@@ -109,8 +110,14 @@
     if (era <= m_era) {
         return era == m_era; // an older response says nothing about the present records
     }
-    if (std::exchange(m_era, era) == 0) {
-        return true; // the first one known
+    const bool isFirstKnown = std::exchange(m_era, era) == 0;
+    if (isFirstKnown && era <= LatestFirstEra) {
+        return true;
+    }
+    if (isFirstKnown) {
+        // The copy may lack orders that were sent just before this process started.
+        m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
+        return true;
     }
     // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
     m_nextOffset = 0;
