Request log: software versions of servers, and the attempt that a caller resumes

Cause: of the hypotheses for ORDER (no VM knows software versions; a VM that takes a stream up can't know who began it; a restarted server is taken for the one before) the logs could distinguish none, since a server's record left out its version and nobody read the field Resumes. The version is in backend_server lines and in each attempt, Resumes in the request's line. Test fixture: further gateways before the same store, ids of requests, software versions.

--- a/include/auburndrum/decision/traffic/backendlist.h
+++ b/include/auburndrum/decision/traffic/backendlist.h
@@ -24,6 +24,7 @@
     std::string zone;
     std::uint32_t parallelRequests = 1; ///< requests that it runs concurrently
     bool isDraining = false;
+    std::string softwareVersion; ///< of the server's program; servers of several versions may serve side by side
     std::map<std::string, std::uint64_t> weightVersions; ///< loaded weight version by model; empty for plain servers
     WallTime startedAt{}; ///< start of this incarnation; distinguishes incarnations with the same id
 
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -66,6 +66,7 @@
     std::string id;
     std::string address;
     WallTime startedAt{}; ///< start of its incarnation
+    std::string softwareVersion;
     std::optional<double> limitPerSecond; ///< the limit that it has named; this VM has a permit for the request
     std::chrono::microseconds expectedWait{}; ///< until the prompt is prefilled, or a slot is free for a plain request
     std::uint32_t memoryTokens = 0; ///< engine memory that the request uses while it runs
--- a/include/auburndrum/gateway/wire.h
+++ b/include/auburndrum/gateway/wire.h
@@ -24,6 +24,7 @@
     std::optional<std::chrono::milliseconds> callerTimeout; ///< how long the caller waits for the response
     std::optional<decision::Prompt> prompt;
     std::string lastEventId; ///< the caller resumes a stream after this event; empty for a new stream
+    std::string resumedAttempt; ///< id of the caller's attempt that received the stream's first event; empty for a new stream
 };
 
 /// What the gateway sets on a request that it forwards.
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -102,6 +102,7 @@
     choice.id = entry.server.id;
     choice.address = entry.server.address;
     choice.startedAt = entry.server.startedAt;
+    choice.softwareVersion = entry.server.softwareVersion;
     choice.limitPerSecond = m_limits.find(entry.server.id, entry.server.startedAt);
     choice.zone = entry.server.zone;
     choice.entryAge = std::chrono::floor<std::chrono::milliseconds>(now - entry.changedAt);
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -40,6 +40,7 @@
 {
     m_metadata = m_state.wire.readRequest(m_exchange->head());
     m_record.id = m_metadata.id;
+    m_record.resumedAttempt = m_metadata.resumedAttempt;
     m_record.affinityKey = m_metadata.prompt ? decision::affinityKey(*m_metadata.prompt) : std::string();
     for (std::size_t n = 0; m_metadata.prompt && n + 1 < m_metadata.prompt->parts.size(); ++n) {
         m_record.parts.push_back(m_metadata.prompt->parts[n].id);
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -268,6 +268,7 @@
                        {"change", decision::toText(change)},
                        {"service", entry == nullptr ? "" : entry->server.service},
                        {"address", entry == nullptr ? "" : entry->server.address},
+                       {"software", entry == nullptr ? "" : entry->server.softwareVersion},
                        {"during_outage", duringOutage}});
 }
 
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace auburndrum::gateway {
 
@@ -23,6 +24,8 @@
         metadata.id = net::headerValue(head.headers, "Id").toStdString();
         metadata.host = net::headerValue(head.headers, "Host").toStdString();
         metadata.apiKey = net::headerValue(head.headers, "Key").toStdString();
+        metadata.lastEventId = net::headerValue(head.headers, "Last").toStdString();
+        metadata.resumedAttempt = net::headerValue(head.headers, "Resumes").toStdString();
         const QByteArray model = net::headerValue(head.headers, "Model");
         if (!model.isEmpty()) {
             metadata.prompt = decision::Prompt{.model = model.toStdString(), .inputTokens = 100, .maxOutputTokens = 10, .parts = {}};
@@ -34,7 +37,8 @@
         return metadata;
     };
     it.forwardHeaders = [](const net::RequestHead &head, const ForwardMetadata &metadata) {
-        return std::vector<net::Header>{{"Parts", net::headerValue(head.headers, "Parts")},
+        return std::vector<net::Header>{{"Attempt", net::headerValue(head.headers, "Id")},
+                                        {"Parts", net::headerValue(head.headers, "Parts")},
                                         {"Server", QByteArray::fromStdString(metadata.serverId)},
                                         {"Left", QByteArray::number(static_cast<qint64>(metadata.timeLeft.count()))},
                                         {"Organisation", QByteArray::fromStdString(metadata.organisation)},
@@ -110,11 +114,13 @@
         decision::BackendServer server;
         server.id = id;
         server.service = "service";
-        const auto blank = value.find(' ');
-        server.address = value.substr(0, blank);
-        if (blank != std::string_view::npos) {
-            server.weightVersions["m"] = std::stoull(std::string(value.substr(blank + 1)));
+        std::istringstream fields{std::string(value)};
+        std::uint64_t weights = 0;
+        fields >> server.address;
+        if (fields >> weights) {
+            server.weightVersions["m"] = weights;
         }
+        fields >> server.softwareVersion;
         server.zone = "zone";
         server.parallelRequests = 8;
         return std::optional(server);
@@ -137,8 +143,7 @@
 GatewayFixture::GatewayFixture(Responder answer, bool isConfigured, const Preparation &prepare)
     : m_responder(std::move(answer))
 {
-    GatewayOptions options;
-    options.vm = "vm";
+    GatewayOptions &options = m_options;
     options.zone = "zone";
     options.callerAddress = AnyPort;
     options.readinessAddress = AnyPort;
@@ -164,14 +169,30 @@
     if (prepare) {
         prepare(*this, options);
     }
-    gateway = std::make_unique<Gateway>(options, plainWire(), readers(), store.hooks(), silentEngines());
-    REQUIRE(gateway->start());
+    gateway = makeGateway("vm");
     const nlohmann::json &start = lastLine("start");
     callerAddress = *net::parseAddress(start["callers"].get<std::string>());
     readinessAddress = *net::parseAddress(start["readiness"].get<std::string>());
+}
+
+std::unique_ptr<Gateway> GatewayFixture::makeGateway(const std::string &vm)
+{
+    m_options.vm = vm;
+    auto it = std::make_unique<Gateway>(m_options, plainWire(), readers(), store.hooks(), silentEngines());
+    REQUIRE(it->start());
+    ++m_gateways;
     runUntil([&] {
-        return hasLogged("topic_synced", 2);
+        return hasLogged("topic_synced", 2 * m_gateways);
     });
+    return it;
+}
+
+GatewayFixture::Other GatewayFixture::startGateway(const std::string &vm)
+{
+    Other it;
+    it.gateway = makeGateway(vm);
+    it.callerAddress = *net::parseAddress(lastLine("start")["callers"].get<std::string>());
+    return it;
 }
 
 bool GatewayFixture::hasLogged(const std::string &event, int count) const
@@ -194,14 +215,19 @@
 }
 
 net::HttpResult GatewayFixture::sendRequest(const QByteArray &target, const QByteArray &method, const QByteArray &key)
+{
+    return sendRequestTo(callerAddress, target, method, key);
+}
+
+net::HttpResult GatewayFixture::sendRequestTo(const net::Address &gatewayAddress, const QByteArray &target, const QByteArray &method, const QByteArray &key)
 {
     std::optional<net::HttpResult> result;
     net::HttpCall call;
-    call.peer = callerAddress;
+    call.peer = gatewayAddress;
     call.method = method;
     call.target = target;
     call.host = "host";
-    call.headers = {{"Id", "request-1"}, {"Key", key}};
+    call.headers = {{"Id", requestId}, {"Key", key}};
     call.headers.insert(call.headers.end(), extraHeaders.begin(), extraHeaders.end());
     call.body = requestBody;
     client.start(call, {.onDone = [&](const net::HttpResult &it) {
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -21,6 +21,7 @@
 ordered_json toJson(const AttemptRecord &it)
 {
     ordered_json object = {{"server", it.choice.id},
+                           {"software", it.choice.softwareVersion},
                            {"entry_age_ms", it.choice.entryAge.count()},
                            {"running", it.choice.runningRequests},
                            {"load_age_ms", it.choice.reportAge.count()},
@@ -91,6 +92,9 @@
                          {"patience_ms", record.callerTimeout.count()},
                          {"configuration", record.configurationVersion},
                          {"configuration_age_ms", record.configurationAge.count()}};
+    if (!record.resumedAttempt.empty()) {
+        line["resumes"] = record.resumedAttempt;
+    }
     ordered_json attempts = ordered_json::array();
     for (const AttemptRecord &it : record.attempts) {
         attempts.push_back(toJson(it));
