A stream goes on only at the software version that began it

Cause: the class is taking all servers of a service for alike.

Change: decision/traffic/streamorigins (pure) keeps service and version by the id of the caller's first attempt; the VM that forwards the first event records them in its memory and, by one datagram each, at three VMs that rendezvous hash names. A VM that gets a take-up asks these three, after 50 ms or three times "unknown" up to 16, until one knows (originsearch, pure). No proof, no forward: 503 within 450 ms, with a time to return only where a silent VM may know. The chooser takes servers of that version only, within an answer and for take-ups; where none is listed the refusal names no time.

Why it works: an origin is recorded before any event leaves, and never guessed from the list, so a lost datagram or VM costs a continuation and not a wrong one. Weighed: a record in the store (a write per stream, outages), asking all VMs, acknowledged records (a round trip before the first event). VMs that know different VMs agree on the order of those that both know.

Before: streamversion_test failed 108 of 500 checks. After: 0 of 492 in 8 runs. Price at 90 VMs and 1000 streams/s: 33 datagrams of 90 bytes a second sent by each VM, 19 us a stream without the sockets (scripts/bench exchange).

--- a/bench/exchange.cpp
+++ b/bench/exchange.cpp
@@ -1,6 +1,7 @@
-// What the exchange between entry VMs costs in a large fleet: bytes of its messages, in simulated time.
+// What the exchange between entry VMs costs in a large fleet: bytes of its messages, in simulated time, and the processor time of origins of streams.
 
 #include "auburndrum/gateway/exchangemessages.h"
+#include "auburndrum/gateway/originmessages.h"
 #include "decision/traffic/crashingfleet.h"
 #include "decision/traffic/limitedfleet.h"
 
@@ -70,6 +71,34 @@
     traffic.print(load, vms, time);
 }
 
+/// Each stream's origin goes to three VMs; a stream that is taken up is sought at three.
+void runOrigins(std::size_t vms, double streams)
+{
+    constexpr int Copies = 3;
+    constexpr int Rounds = 10000;
+    std::vector<std::string> names;
+    for (std::size_t n = 0; n < vms; ++n) {
+        names.push_back(From.name + std::to_string(n));
+    }
+    decision::StreamOrigins origins;
+    std::size_t bytes = 0;
+    std::size_t holders = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int n = 0; n < Rounds; ++n) {
+        const std::string attempt = "9c41d07be2a35f" + std::to_string(n);
+        holders += decision::rankHolders(attempt, names).size();
+        const std::string message = toJson(gateway::OriginMessage{.attempt = attempt, .origin = decision::StreamOrigin{"lm-service", "v1.12"}});
+        bytes = message.size();
+        for (int copy = 0; copy < Copies; ++copy) {
+            const auto read = gateway::originMessageFrom(message);
+            origins.record(read.value().attempt, *read.value().origin, Instant{1000s});
+        }
+    }
+    const std::chrono::duration<double, std::micro> time = std::chrono::steady_clock::now() - begin;
+    std::cout << "origins of " << streams << " streams/s at " << holders / Rounds << " VMs: " << Copies * streams / static_cast<double>(vms)
+              << " datagrams/s sent by each VM, " << bytes << " bytes each; " << time.count() / Rounds << " us a stream in all, without the sockets\n";
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -88,5 +117,6 @@
     runCrashes("a request that comes again and crashes servers", again, time);
     runLimits("two servers with limits", static_cast<std::size_t>(vms), static_cast<std::size_t>(servers), 2, requests, time);
     runLimits("all servers with limits", static_cast<std::size_t>(vms), static_cast<std::size_t>(servers), static_cast<std::size_t>(servers), requests, time);
+    runOrigins(static_cast<std::size_t>(vms), requests);
     return 0;
 }
--- a/include/auburndrum/decision/traffic/backendlist.h
+++ b/include/auburndrum/decision/traffic/backendlist.h
@@ -78,6 +78,8 @@
     static bool acceptsRequests(const Entry &entry);
     /// All servers of a service, draining ones too, in the order of their ids.
     std::vector<const Entry *> findByService(std::string_view service) const;
+    /// Whether a server of this version is listed, a draining one too.
+    bool hasSoftwareVersion(std::string_view service, std::string_view version) const;
     std::size_t size() const;
     std::vector<std::string> ids() const;
 
--- a/include/auburndrum/decision/traffic/relaydirectory.h
+++ b/include/auburndrum/decision/traffic/relaydirectory.h
@@ -53,6 +53,7 @@
     void recordFailure(std::string_view name, Instant now);
     void recordSuccess(std::string_view name);
     std::size_t size() const;
+    std::optional<EntryVm> find(std::string_view name) const;
     /// All known VMs, this one included.
     std::vector<EntryVm> vms() const;
 
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -57,6 +57,7 @@
     std::string_view spreadKey; ///< hash key of requests without a prompt; may be empty
     const NamedWeights *namedWeights = nullptr; ///< named weights of the prompt's model; null when none were named
     std::optional<Instant> suspendAwareTime; ///< present time on the clock of named weights and limits; empty when it is the chooser's clock
+    std::string_view softwareVersion; ///< the only version that may take the request; empty: any
     std::vector<std::string> triedServers; ///< servers that this request was already sent to
 };
 
@@ -84,6 +85,7 @@
 /// Why no server could be chosen. When servers were rejected for different reasons, the last of these in this order is reported.
 enum class NoServerReason : std::uint8_t {
     NoneListed, ///< the service has no server that accepts requests
+    OtherSoftware, ///< only servers of other software versions than the one that began the stream
     AllTried,
     AllLimited, ///< only servers that have named a limit, and this VM has no permit for any of them
     AllFailing, ///< only servers that fail or don't respond
--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "auburndrum/gateway/promptstorereader.h"
 #include "auburndrum/gateway/recordstore.h"
 #include "auburndrum/gateway/relaylink.h"
+#include "auburndrum/gateway/streamoriginlink.h"
 #include "auburndrum/gateway/weightupdater.h"
 #include "auburndrum/net/httpserver.h"
 
@@ -92,6 +93,7 @@
     net::HttpServer m_readinessServer;
     RelayLink m_relayLink;
     PeerExchange m_peerExchange;
+    StreamOriginLink m_streamOriginLink;
     RecordStore m_store; ///< its reads may go through another entry VM
     KeyedFeed m_operatorFeed;
     KeyedFeed m_backendFeed;
--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -15,6 +15,7 @@
     Histograms &totalSeconds; ///< by route: from a request's first byte to its response's last
     Counters &stateChanges; ///< changes of configuration, weights, servers and relay, by what changed
     Counters &recordsSkipped; ///< by topic: records that can't be used
+    Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
     Gauges &outdatedServers; ///< listed backend servers that don't have the newest named weights
 };
 
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -9,6 +9,7 @@
 #include "auburndrum/decision/traffic/serverchooser.h"
 #include "auburndrum/decision/traffic/serverlimits.h"
 #include "auburndrum/decision/traffic/storedprompts.h"
+#include "auburndrum/decision/traffic/streamorigins.h"
 #include "auburndrum/gateway/decisionlog.h"
 #include "auburndrum/gateway/gatewaymetrics.h"
 #include "auburndrum/gateway/wire.h"
@@ -23,6 +24,16 @@
 
 namespace auburndrum::gateway {
 
+/// What a search for the origin of a stream found.
+struct OriginFinding
+{
+    std::optional<decision::StreamOrigin> origin; ///< empty: unknown
+    bool mayBeToldLater = false; ///< a VM that may know it did not answer
+    std::size_t asked = 0; ///< other entry VMs that were asked
+    std::size_t answered = 0;
+    std::chrono::milliseconds duration{0};
+};
+
 /// State that all requests of one gateway share. Lives on the event loop's thread.
 struct GatewayState
 {
@@ -63,6 +74,10 @@
     decision::CrashQuarantine quarantine;
     qint64 heldBodyBytes = 0; ///< of requests that are not sent before their bodies were read
     qint64 maxHeldBodyBytes = 16 * 1024 * 1024;
+    /// Remembers here and at other entry VMs which software began the stream of a caller's attempt.
+    std::function<void(const std::string &attempt, const decision::StreamOrigin &origin)> recordOrigin;
+    /// Finds that again; the hook may run inside the call.
+    std::function<void(const std::string &attempt, std::function<void(const OriginFinding &)> done)> findOrigin;
     std::function<void()> onNewsForPeers; ///< called when a response, or its absence, says something that the other entry VMs need
     DecisionLog log;
     Metrics registry;
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -80,6 +80,10 @@
     {
         return m_directory.vms();
     }
+    std::optional<decision::EntryVm> findVm(std::string_view name) const
+    {
+        return m_directory.find(name);
+    }
     const decision::EntryVm &self() const
     {
         return m_options.self;
--- a/src/auburndrum/decision/traffic/backendlist.cpp
+++ b/src/auburndrum/decision/traffic/backendlist.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/decision/traffic/backendlist.h"
 
+#include <algorithm>
+
 namespace auburndrum::decision {
 
 BackendList::BackendList(const BackendListOptions &options)
@@ -83,6 +85,13 @@
     return list;
 }
 
+bool BackendList::hasSoftwareVersion(std::string_view service, std::string_view version) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
+        return it.second.server.service == service && it.second.server.softwareVersion == version;
+    });
+}
+
 std::size_t BackendList::size() const
 {
     return m_entries.size();
--- a/src/auburndrum/decision/traffic/relaydirectory.cpp
+++ b/src/auburndrum/decision/traffic/relaydirectory.cpp
@@ -94,6 +94,12 @@
     }
 }
 
+std::optional<EntryVm> RelayDirectory::find(std::string_view name) const
+{
+    const auto it = m_vms.find(name);
+    return it == m_vms.end() ? std::nullopt : std::optional(it->second.vm);
+}
+
 std::vector<EntryVm> RelayDirectory::vms() const
 {
     std::vector<EntryVm> list;
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -29,6 +29,8 @@
     switch (reason) {
     case NoServerReason::NoneListed:
         return "no server";
+    case NoServerReason::OtherSoftware:
+        return "no server of the software version";
     case NoServerReason::AllTried:
         return "all servers tried";
     case NoServerReason::AllLimited:
@@ -221,6 +223,10 @@
         if (!BackendList::acceptsRequests(*it)) {
             continue;
         }
+        if (!query.softwareVersion.empty() && it->server.softwareVersion != query.softwareVersion) {
+            reason = std::max(reason, NoServerReason::OtherSoftware);
+            continue;
+        }
         if (std::find(query.triedServers.begin(), query.triedServers.end(), it->server.id) != query.triedServers.end()) {
             reason = std::max(reason, NoServerReason::AllTried);
             continue;
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -98,6 +98,7 @@
         m_attempt->firstEventAt = monotonicNow();
         m_state.chooser.onFirstEvent(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     }
+    recordOrigin();
     forwardToCaller(events);
     const std::string id = lastIdIn(events);
     if (!id.empty()) {
@@ -295,8 +296,8 @@
 void ForwardedRequest::refuse(int status, const char *reason)
 {
     std::vector<net::Header> headers;
-    if (meansNotRun(status)) {
-        headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(m_retryAfter).count())});
+    if (meansNotRun(status) && m_retryAfter) {
+        headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(*m_retryAfter).count())});
     }
     const nlohmann::json body = {{"error", reason}};
     m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
--- a/src/auburndrum/gateway/forwardedlimit.cpp
+++ b/src/auburndrum/gateway/forwardedlimit.cpp
@@ -44,7 +44,8 @@
             soonest = it;
         }
     }
-    return soonest == nullptr ? m_retryAfter : m_state.limits.promisePermit(soonest->server.id, soonest->server.startedAt, timeLeft(), now);
+    return soonest == nullptr ? m_retryAfter.value_or(milliseconds(0))
+                              : m_state.limits.promisePermit(soonest->server.id, soonest->server.startedAt, timeLeft(), now);
 }
 
 } // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -63,12 +63,10 @@
         refuse(401, "unknown API key");
         return;
     }
-    chooseService();
     const milliseconds callerTimeout = std::min(m_metadata.callerTimeout.value_or(m_route->timeout), m_route->timeout);
     m_record.callerTimeout = callerTimeout;
     m_deadline = m_record.arrivedAt + callerTimeout;
     m_lastEventId = m_metadata.lastEventId;
-    m_state.retryAllowance(m_service).countRequest(monotonicNow());
 
     const auto self = shared_from_this();
     m_exchange->setOnCallerDisconnected([self] {
@@ -107,6 +105,17 @@
         checkWeights();
     });
     startFingerprint();
+    if (isTakeUp()) {
+        seekOrigin();
+        return;
+    }
+    chooseService();
+    sendFirst();
+}
+
+void ForwardedRequest::sendFirst()
+{
+    m_state.retryAllowance(m_service).countRequest(monotonicNow());
     if (mustReadBody()) {
         m_heldBody.emplace();
         holdBody(m_exchange->body(), false);
@@ -156,6 +165,7 @@
     query.prompt = m_metadata.prompt ? &*m_metadata.prompt : nullptr;
     query.organisation = m_organisation != nullptr && m_organisation->hasPrivateCache ? std::string_view(m_organisation->name) : std::string_view();
     query.spreadKey = m_metadata.id;
+    query.softwareVersion = m_origin ? std::string_view(m_origin->softwareVersion) : std::string_view();
     query.triedServers = m_triedServers;
     query.suspendAwareTime = suspendAwareNow();
     if (m_metadata.prompt) {
@@ -171,6 +181,8 @@
     if (!choice) {
         if (reason == decision::NoServerReason::AllLimited) {
             m_retryAfter = promisePermit();
+        } else if (m_origin && !m_state.servers.hasSoftwareVersion(m_service, m_origin->softwareVersion)) {
+            m_retryAfter.reset(); // the version has left the service
         }
         concludeWithoutAnswer();
         return;
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -54,7 +54,16 @@
     // Sending to a server, in forwardedrequest.cpp.
     bool authorise();
     void chooseService();
+    void sendFirst();
     void tryNextServer();
+    /// @{ The software that began the stream, in forwardedorigin.cpp.
+    bool isTakeUp() const;
+    /// Finds out who began the stream that the caller takes up, then sends the request there or refuses it.
+    void seekOrigin();
+    void handleOrigin(const OriginFinding &finding);
+    /// Remembers the software of the server that sends the first events.
+    void recordOrigin();
+    /// @}
     void send(const decision::ServerChoice &choice);
     net::HttpCall makeCall(const decision::ServerChoice &choice) const;
     void addCacheMetadata(const decision::ServerChoice &choice, ForwardMetadata &metadata) const;
@@ -132,8 +141,10 @@
     bool m_isBodyRepeatable = true;
     bool m_isStreaming = false; ///< whether the response head, and maybe parts of the body, were sent to the caller
     bool m_isConcluded = false;
-    std::chrono::milliseconds m_retryAfter{500}; ///< retry delay for a refused caller; long enough for a restart or a refusal to pass
+    /// Retry delay for a refused caller, long enough for a restart or a refusal to pass; empty when coming back is of no use.
+    std::optional<std::chrono::milliseconds> m_retryAfter{500};
     std::string m_lastEventId; ///< id of the last event that was forwarded
+    std::optional<decision::StreamOrigin> m_origin; ///< of a stream that has begun, in this answer or in one before
     std::optional<std::pair<net::HttpHead, QByteArray>> m_serverFailure; ///< forwarded when no other server returns a better response
 };
 
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -92,6 +92,7 @@
                            m_promptStoreReader.applyLogEntry(entry);
                        }})
     , m_peerExchange(m_state, m_relayLink)
+    , m_streamOriginLink(m_state, m_relayLink)
     , m_store(m_relayLink.relayedStore())
     , m_operatorFeed({.topic = m_options.operatorTopic},
                      m_store,
@@ -161,7 +162,11 @@
     if (callers.port == 0 || readiness.port == 0) {
         return false;
     }
-    if (m_relayLink.start().port == 0 && !m_options.entryTopic.empty()) {
+    const bool hasPeers = !m_options.entryTopic.empty();
+    if (m_relayLink.start().port == 0 && hasPeers) {
+        return false;
+    }
+    if (hasPeers && !m_streamOriginLink.start()) {
         return false;
     }
     m_peerExchange.start();
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -23,6 +23,9 @@
                                        .buckets = LatencyBuckets}))
     , stateChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
+    , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
+                                      .help = "Streams that callers take up, by whether the software that began them is known.",
+                                      .labels = {"result"}}))
     , outdatedServers(metrics.gauges({.name = "auburndrum_gateway_outdated_servers", .help = "Backend servers without the newest named weights."}))
 {
 }
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -95,6 +95,14 @@
     if (!record.resumedAttempt.empty()) {
         line["resumes"] = record.resumedAttempt;
     }
+    if (record.originFinding) {
+        const OriginFinding &it = *record.originFinding;
+        line["origin"] = {{"service", it.origin ? it.origin->service : ""},
+                          {"software", it.origin ? it.origin->softwareVersion : ""},
+                          {"asked", it.asked},
+                          {"answered", it.answered},
+                          {"ms", it.duration.count()}};
+    }
     ordered_json attempts = ordered_json::array();
     for (const AttemptRecord &it : record.attempts) {
         attempts.push_back(toJson(it));
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -42,6 +42,7 @@
     std::string organisation;
     std::string service;
     std::string resumedAttempt; ///< of a stream that the caller takes up: the attempt that received its first event
+    std::optional<OriginFinding> originFinding; ///< what was found out about who began that stream
     std::string affinityKey; ///< id of the prompt part that decides the preferred server; empty without a prompt
     Instant arrivedAt{};
     std::optional<Instant> firstByteAt; ///< when the response's first byte was sent
--- a/src/auburndrum/gateway/streamversion_test.cpp
+++ b/src/auburndrum/gateway/streamversion_test.cpp
@@ -49,6 +49,14 @@
         }));
     }
 
+    ~VersionedServers()
+    {
+        runFor(20ms); // until the gateways have noticed that callers left
+    }
+
+    VersionedServers(const VersionedServers &) = delete;
+    VersionedServers &operator=(const VersionedServers &) = delete;
+
     static void list(FakeStore &store, const QByteArray &address, const std::string &server, const std::string &version)
     {
         store.put("servers", server, address + " 1 " + QByteArray::fromStdString(version));
@@ -73,17 +81,17 @@
         call.target = "/stream/";
         call.host = "host";
         call.headers = {{"Id", attempt}, {"Key", "key"}};
-        bool hasEvent = false;
+        const auto hasEvent = std::make_shared<bool>(false);
         auto handle = fixture.client.start(call,
                                            {.onBody =
-                                                [&hasEvent](const QByteArray &) {
-                                                    hasEvent = true;
+                                                [hasEvent](const QByteArray &) {
+                                                    *hasEvent = true;
                                                 },
                                             .onDone =
                                                 [](const net::HttpResult &) {
                                                 }});
-        REQUIRE(runUntil([&hasEvent] {
-            return hasEvent;
+        REQUIRE(runUntil([hasEvent] {
+            return *hasEvent;
         }));
         return handle;
     }
@@ -203,7 +211,7 @@
         begun[first] = it.beginStream(3, first);
     }
     runFor(20ms); // origins are recorded by datagrams
-    it.others.pop_back();
+    it.others.pop_back(); // all its callers have left
     int n = 0;
     for (const auto &[first, version] : begun) {
         const QByteArray take = "take-" + first;
