--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -24,6 +24,9 @@
         metadata.id = net::headerValue(head.headers, "Id").toStdString();
         metadata.host = net::headerValue(head.headers, "Host").toStdString();
         metadata.apiKey = net::headerValue(head.headers, "Key").toStdString();
+        if (const QByteArray patience = net::headerValue(head.headers, "Patience"); !patience.isEmpty()) {
+            metadata.callerTimeout = std::chrono::milliseconds(patience.toInt());
+        }
         metadata.lastEventId = net::headerValue(head.headers, "Last").toStdString();
         metadata.resumedAttempt = net::headerValue(head.headers, "Resumes").toStdString();
         const QByteArray model = net::headerValue(head.headers, "Model");
@@ -144,6 +147,7 @@
     : m_responder(std::move(answer))
 {
     GatewayOptions &options = m_options;
+    options.vm = "vm";
     options.zone = "zone";
     options.callerAddress = AnyPort;
     options.readinessAddress = AnyPort;
@@ -169,7 +173,7 @@
     if (prepare) {
         prepare(*this, options);
     }
-    gateway = makeGateway("vm");
+    gateway = makeGateway(m_options.vm);
     const nlohmann::json &start = lastLine("start");
     callerAddress = *net::parseAddress(start["callers"].get<std::string>());
     readinessAddress = *net::parseAddress(start["readiness"].get<std::string>());
--- /dev/null
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -0,0 +1,336 @@
+#include "gatewayfixture.h"
+
+#include "eventloop.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+#include <set>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Interval = 20ms; // between requests
+constexpr auto LearningTime = 2s; // half of the time after which a VM without a path must serve its callers as others do
+const std::vector<std::string> ServerIds = {"a", "b", "c", "d"};
+
+/// An address at which connections hang, are refused, or are reset once they are open.
+class DeadAddress
+{
+public:
+    enum class Kind {
+        Hanging,
+        Refusing,
+        Resetting,
+    };
+
+    explicit DeadAddress(Kind kind)
+        : m_listener(listenSocket())
+    {
+        if (kind == Kind::Refusing) {
+            ::close(std::exchange(m_listener, -1));
+            return;
+        }
+        ::listen(m_listener, kind == Kind::Hanging ? 0 : 100);
+        if (kind == Kind::Hanging) {
+            for (int n = 0; n < 2; ++n) { // a full queue of connections drops the packets that open further ones
+                connectOnce();
+            }
+            return;
+        }
+        QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] {
+            for (int it = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK); it >= 0; it = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK)) {
+                const linger reset{1, 0};
+                ::setsockopt(it, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+                ::close(it);
+            }
+        });
+        m_timer.start(1ms);
+    }
+
+    ~DeadAddress()
+    {
+        for (const int it : m_sockets) {
+            ::close(it);
+        }
+        if (m_listener >= 0) {
+            ::close(m_listener);
+        }
+    }
+
+    DeadAddress(const DeadAddress &) = delete;
+    DeadAddress &operator=(const DeadAddress &) = delete;
+
+    QByteArray text() const
+    {
+        return QByteArray::fromStdString(net::toText(m_address));
+    }
+
+private:
+    int listenSocket()
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), size);
+        ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+        m_address = {QHostAddress(QStringLiteral("127.0.0.1")), ntohs(address.sin_port)};
+        return descriptor;
+    }
+
+    void connectOnce()
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(m_address.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        m_sockets.push_back(descriptor);
+    }
+
+    net::Address m_address;
+    int m_listener;
+    std::vector<int> m_sockets;
+    QTimer m_timer;
+};
+
+/// Entry VMs in one fleet, each before backend servers of its own addresses: those of a VM without a path are dead.
+class SplitFleet
+{
+public:
+    using Responder = GatewayFixture::Responder;
+
+    explicit SplitFleet(Responder responder)
+        : m_responder(std::move(responder))
+    {
+    }
+
+    GatewayFixture &addVm(const std::string &name, const std::vector<QByteArray> &deadAddresses = {})
+    {
+        vms.push_back(std::make_unique<GatewayFixture>(m_responder, true, [&](GatewayFixture &it, GatewayOptions &options) {
+            options.retries = {.ratio = 1, .window = 10s};
+            options.entryTopic = "entries";
+            options.peerAddress = {QHostAddress(QStringLiteral("127.0.0.1")), 0};
+            options.directoryDelay = 300ms; // until all VMs are in each store
+            options.vm = name;
+            for (std::size_t n = 0; n < ServerIds.size(); ++n) {
+                it.store.put("servers", ServerIds[n], deadAddresses.empty() ? it.serverAddresses[n % 2] : deadAddresses[n % deadAddresses.size()]);
+            }
+        }));
+        return *vms.back();
+    }
+
+    /// Tells each VM of the others, as one store for all would.
+    void introduce()
+    {
+        for (auto &it : vms) {
+            CHECK(runUntil([&] {
+                return !it->store.records("entries").empty();
+            }));
+        }
+        for (auto &it : vms) {
+            for (auto &other : vms) {
+                if (it != other) {
+                    const StoreRecord record = other->store.records("entries").front();
+                    it->store.put("entries", record.key, record.value);
+                }
+            }
+        }
+        CHECK(runUntil([&] {
+            return std::all_of(vms.begin(), vms.end(), [](const auto &it) {
+                return it->hasLogged("entry_vms");
+            });
+        }));
+    }
+
+    /// Sends requests to a VM one after the other for a time; returns how many had each status.
+    static std::map<int, int> sendFor(GatewayFixture &vm, std::chrono::milliseconds time, const std::vector<QByteArray> &targets)
+    {
+        std::map<int, int> counts;
+        std::size_t n = 0;
+        for (const Instant end = monotonicNow() + time; monotonicNow() < end; runFor(Interval)) {
+            const auto result = vm.sendRequest(targets[n++ % targets.size()]);
+            ++counts[result.failure == net::HttpFailure::None ? result.head.status : 0];
+        }
+        return counts;
+    }
+
+    std::vector<std::unique_ptr<GatewayFixture>> vms;
+
+private:
+    Responder m_responder;
+};
+
+void respondOk(const std::shared_ptr<net::Exchange> &exchange, int /*call*/)
+{
+    exchange->respond(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}}, "id: 1\ndata: a\n\n");
+}
+
+const std::vector<QByteArray> AllKinds = {"/safe/", "/once/", "/stream/"};
+
+} // namespace
+
+TEST_CASE("a VM without a path to any server serves its callers through a VM that has one")
+{
+    // Guards against callers of a cut-off VM who are refused although all servers are well (RECOVER).
+    for (const auto kind : {DeadAddress::Kind::Hanging, DeadAddress::Kind::Refusing, DeadAddress::Kind::Resetting}) {
+        CAPTURE(static_cast<int>(kind));
+        DeadAddress dead(kind);
+        SplitFleet fleet(respondOk);
+        GatewayFixture &healthy = fleet.addVm("healthy");
+        GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+        fleet.introduce();
+        SplitFleet::sendFor(cut, LearningTime, {"/safe/"});
+        const auto arrived = healthy.receivedRequests.size();
+        const auto counts = SplitFleet::sendFor(cut, 2s, AllKinds);
+        CHECK(counts.size() == 1);
+        REQUIRE(counts.contains(200));
+        CHECK(counts.at(200) >= 30);
+        CHECK(healthy.receivedRequests.size() - arrived == static_cast<std::size_t>(counts.at(200))); // nothing ran twice
+        CHECK(healthy.lastLine("request")["request"] == cut.lastLine("request")["request"]);
+        CHECK(healthy.lastLine("request")["relayed_by"] == "cut");
+    }
+}
+
+TEST_CASE("requests to a cut-off VM are served within the first second of the cut")
+{
+    // Guards against a VM that learns of its cut from one request after the other, each of which waits for its own time limit (RECOVER).
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet(respondOk);
+    fleet.addVm("healthy");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    fleet.introduce();
+    const auto counts = SplitFleet::sendFor(cut, 1s, {"/once/", "/safe/"});
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(200));
+}
+
+TEST_CASE("VMs that all lack a path refuse at once and pass no request round in circles")
+{
+    // Guards against requests that wander between cut-off VMs until their deadlines.
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet(respondOk);
+    GatewayFixture &first = fleet.addVm("first", {dead.text()});
+    GatewayFixture &second = fleet.addVm("second", {dead.text()});
+    fleet.introduce();
+    SplitFleet::sendFor(first, 500ms, {"/safe/"});
+    const auto begin = monotonicNow();
+    const auto result = first.sendRequest("/once/");
+    CHECK(monotonicNow() - begin < 100ms);
+    CHECK(result.head.status == 503);
+    CHECK_FALSE(result.head.header("Retry-After").isEmpty());
+    const auto lines = std::count_if(second.logLines.begin(), second.logLines.end(), [](const nlohmann::json &it) {
+        return it["event"] == "request";
+    });
+    CHECK(lines <= 5); // asked now and then, not with each request
+}
+
+TEST_CASE("a VM uses its own path again at once after the cut, and its callers are served all the time")
+{
+    // Guards against circuit breakers of all servers that stay open after a cut, which had nothing to do with the servers (RECOVER).
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet(respondOk);
+    GatewayFixture &healthy = fleet.addVm("healthy");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    fleet.introduce();
+    SplitFleet::sendFor(cut, LearningTime, AllKinds);
+    for (std::size_t n = 0; n < ServerIds.size(); ++n) {
+        cut.store.put("servers", ServerIds[n], cut.serverAddresses[n % 2]);
+    }
+    const auto first = SplitFleet::sendFor(cut, 1s, AllKinds);
+    CHECK(first.size() == 1);
+    CHECK(first.contains(200));
+    const auto relayed = healthy.receivedRequests.size();
+    const auto counts = SplitFleet::sendFor(cut, 1s, AllKinds);
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(200));
+    CHECK(healthy.receivedRequests.size() == relayed);
+    std::set<QByteArray> used; // servers that get requests again
+    for (const auto &it : cut.receivedRequests) {
+        used.insert(it->header("Server"));
+    }
+    CHECK_FALSE(used.empty());
+}
+
+TEST_CASE("servers are used again soon after new connections to them were refused for a while")
+{
+    // Guards against pauses that double with each connection that is refused, though that costs the server nothing (RECOVER).
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet(respondOk);
+    GatewayFixture &alone = fleet.addVm("alone", {dead.text()});
+    SplitFleet::sendFor(alone, 9s, {"/safe/"});
+    for (std::size_t n = 0; n < ServerIds.size(); ++n) {
+        alone.store.put("servers", ServerIds[n], alone.serverAddresses[n % 2]);
+    }
+    SplitFleet::sendFor(alone, 1500ms, {"/safe/"});
+    const auto counts = SplitFleet::sendFor(alone, 500ms, {"/safe/"});
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(200));
+}
+
+TEST_CASE("a request that is passed on keeps its time left, its organisation and its caller's cancelling")
+{
+    // Guards against runs at a server that go on after the caller of a cut-off VM has left, or beyond its deadline (GONE, BUDGET).
+    std::vector<std::shared_ptr<net::Exchange>> held;
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet([&held](const std::shared_ptr<net::Exchange> &exchange, int) {
+        if (exchange->path() != "/safe/held") {
+            respondOk(exchange, 0);
+            return;
+        }
+        held.push_back(exchange);
+    });
+    GatewayFixture &healthy = fleet.addVm("healthy");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    fleet.introduce();
+    SplitFleet::sendFor(cut, 500ms, {"/safe/"});
+    net::HttpCall call;
+    call.peer = cut.callerAddress;
+    call.target = "/safe/held";
+    call.host = "host";
+    call.headers = {{"Id", "held"}, {"Key", "key"}, {"Patience", "700"}};
+    auto handle = cut.client.start(call, {.onDone = [](const net::HttpResult &) {
+                                   }});
+    REQUIRE(runUntil([&held] {
+        return !held.empty();
+    }));
+    CHECK(held.front()->header("Left").toInt() <= 700);
+    CHECK(held.front()->header("Organisation") == "kattila");
+    bool isGone = false;
+    held.front()->setOnCallerDisconnected([&isGone] {
+        isGone = true;
+    });
+    handle.cancel();
+    CHECK(runUntil(
+        [&isGone] {
+            return isGone;
+        },
+        300ms));
+    CHECK(healthy.lastLine("request")["outcome"] == "caller_gone");
+}
+
+TEST_CASE("a refusal of the VM that a request was passed on to reaches the caller with its time to return")
+{
+    // Guards against a refusal that is taken for a lost request, and against one more send of a request that the servers refused.
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet([](const std::shared_ptr<net::Exchange> &exchange, int) {
+        exchange->respond(503, {{"Id", exchange->header("Attempt")}, {"Not-Run", "1"}}, {});
+    });
+    GatewayFixture &healthy = fleet.addVm("healthy");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    fleet.introduce();
+    const auto result = cut.sendRequest("/single/");
+    CHECK(result.head.status == 503);
+    CHECK_FALSE(result.head.header("Retry-After").isEmpty());
+    CHECK(healthy.receivedRequests.size() == 1);
+}
