--- a/include/auburndrum/decision/circuitbreaker.h
+++ b/include/auburndrum/decision/circuitbreaker.h
@@ -40,10 +40,16 @@
 
     /// Records a failure of the server itself, not a deliberate refusal. @p random spreads the probes of many entry VMs.
     void recordFailure(Instant now, absl::BitGenRef random);
+    /// Records that no connection could be opened. Trying again costs the server nothing, so the pauses stay short.
+    void recordUnreachable(Instant now, absl::BitGenRef random);
+    /// Forgets all failures.
+    void reset();
 
     State state() const;
 
 private:
+    void open(std::chrono::nanoseconds pause, Instant now, absl::BitGenRef random);
+
     CircuitBreakerOptions m_options;
     State m_state = State::Closed;
     std::uint32_t m_consecutiveFailures = 0;
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -121,6 +121,10 @@
     void onLoadReport(std::string_view id, const LoadReport &load, Instant now);
     void recordSuccess(std::string_view id);
     void recordFailure(std::string_view id, Instant now, absl::BitGenRef random);
+    /// No connection to the server could be opened.
+    void recordUnreachable(std::string_view id, Instant now, absl::BitGenRef random);
+    /// Forgets the failures of all servers, which were this VM's own.
+    void clearFailures();
     /// The server refused a request without running it.
     void onRefused(std::string_view id, Instant now);
     /// The server loads weights of this version and refuses requests until it is done, or until `until`.
--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "auburndrum/gateway/gatewaystate.h"
 #include "auburndrum/gateway/keyedfeed.h"
+#include "auburndrum/gateway/pathprobe.h"
 #include "auburndrum/gateway/peerexchange.h"
 #include "auburndrum/gateway/promptstorereader.h"
 #include "auburndrum/gateway/recordstore.h"
@@ -76,6 +77,8 @@
 
 private:
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
+    /// Serves a request that another entry VM passes on for one of its callers.
+    void handleRelayedRequest(const std::shared_ptr<net::Exchange> &exchange);
     void applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value);
     void applyConfiguration(decision::Configuration configuration);
     void applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage);
@@ -94,6 +97,7 @@
     RelayLink m_relayLink;
     PeerExchange m_peerExchange;
     StreamOriginLink m_streamOriginLink;
+    PathProbe m_pathProbe;
     RecordStore m_store; ///< its reads may go through another entry VM
     KeyedFeed m_operatorFeed;
     KeyedFeed m_backendFeed;
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -4,10 +4,12 @@
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/crashquarantine.h"
 #include "auburndrum/decision/traffic/namedweights.h"
+#include "auburndrum/decision/traffic/peerroutes.h"
 #include "auburndrum/decision/traffic/responsememory.h"
 #include "auburndrum/decision/traffic/retryallowance.h"
 #include "auburndrum/decision/traffic/serverchooser.h"
 #include "auburndrum/decision/traffic/serverlimits.h"
+#include "auburndrum/decision/traffic/serverpath.h"
 #include "auburndrum/decision/traffic/storedprompts.h"
 #include "auburndrum/decision/traffic/streamorigins.h"
 #include "auburndrum/gateway/decisionlog.h"
@@ -42,9 +44,11 @@
                  Wire wireHooks,
                  decision::RetryAllowanceOptions retries,
                  decision::ResponseMemoryOptions responses = {})
-        : wire(std::move(wireHooks))
+        : vmName(logOptions.vm)
+        , wire(std::move(wireHooks))
         , storedPrompts({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
         , limits({.vm = logOptions.vm})
+        , peerRoutes({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
         , chooser(std::move(chooserOptions), servers, storedPrompts, limits)
         , responseMemory(responses)
         , quarantine({.vm = logOptions.vm})
@@ -59,12 +63,20 @@
         return retryAllowances.try_emplace(service, retryOptions).first->second;
     }
 
+    std::string vmName;
     Wire wire;
     std::shared_ptr<const decision::Configuration> configuration; ///< null until the first one
     Instant configurationAppliedAt{}; ///< when this VM applied it
     decision::BackendList servers;
     decision::StoredPrompts storedPrompts;
     decision::ServerLimits limits;
+    decision::PeerRoutes peerRoutes;
+    decision::ServerPath serverPath;
+    std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
+    /// @{ Called with each server that can't be connected to, and when one responds while serverPath is cut.
+    std::function<void(const std::string &server)> onServerUnreachable;
+    std::function<void()> onPathRegained;
+    /// @}
     decision::ServerChooser chooser;
     std::map<std::string, decision::NamedWeights> weights; ///< by model
     std::chrono::milliseconds outdatedWeightsLimit{10000}; ///< time after newer weights are named from which no request may begin on older ones
--- /dev/null
+++ b/include/auburndrum/gateway/pathprobe.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "auburndrum/gateway/gatewaystate.h"
+#include "auburndrum/net/tcpsocket.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburndrum::gateway {
+
+/// @brief Finds out when a VM is cut off from all backend servers, and when it reaches one again, and logs both changes.
+///
+/// After a server was out of reach it opens connections to some others, without a request, and while the VM is cut off to a random one now and then. Lives on
+/// the event loop's thread.
+class PathProbe : public QObject
+{
+    Q_OBJECT
+
+public:
+    explicit PathProbe(GatewayState &state, QObject *parent = nullptr);
+
+private:
+    struct Probe
+    {
+        std::string server;
+        std::unique_ptr<net::TcpSocket> socket;
+        Instant begunAt{};
+    };
+
+    void handleUnreachable(const std::string &server);
+    void handleRegained();
+    void tick();
+    void connectToServer(const std::string &server);
+    void handleProbeEnd(const std::string &server, bool isConnected);
+
+    GatewayState &m_state;
+    QTimer m_timer; ///< runs while there are probes or the VM is cut off
+    std::vector<Probe> m_probes; ///< in progress
+    Instant m_lostAt{};
+};
+
+} // namespace auburndrum::gateway
--- /dev/null
+++ b/include/auburndrum/gateway/relayedrequest.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "auburndrum/net/header.h"
+#include "auburndrum/net/requestparser.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburndrum::gateway {
+
+/// What an entry VM states when it passes a caller's request on to another one.
+struct RelayedRequest
+{
+    std::string by; ///< name of the VM that passed it on
+    std::uint32_t deliveries = 0; ///< backend servers that it reached before
+};
+
+/// What the other VM states in its answer, besides the backend server's own fields.
+struct RelayedAnswer
+{
+    bool hasNoPath = false; ///< the VM reaches no server of the service either; the request has not run there
+    std::string server; ///< that answered; empty when the VM itself answered
+    std::string service;
+    std::string softwareVersion;
+};
+
+/// @{ Header fields between entry VMs. They are neither passed on to backend servers nor to callers.
+void addFields(std::vector<net::Header> &headers, const RelayedRequest &request);
+void addFields(std::vector<net::Header> &headers, const RelayedAnswer &answer);
+RelayedRequest readRelayedRequest(const std::vector<net::Header> &headers);
+RelayedAnswer readRelayedAnswer(const std::vector<net::Header> &headers);
+std::vector<net::Header> withoutRelayFields(const std::vector<net::Header> &headers);
+/// @}
+
+} // namespace auburndrum::gateway
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -74,6 +74,18 @@
     {
         return m_peers;
     }
+    /// Handles requests of callers that other VMs pass on; set before start().
+    void setRequestHandler(std::function<void(const std::shared_ptr<net::Exchange> &)> handler)
+    {
+        m_requestHandler = std::move(handler);
+    }
+    /// Limits on these requests: those of the callers' own.
+    void setRequestOptions(net::HttpServerOptions options);
+    /// Whether the answers to all calls and requests of other VMs have left.
+    bool isIdle() const
+    {
+        return m_server.isIdle();
+    }
     void addMethod(const std::string &name, std::function<entry::RpcResult(const std::string &request)> handler);
     void addVm(const decision::EntryVm &vm);
     std::vector<decision::EntryVm> knownVms() const
@@ -138,6 +150,7 @@
     entry::PeerClient m_peers;
     entry::PeerServer m_peerServer;
     net::HttpServer m_server;
+    std::function<void(const std::shared_ptr<net::Exchange> &)> m_requestHandler;
     QTimer m_pollTimer;
     PauseDetector m_pauses;
     std::map<std::string, PendingRead> m_pendingReads; ///< by topic
--- a/include/auburndrum/gateway/wire.h
+++ b/include/auburndrum/gateway/wire.h
@@ -42,6 +42,14 @@
     bool hasManagedStores = true; ///< false: one address for the whole prompt, the first that is not empty
 };
 
+/// What the gateway sets on a request that it passes on to another entry VM.
+struct RelayMetadata
+{
+    std::chrono::milliseconds timeLeft{0};
+    std::string lastEventId; ///< the answer continues after this event; empty for a complete answer
+    std::string resumedAttempt; ///< id of the attempt that received the stream's first event
+};
+
 /// What a backend server's response states besides its body.
 struct AnswerMetadata
 {
@@ -59,6 +67,8 @@
 {
     std::function<RequestMetadata(const net::RequestHead &)> readRequest;
     std::function<std::vector<net::Header>(const net::RequestHead &, const ForwardMetadata &)> forwardHeaders;
+    /// As the caller sent them, for another entry VM that treats them alike.
+    std::function<std::vector<net::Header>(const net::RequestHead &, const RelayMetadata &)> relayHeaders;
     std::function<AnswerMetadata(const net::HttpHead &)> readAnswer;
     std::function<std::vector<net::Header>(const net::HttpHead &)> answerHeaders;
 };
--- a/src/auburndrum/decision/circuitbreaker.cpp
+++ b/src/auburndrum/decision/circuitbreaker.cpp
@@ -46,9 +46,30 @@
     if (m_state == State::HalfOpen) {
         m_pause = std::min(2 * m_pause, m_options.maxPause);
     }
+    open(m_pause, now, random);
+}
+
+void CircuitBreaker::recordUnreachable(Instant now, absl::BitGenRef random)
+{
+    ++m_consecutiveFailures;
+    if (m_state == State::Open || (m_state == State::Closed && m_consecutiveFailures < m_options.failureThreshold)) {
+        return;
+    }
+    open(m_options.firstPause, now, random);
+}
+
+void CircuitBreaker::open(std::chrono::nanoseconds pause, Instant now, absl::BitGenRef random)
+{
     m_state = State::Open;
-    const auto spread = absl::Uniform<std::int64_t>(random, 0, m_pause.count() / 4 + 1);
-    m_nextProbeAt = now + m_pause + std::chrono::nanoseconds(spread);
+    const auto spread = absl::Uniform<std::int64_t>(random, 0, pause.count() / 4 + 1);
+    m_nextProbeAt = now + pause + std::chrono::nanoseconds(spread);
+}
+
+void CircuitBreaker::reset()
+{
+    m_state = State::Closed;
+    m_consecutiveFailures = 0;
+    m_pause = m_options.firstPause;
 }
 
 CircuitBreaker::State CircuitBreaker::state() const
--- /dev/null
+++ b/src/auburndrum/decision/traffic/serverpath_test.cpp
@@ -0,0 +1,88 @@
+#include "auburndrum/decision/traffic/serverpath.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant Begin{1000s};
+
+ServerPath cutPath()
+{
+    ServerPath it;
+    it.onUnreachable("a", 12, Begin);
+    it.onUnreachable("b", 12, Begin);
+    CHECK(it.onUnreachable("c", 12, Begin));
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("a VM counts as cut off when several servers are out of reach and none responds in between")
+{
+    // Guards against a VM that blames its servers for a cut of its own, and against one server's end that is taken for a cut (RECOVER).
+    ServerPath it;
+    for (int n = 0; n < 10; ++n) {
+        CHECK_FALSE(it.onUnreachable("a", 12, Begin));
+    }
+    CHECK_FALSE(it.onUnreachable("b", 12, Begin));
+    CHECK_FALSE(it.onReached());
+    CHECK_FALSE(it.onUnreachable("b", 12, Begin));
+    CHECK_FALSE(it.onUnreachable("c", 12, Begin));
+    CHECK_FALSE(it.isCut());
+    CHECK(it.onUnreachable("d", 12, Begin));
+    CHECK(it.isCut());
+    ServerPath one;
+    CHECK(one.onUnreachable("only", 1, Begin));
+}
+
+TEST_CASE("after one server was out of reach others are tried once a second")
+{
+    ServerPath it;
+    CHECK_FALSE(it.takeSuspicion(Begin));
+    it.onUnreachable("a", 12, Begin);
+    CHECK(it.takeSuspicion(Begin));
+    CHECK_FALSE(it.takeSuspicion(Begin + 900ms));
+    CHECK(it.takeSuspicion(Begin + 1s));
+}
+
+TEST_CASE("a cut ends with the trial after a connection, or with any response")
+{
+    // Guards against a VM that stays cut off in its own view, and against one that sends all its requests into a path that only seems open (RECOVER).
+    ServerPath it = cutPath();
+    CHECK_FALSE(it.takeTrial(true, Begin + 1s));
+    CHECK(it.takeProbe(Begin + 250ms));
+    CHECK_FALSE(it.takeProbe(Begin + 300ms));
+    it.onProbeConnected(Begin + 260ms);
+    CHECK_FALSE(it.takeTrial(false, Begin + 261ms));
+    CHECK(it.takeTrial(true, Begin + 262ms));
+    CHECK_FALSE(it.takeTrial(true, Begin + 263ms));
+    CHECK(it.onReached());
+    CHECK_FALSE(it.isCut());
+    CHECK_FALSE(it.onReached());
+}
+
+TEST_CASE("trials that fail become rarer, and without a request that may run again another one is the trial")
+{
+    ServerPath it = cutPath();
+    Instant now = Begin;
+    int trials = 0;
+    for (; now < Begin + 20s; now += 10ms) {
+        if (it.takeProbe(now)) {
+            it.onProbeConnected(now);
+        }
+        if (it.takeTrial(true, now)) {
+            ++trials;
+            it.onUnreachable("a", 12, now);
+        }
+    }
+    CHECK(trials >= 8);
+    CHECK(trials <= 15);
+    it.takeProbe(now + 5s);
+    it.onProbeConnected(now + 5s);
+    CHECK_FALSE(it.takeTrial(false, now + 5400ms));
+    CHECK(it.takeTrial(false, now + 5500ms));
+}
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -50,6 +50,12 @@
 {
     m_attempt->head = head;
     m_weightsTimer.stop();
+    recordReached();
+    if (m_attempt->isPassedOn()) {
+        m_attempt->choice.softwareVersion = readRelayedAnswer(head.headers).softwareVersion;
+        m_attempt->metadata = m_state.wire.readAnswer(head);
+        return;
+    }
     if (head.status != 421) { // which another server gives that has the address now
         recordResponse();
     }
@@ -88,6 +94,7 @@
 
 void ForwardedRequest::handleEvents(const QByteArray &part)
 {
+    recordReached();
     const QByteArray events = m_attempt->events.feed(part);
     if (events.isEmpty()) {
         countHeldBytes();
@@ -112,7 +119,8 @@
     if (!m_isStreaming) {
         m_isStreaming = true;
         m_record.firstByteAt = monotonicNow();
-        m_exchange->startStream(m_attempt->head->status, m_state.wire.answerHeaders(*m_attempt->head));
+        m_answeringServer = m_attempt->choice;
+        m_exchange->startStream(m_attempt->head->status, answerHeaders(*m_attempt->head));
     }
     m_exchange->writeChunk(bytes);
     if (m_exchange->unsentBytes() > PauseAboveBytes) {
@@ -138,6 +146,10 @@
     const net::HttpHead head = *m_attempt->head;
     const AnswerMetadata metadata = m_attempt->metadata;
     const std::string server = m_attempt->choice.id;
+    if (handleVmAnswer()) {
+        return;
+    }
+    m_answeringServer = m_attempt->choice;
     if (metadata.hasNotRun) {
         m_state.chooser.onRefused(server, monotonicNow());
         endAttempt("not_run");
@@ -154,9 +166,10 @@
     if (!isSuccess(head.status)) {
         recordWholeResponse(); // a failure, but the server outlived the request
         const QByteArray body = m_attempt->body;
+        const bool mayTryAgain = head.status >= 500 && !m_attempt->isPassedOn(); // the other VM has done so
         endAttempt("server_failure");
         m_serverFailure.emplace(head, body);
-        if (head.status >= 500) {
+        if (mayTryAgain) {
             retryOrConclude(true, Delivery::Delivered);
             return;
         }
@@ -206,8 +219,18 @@
 
 void ForwardedRequest::handleFailedCall(const net::HttpResult &result)
 {
+    if (m_attempt->isPassedOn()) {
+        handleFailedVm(result);
+        return;
+    }
+    const bool wasResetUnanswered = result.failure == net::HttpFailure::Closed && !result.reused && !m_attempt->head;
+    if (!result.sent || wasResetUnanswered) {
+        recordUnreachable();
+    }
     // A reused connection that the server closed before responding says nothing about the server's health.
-    if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
+    if (!result.sent) {
+        m_state.chooser.recordUnreachable(m_attempt->choice.id, monotonicNow(), m_state.random);
+    } else if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
         m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
     }
     if (result.failure == net::HttpFailure::Closed && result.sent) {
@@ -229,8 +252,12 @@
                                  std::chrono::floor<milliseconds>(monotonicNow() - m_attempt->sentAt),
                                  m_attempt->endedByClose,
                                  m_attempt->events.incompleteEventBytes(),
-                                 m_attempt->metadata.limitPerSecond});
+                                 m_attempt->metadata.limitPerSecond,
+                                 m_attempt->isPassedOn()});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
+    if (m_attempt->isPassedOn()) {
+        m_state.peerRoutes.onFinished(m_attempt->vm);
+    }
     m_state.responseMemory.remove(m_attempt->memoryId);
     m_state.giveUpResponse.erase(m_attempt->memoryId);
     m_attempt.reset();
@@ -262,6 +289,10 @@
         tryNextServer();
         return;
     }
+    const bool isUnreached = delivery == Delivery::NotSent && m_isBodyRepeatable && timeLeft() >= MinAttemptTime;
+    if (isUnreached && isAllowed && isResumeAllowed && !isSuspect && passOn()) {
+        return;
+    }
     concludeWithoutAnswer();
 }
 
@@ -290,7 +321,7 @@
 
 void ForwardedRequest::respond(const net::HttpHead &head, const QByteArray &body)
 {
-    m_exchange->respond(head.status, m_state.wire.answerHeaders(head), body);
+    m_exchange->respond(head.status, answerHeaders(head), body);
 }
 
 void ForwardedRequest::refuse(int status, const char *reason)
@@ -299,6 +330,9 @@
     if (meansNotRun(status) && m_retryAfter) {
         headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(*m_retryAfter).count())});
     }
+    if (m_hasNoPath && status == 503) {
+        addFields(headers, RelayedAnswer{.hasNoPath = true});
+    }
     const nlohmann::json body = {{"error", reason}};
     m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
     const bool isRejection = status == 401 || status == 404;
--- a/src/auburndrum/gateway/forwardedorigin.cpp
+++ b/src/auburndrum/gateway/forwardedorigin.cpp
@@ -63,7 +63,7 @@
     }
     // A stream that was taken up is recorded again, since VMs that knew its origin may have gone.
     m_origin = decision::StreamOrigin{m_service, m_attempt->choice.softwareVersion};
-    m_state.recordOrigin(m_metadata.resumedAttempt.empty() ? m_metadata.id : m_metadata.resumedAttempt, *m_origin);
+    m_state.recordOrigin(streamAttempt(), *m_origin);
 }
 
 } // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -0,0 +1,136 @@
+#include "forwardedrequest.h"
+
+#include <algorithm>
+
+// How a request reaches the servers through another entry VM while this one has no path to them.
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t MaxPeers = 3; // VMs that one request is passed on to, should the first ones have no path either
+constexpr milliseconds PeerConnectTimeout{250}; // many times the round trip between regions
+constexpr milliseconds PeerIdleTime{8000}; // a connection between VMs that was idle for longer may have died without notice
+constexpr milliseconds NoPathRetryDelay{1000}; // until a path may be there again
+constexpr milliseconds SkewRetryDelay{500}; // until the other VM has the configuration that this one has
+
+} // namespace
+
+bool ForwardedRequest::passOnIfCut()
+{
+    const Instant now = suspendAwareNow();
+    if (!m_state.serverPath.isCut()) {
+        return false;
+    }
+    if (m_source == Source::EntryVm) {
+        refuseWithoutPath();
+        return true;
+    }
+    if (m_state.serverPath.takeTrial(m_route->isRepeatable(), now)) {
+        return false;
+    }
+    return passOn();
+}
+
+bool ForwardedRequest::passOn()
+{
+    if (m_source == Source::EntryVm || m_triedVms.size() >= MaxPeers || !m_state.otherVms) {
+        return false;
+    }
+    const auto vm = m_state.peerRoutes.choose(m_service, m_state.otherVms(), m_triedVms, suspendAwareNow(), m_state.random);
+    if (!vm) {
+        return false;
+    }
+    sendToVm(*vm);
+    return true;
+}
+
+void ForwardedRequest::sendToVm(const decision::EntryVm &vm)
+{
+    m_triedVms.push_back(vm.name);
+    m_attempt.emplace();
+    m_attempt->vm = vm.name;
+    m_attempt->choice.id = vm.name;
+    m_state.peerRoutes.onSent(vm.name);
+    startCall(makeCallTo(vm));
+}
+
+net::HttpCall ForwardedRequest::makeCallTo(const decision::EntryVm &vm) const
+{
+    const RelayMetadata metadata = {.timeLeft = timeLeft(), .lastEventId = m_lastEventId, .resumedAttempt = streamAttempt()};
+    net::HttpCall call = makeCall(metadata.timeLeft);
+    call.peer = net::parseAddress(vm.address).value_or(net::Address{});
+    call.headers = withoutRelayFields(m_state.wire.relayHeaders(m_exchange->head(), metadata));
+    addFields(call.headers, RelayedRequest{.by = m_state.vmName, .deliveries = m_deliveries});
+    call.maxIdleTime = PeerIdleTime;
+    call.connectTimeout = std::min(PeerConnectTimeout, metadata.timeLeft);
+    return call;
+}
+
+bool ForwardedRequest::handleVmAnswer()
+{
+    if (!m_attempt->isPassedOn()) {
+        return false;
+    }
+    const net::HttpHead head = *m_attempt->head;
+    const RelayedAnswer answer = readRelayedAnswer(head.headers);
+    if (answer.hasNoPath) {
+        m_state.peerRoutes.onNoPath(m_service, m_attempt->vm, suspendAwareNow());
+        endAttempt("no_path");
+        tryNextServer();
+        return true;
+    }
+    m_state.peerRoutes.onServed(m_service, m_attempt->vm, suspendAwareNow());
+    if (!answer.server.empty()) {
+        return false; // a backend server's own answer
+    }
+    endAttempt("refused");
+    const bool hasRun = head.status >= 500 && head.status != 503;
+    m_mayHaveRun = m_mayHaveRun || hasRun;
+    bool isDelay = false;
+    const double delay = head.header("Retry-After").toDouble(&isDelay);
+    m_retryAfter = isDelay ? std::optional(milliseconds(static_cast<std::int64_t>(delay * 1000))) : std::nullopt;
+    if (head.status == 401 || head.status == 404) {
+        m_retryAfter = SkewRetryDelay;
+    }
+    m_record.noServerReason = "refused by the VM that it was passed on to";
+    concludeWithoutAnswer();
+    return true;
+}
+
+void ForwardedRequest::handleFailedVm(const net::HttpResult &result)
+{
+    m_state.peerRoutes.onSilent(m_attempt->vm, suspendAwareNow());
+    endAttempt(net::toText(result.failure));
+    if (!result.sent) {
+        tryNextServer();
+        return;
+    }
+    retryOrConclude(true, Delivery::Delivered);
+}
+
+void ForwardedRequest::refuseWithoutPath()
+{
+    m_hasNoPath = true;
+    m_retryAfter = NoPathRetryDelay;
+    m_record.noServerReason = "no path to the servers";
+    concludeWithoutAnswer();
+}
+
+std::vector<net::Header> ForwardedRequest::answerHeaders(const net::HttpHead &head) const
+{
+    std::vector<net::Header> headers = withoutRelayFields(m_state.wire.answerHeaders(head));
+    if (m_source == Source::EntryVm) {
+        addFields(headers, RelayedAnswer{.server = m_answeringServer.id, .service = m_service, .softwareVersion = m_answeringServer.softwareVersion});
+    }
+    return headers;
+}
+
+std::string ForwardedRequest::streamAttempt() const
+{
+    return m_metadata.resumedAttempt.empty() ? m_metadata.id : m_metadata.resumedAttempt;
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -19,20 +19,12 @@
 constexpr milliseconds CallTimeoutMargin{50};
 constexpr qint64 MaxResponseBytes = 64 * 1024 * 1024; // passed on in parts; what is held meanwhile has a limit of its own
 constexpr int MaxSilenceInEventGaps = 4; // a stream counts as broken after a silence of this many times the route's longest event gap
-// Target latencies without a response after which the gateway checks whether the server is silent rather than busy.
-constexpr int SilenceCheckInTargetLatencies = 2;
-// Target latencies without any response to this VM after which a server counts as silent; a busy one may respond rarely.
-constexpr int MaxSilenceInTargetLatencies = 4;
-// Longest time between checks of the weights at which a request waits; short against the limit for outdated weights.
-constexpr milliseconds WeightsCheckInterval{250};
-// Reserve before that limit: the closed connection must reach the server, from another region too, before it begins the request.
-constexpr milliseconds TakeBackMargin{300};
-
 } // namespace
 
-ForwardedRequest::ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange)
+ForwardedRequest::ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange, Source source)
     : m_state(state)
     , m_exchange(std::move(exchange))
+    , m_source(source)
 {
 }
 
@@ -41,6 +33,11 @@
     m_metadata = m_state.wire.readRequest(m_exchange->head());
     m_record.id = m_metadata.id;
     m_record.resumedAttempt = m_metadata.resumedAttempt;
+    if (m_source == Source::EntryVm) {
+        const RelayedRequest relayed = readRelayedRequest(m_exchange->head().headers);
+        m_record.relayedBy = relayed.by;
+        m_deliveries = relayed.deliveries;
+    }
     m_record.affinityKey = m_metadata.prompt ? decision::affinityKey(*m_metadata.prompt) : std::string();
     for (std::size_t n = 0; m_metadata.prompt && n + 1 < m_metadata.prompt->parts.size(); ++n) {
         m_record.parts.push_back(m_metadata.prompt->parts[n].id);
@@ -115,7 +112,9 @@
 
 void ForwardedRequest::sendFirst()
 {
-    m_state.retryAllowance(m_service).countRequest(monotonicNow());
+    if (m_source == Source::Caller) { // a request that was passed on is counted where its caller sent it
+        m_state.retryAllowance(m_service).countRequest(monotonicNow());
+    }
     if (mustReadBody()) {
         m_heldBody.emplace();
         holdBody(m_exchange->body(), false);
@@ -160,6 +159,9 @@
         concludeWithoutAnswer();
         return;
     }
+    if (passOnIfCut()) {
+        return;
+    }
     decision::ServerQuery query;
     query.service = m_service;
     query.prompt = m_metadata.prompt ? &*m_metadata.prompt : nullptr;
@@ -179,6 +181,14 @@
     m_record.noServerReason = choice ? "" : decision::toText(reason);
     m_record.serversKnown = m_state.servers.findByService(m_service).size();
     if (!choice) {
+        const bool isUnreachable = reason == decision::NoServerReason::AllFailing || (reason == decision::NoServerReason::AllTried && m_deliveries == 0);
+        if (isUnreachable && m_source == Source::EntryVm) {
+            refuseWithoutPath();
+            return;
+        }
+        if (isUnreachable && passOn()) {
+            return;
+        }
         if (reason == decision::NoServerReason::AllLimited) {
             m_retryAfter = promisePermit();
         } else if (m_origin && !m_state.servers.hasSoftwareVersion(m_service, m_origin->softwareVersion)) {
@@ -214,22 +224,28 @@
         metadata.urgency = decision::urgencyOf(priority, choice.expectedWait, std::chrono::floor<std::chrono::microseconds>(timeToTarget));
     }
 
+    net::HttpCall call = makeCall(metadata.timeLeft);
+    call.peer = net::parseAddress(choice.address).value_or(net::Address{});
+    call.headers = withoutRelayFields(m_state.wire.forwardHeaders(m_exchange->head(), metadata));
+    call.maxIdleTime = m_route->isRepeatable() ? MaxReuseAge : MaxReuseAgeOnce;
+    call.connectTimeout = std::min(ConnectTimeout, metadata.timeLeft);
+    return call;
+}
+
+net::HttpCall ForwardedRequest::makeCall(milliseconds timeLeft) const
+{
     net::HttpCall call;
     call.maxBodyBytes = MaxResponseBytes;
-    call.peer = net::parseAddress(choice.address).value_or(net::Address{});
     call.method = m_exchange->method();
     call.target = m_exchange->head().target;
     call.host = QByteArray::fromStdString(m_metadata.host);
-    call.headers = m_state.wire.forwardHeaders(m_exchange->head(), metadata);
     call.body = m_heldBody ? *m_heldBody : m_exchange->body();
     call.bodyFollows = !m_heldBody && !m_exchange->isBodyComplete();
     call.bodyLength = m_exchange->head().bodyLength;
-    call.maxIdleTime = m_route->isRepeatable() ? MaxReuseAge : MaxReuseAgeOnce;
-    call.connectTimeout = std::min(ConnectTimeout, metadata.timeLeft);
-    call.firstByteTimeout = metadata.timeLeft + CallTimeoutMargin;
-    call.idleTimeout = metadata.timeLeft + CallTimeoutMargin;
+    call.firstByteTimeout = timeLeft + CallTimeoutMargin;
+    call.idleTimeout = timeLeft + CallTimeoutMargin;
     if (m_route->isResumable && m_deliveries + 1 < m_route->maxServers) {
-        call.idleTimeout = std::min(metadata.timeLeft, m_route->maxEventGap * MaxSilenceInEventGaps);
+        call.idleTimeout = std::min(timeLeft, m_route->maxEventGap * MaxSilenceInEventGaps);
     }
     return call;
 }
@@ -259,19 +275,25 @@
     m_triedServers.push_back(choice.id);
     m_attempt.emplace();
     m_attempt->choice = choice;
-    m_attempt->sentAt = now;
     m_attempt->sentAtSuspendAware = suspendAwareNow();
     m_state.limits.onSent(choice.id, choice.startedAt, m_attempt->sentAtSuspendAware);
-    m_attempt->memoryId = m_state.responseMemory.add();
-    m_state.giveUpResponse[m_attempt->memoryId] = [this] {
-        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
-        takeBack("too_large");
-    };
     if (const auto *server = m_state.servers.find(choice.id)) {
         m_attempt->incarnation = choice.id + '/' + std::to_string(server->server.startedAt.time_since_epoch().count());
         m_state.quarantine.onSent(m_crashDecision, m_attempt->sentAtSuspendAware);
     }
     m_state.chooser.onSent(choice, m_metadata.prompt ? &*m_metadata.prompt : nullptr, now);
+    startCall(makeCall(choice));
+    checkWeights();
+}
+
+void ForwardedRequest::startCall(const net::HttpCall &call)
+{
+    m_attempt->sentAt = monotonicNow();
+    m_attempt->memoryId = m_state.responseMemory.add();
+    m_state.giveUpResponse[m_attempt->memoryId] = [this] {
+        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
+        takeBack("too_large");
+    };
     const auto self = shared_from_this();
     net::HttpHooks hooks;
     hooks.isForCall = [self](const net::HttpHead &head) {
@@ -287,56 +309,10 @@
     hooks.onDone = [self](const net::HttpResult &result) {
         self->handleDone(result);
     };
-    m_attempt->call = m_state.client.start(makeCall(choice), std::move(hooks));
+    m_attempt->call = m_state.client.start(call, std::move(hooks));
     if (m_route->isRepeatable() && m_route->maxServers > 1) {
-        m_silenceTimer.start(m_route->targetLatency * SilenceCheckInTargetLatencies);
-    }
-    checkWeights();
-}
-
-void ForwardedRequest::checkSilence()
-{
-    if (m_isConcluded || !m_attempt || m_attempt->head || m_deliveries + 1 >= m_route->maxServers) {
-        return;
-    }
-    // A server that responds to other requests is busy; sending the request to another one as well would only add load.
-    const auto lastAnswerAt = m_state.chooser.lastAnswerAt(m_attempt->choice.id);
-    if (lastAnswerAt && monotonicNow() - *lastAnswerAt < m_route->targetLatency * MaxSilenceInTargetLatencies) {
-        m_silenceTimer.start(m_route->targetLatency / 2);
-        return;
-    }
-    m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
-    takeBack("silent");
-}
-
-void ForwardedRequest::checkWeights()
-{
-    if (m_isConcluded || !m_metadata.prompt || !m_attempt || m_attempt->head) {
-        return; // the response's head says that the run has begun
-    }
-    const auto named = m_state.weights.find(m_metadata.prompt->model);
-    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(m_attempt->choice.weightVersion);
-    if (!replacedSince) {
-        m_weightsTimer.start(WeightsCheckInterval);
-        return;
+        startSilenceTimer();
     }
-    const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
-    const auto timeLeft = std::chrono::ceil<milliseconds>(latest - suspendAwareNow());
-    if (timeLeft.count() > 0) {
-        // Checked again before that: the limit may change meanwhile, and timers don't count the time in which the VM is suspended.
-        m_weightsTimer.start(std::min(timeLeft, WeightsCheckInterval));
-        return;
-    }
-    takeBack("outdated_weights");
-}
-
-void ForwardedRequest::takeBack(const char *result)
-{
-    const auto self = shared_from_this();
-    net::HttpCallHandle call = m_attempt->call;
-    endAttempt(result);
-    call.cancel();
-    retryOrConclude(true, Delivery::Delivered);
 }
 
 void ForwardedRequest::handleTimeout()
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auburndrum/gateway/gatewaystate.h"
+#include "auburndrum/gateway/relayedrequest.h"
 #include "auburndrum/net/eventsplitter.h"
 #include "auburndrum/net/exchange.h"
 #include "requestrecord.h"
@@ -27,6 +28,11 @@
     QByteArray body; ///< buffered until the response is complete
     decision::ResponseMemory::Id memoryId = 0;
     net::EventSplitter events;
+    std::string vm; ///< the entry VM that the request was passed on to; empty for an attempt at a backend server
+    bool isPassedOn() const
+    {
+        return !vm.empty();
+    }
     bool endedByClose = false; ///< only the end of the connection marked the end of the response
 };
 
@@ -36,7 +42,13 @@
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
-    ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange);
+    /// Who sent the request to this VM.
+    enum class Source {
+        Caller,
+        EntryVm, ///< it is passed on for a caller of a VM that reaches no server; it isn't passed on again
+    };
+
+    ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange, Source source);
 
     /// Starts the request, which ends with exactly one final response unless the caller disconnects.
     void start();
@@ -66,6 +78,9 @@
     /// @}
     void send(const decision::ServerChoice &choice);
     net::HttpCall makeCall(const decision::ServerChoice &choice) const;
+    /// The parts of a call that don't depend on where it goes.
+    net::HttpCall makeCall(std::chrono::milliseconds timeLeft) const;
+    void startCall(const net::HttpCall &call);
     void addCacheMetadata(const decision::ServerChoice &choice, ForwardMetadata &metadata) const;
     void handleHead(const net::HttpHead &head);
     void handleBody(const QByteArray &part);
@@ -98,6 +113,20 @@
     /// Time until this VM may send a request to one of the service's servers, all of which are limited.
     std::chrono::milliseconds promisePermit();
     /// @}
+    /// @{ Passing on to another entry VM, in forwardedpeer.cpp.
+    /// While this VM is cut off from all servers, passes the request on, or refuses one that was passed on to it. False: it is to be sent to a server.
+    bool passOnIfCut();
+    bool passOn();
+    void sendToVm(const decision::EntryVm &vm);
+    net::HttpCall makeCallTo(const decision::EntryVm &vm) const;
+    /// Handles what the other VM itself answers; false for the answer of a backend server.
+    bool handleVmAnswer();
+    void handleFailedVm(const net::HttpResult &result);
+    void refuseWithoutPath();
+    std::vector<net::Header> answerHeaders(const net::HttpHead &head) const;
+    /// Id of the caller's attempt that received, or will receive, the stream's first event.
+    std::string streamAttempt() const;
+    /// @}
     void retryOrConclude(bool mayHaveRun, Delivery delivery);
     bool acquireRetry(Delivery delivery);
     void concludeWithoutAnswer();
@@ -106,10 +135,17 @@
     void refuse(int status, const char *reason);
     void respond(const net::HttpHead &head, const QByteArray &body);
     void abortStream(const char *reason);
+    /// @{ Waiting for the response, in forwardedwait.cpp.
+    void startSilenceTimer();
     void checkSilence();
     void checkWeights();
     /// Closes the connection on which the server has not responded, and sends the request to another server where that is allowed.
     void takeBack(const char *result);
+    /// @{ What the connection shows of this VM's path to the servers.
+    void recordReached();
+    void recordUnreachable();
+    /// @}
+    /// @}
     void handleTimeout();
     void handleCallerGone();
     void conclude(Outcome outcome, int status, const char *reason);
@@ -129,7 +165,11 @@
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
     Instant m_deadline{};
     std::optional<ForwardAttempt> m_attempt;
+    Source m_source;
+    decision::ServerChoice m_answeringServer; ///< that sent the response which is passed on
     std::vector<std::string> m_triedServers;
+    std::vector<std::string> m_triedVms; ///< entry VMs that the request was passed on to
+    bool m_hasNoPath = false; ///< this VM reaches no server of the service
     std::uint32_t m_deliveries = 0; ///< number of backend servers that the request reached
     std::uint32_t m_attemptCount = 0;
     decision::CrashDecision m_crashDecision; ///< whether a request with these marks may be sent
--- /dev/null
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -0,0 +1,95 @@
+#include "forwardedrequest.h"
+
+// What is watched while a request waits at a server, and what its connection shows.
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds SilenceCheckInterval{400};
+// also in which requests at servers are taken back once this VM is cut off from them
+// Target latencies without a response after which the gateway checks whether the server is silent rather than busy.
+constexpr int SilenceCheckInTargetLatencies = 2;
+// Target latencies without any response to this VM after which a server counts as silent; a busy one may respond rarely.
+constexpr int MaxSilenceInTargetLatencies = 4;
+// Longest time between checks of the weights at which a request waits; short against the limit for outdated weights.
+constexpr milliseconds WeightsCheckInterval{250};
+// Reserve before that limit: the closed connection must reach the server, from another region too, before it begins the request.
+constexpr milliseconds TakeBackMargin{300};
+
+} // namespace
+
+void ForwardedRequest::startSilenceTimer()
+{
+    m_silenceTimer.start(SilenceCheckInterval);
+}
+
+void ForwardedRequest::checkSilence()
+{
+    if (m_isConcluded || !m_attempt || m_attempt->head || m_deliveries + 1 >= m_route->maxServers) {
+        return;
+    }
+    const Instant now = monotonicNow();
+    const bool isCutOff = m_state.serverPath.isCut() && !m_attempt->isPassedOn();
+    // A server that responds to other requests is busy; sending the request to another one as well would only add load.
+    const auto lastAnswerAt = m_state.chooser.lastAnswerAt(m_attempt->choice.id);
+    const bool isBusy = lastAnswerAt && now - *lastAnswerAt < m_route->targetLatency * MaxSilenceInTargetLatencies;
+    const bool isEarly = now - m_attempt->sentAt < m_route->targetLatency * SilenceCheckInTargetLatencies;
+    if (!isCutOff && (isBusy || isEarly)) {
+        startSilenceTimer();
+        return;
+    }
+    if (m_attempt->isPassedOn()) {
+        m_state.peerRoutes.onSilent(m_attempt->vm, suspendAwareNow());
+    }
+    m_state.chooser.recordFailure(m_attempt->choice.id, now, m_state.random);
+    takeBack(isCutOff ? "cut_off" : "silent");
+}
+
+void ForwardedRequest::checkWeights()
+{
+    if (m_isConcluded || !m_metadata.prompt || !m_attempt || m_attempt->head) {
+        return; // the response's head says that the run has begun
+    }
+    const auto named = m_state.weights.find(m_metadata.prompt->model);
+    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(m_attempt->choice.weightVersion);
+    if (!replacedSince) {
+        m_weightsTimer.start(WeightsCheckInterval);
+        return;
+    }
+    const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
+    const auto timeLeft = std::chrono::ceil<milliseconds>(latest - suspendAwareNow());
+    if (timeLeft.count() > 0) {
+        // Checked again before that: the limit may change meanwhile, and timers don't count the time in which the VM is suspended.
+        m_weightsTimer.start(std::min(timeLeft, WeightsCheckInterval));
+        return;
+    }
+    takeBack("outdated_weights");
+}
+
+void ForwardedRequest::recordReached()
+{
+    if (!m_attempt->isPassedOn() && m_state.serverPath.onReached() && m_state.onPathRegained) {
+        m_state.onPathRegained();
+    }
+}
+
+void ForwardedRequest::recordUnreachable()
+{
+    if (m_state.onServerUnreachable) {
+        m_state.onServerUnreachable(m_attempt->choice.id);
+    }
+}
+
+void ForwardedRequest::takeBack(const char *result)
+{
+    const auto self = shared_from_this();
+    net::HttpCallHandle call = m_attempt->call;
+    endAttempt(result);
+    call.cancel();
+    retryOrConclude(true, Delivery::Delivered);
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -74,7 +74,7 @@
               responseMemoryOptions(m_options.memoryBytes))
     , m_callerServer(callerOptions({}, m_options.maxConnections),
                      [this](const std::shared_ptr<net::Exchange> &exchange) {
-                         std::make_shared<ForwardedRequest>(m_state, exchange)->start();
+                         std::make_shared<ForwardedRequest>(m_state, exchange, ForwardedRequest::Source::Caller)->start();
                      })
     , m_readinessServer({},
                         [this](const std::shared_ptr<net::Exchange> &exchange) {
@@ -93,6 +93,7 @@
                        }})
     , m_peerExchange(m_state, m_relayLink)
     , m_streamOriginLink(m_state, m_relayLink)
+    , m_pathProbe(m_state)
     , m_store(m_relayLink.relayedStore())
     , m_operatorFeed({.topic = m_options.operatorTopic},
                      m_store,
@@ -129,6 +130,16 @@
 {
     m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
     m_state.maxHeldBodyBytes = static_cast<qint64>(m_options.memoryBytes / 16);
+    m_relayLink.setRequestHandler([this](const std::shared_ptr<net::Exchange> &exchange) {
+        handleRelayedRequest(exchange);
+    });
+    m_state.otherVms = [this] {
+        std::vector<decision::EntryVm> vms = m_relayLink.knownVms();
+        std::erase_if(vms, [this](const decision::EntryVm &it) {
+            return it.name == m_options.vm;
+        });
+        return vms;
+    };
     connect(&m_expiryTimer, &QTimer::timeout, this, &Gateway::expireServers);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::finishStop);
 }
@@ -191,6 +202,17 @@
     exchange->respond(isReady() ? 200 : 503, {}, {});
 }
 
+void Gateway::handleRelayedRequest(const std::shared_ptr<net::Exchange> &exchange)
+{
+    if (m_isStopping) {
+        std::vector<net::Header> headers;
+        addFields(headers, RelayedAnswer{.hasNoPath = true});
+        exchange->respond(503, headers, {});
+        return;
+    }
+    std::make_shared<ForwardedRequest>(m_state, exchange, ForwardedRequest::Source::EntryVm)->start();
+}
+
 void Gateway::applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
 {
     if (!value) {
@@ -237,6 +259,7 @@
     m_promptStoreReader.configure();
     m_relayLink.configure();
     m_callerServer.setOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections));
+    m_relayLink.setRequestOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections / 2));
     m_state.metrics.stateChanges.with({"configuration"}).Increment();
     m_state.log.write(LinePriority::Notable,
                       "configuration",
@@ -338,7 +361,7 @@
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
     m_callerServer.stopListening();
     m_callerServer.closeIdleConnections();
-    const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0;
+    const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0 && m_relayLink.isIdle();
     if (!isDone && elapsed < m_options.stopGrace - StopMargin) {
         return;
     }
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -47,6 +47,17 @@
                                         {"Organisation", QByteArray::fromStdString(metadata.organisation)},
                                         {"After", QByteArray::fromStdString(metadata.lastEventId)}};
     };
+    it.relayHeaders = [](const net::RequestHead &head, const RelayMetadata &metadata) {
+        std::vector<net::Header> headers = {{"Patience", QByteArray::number(static_cast<qint64>(metadata.timeLeft.count()))}};
+        for (const char *it : {"Id", "Key", "Model", "Parts"}) {
+            headers.push_back({it, net::headerValue(head.headers, it)});
+        }
+        if (!metadata.lastEventId.empty()) {
+            headers.push_back({"Last", QByteArray::fromStdString(metadata.lastEventId)});
+            headers.push_back({"Resumes", QByteArray::fromStdString(metadata.resumedAttempt)});
+        }
+        return headers;
+    };
     it.readAnswer = [](const net::HttpHead &head) {
         AnswerMetadata metadata;
         metadata.requestId = head.header("Id").toStdString();
--- /dev/null
+++ b/src/auburndrum/gateway/pathprobe.cpp
@@ -0,0 +1,133 @@
+#include "auburndrum/gateway/pathprobe.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{50};
+constexpr milliseconds ProbeTimeout{300}; // several times the round trip between regions
+constexpr std::size_t SuspicionProbes = 3; // servers that are tried after one was out of reach
+
+} // namespace
+
+PathProbe::PathProbe(GatewayState &state, QObject *parent)
+    : QObject(parent)
+    , m_state(state)
+{
+    connect(&m_timer, &QTimer::timeout, this, &PathProbe::tick);
+    m_state.onServerUnreachable = [this](const std::string &server) {
+        handleUnreachable(server);
+    };
+    m_state.onPathRegained = [this] {
+        handleRegained();
+    };
+}
+
+void PathProbe::handleUnreachable(const std::string &server)
+{
+    const Instant now = suspendAwareNow();
+    if (m_state.serverPath.onUnreachable(server, m_state.servers.size(), now)) {
+        m_lostAt = now;
+        m_state.metrics.stateChanges.with({"server_path"}).Increment();
+        m_state.log.write(LinePriority::Notable, "server_path", {{"change", "lost"}, {"server", server}, {"servers_known", m_state.servers.size()}});
+        m_timer.start(TickInterval);
+        return;
+    }
+    if (!m_state.serverPath.takeSuspicion(now)) {
+        return;
+    }
+    auto others = m_state.servers.ids();
+    std::erase(others, server);
+    std::shuffle(others.begin(), others.end(), m_state.random);
+    others.resize(std::min(others.size(), SuspicionProbes));
+    for (const std::string &it : others) {
+        connectToServer(it);
+    }
+}
+
+void PathProbe::handleRegained()
+{
+    m_probes.clear();
+    // What failed during the cut says nothing about the servers.
+    m_state.chooser.clearFailures();
+    m_state.metrics.stateChanges.with({"server_path"}).Increment();
+    m_state.log.write(
+        LinePriority::Notable, "server_path", {{"change", "regained"}, {"cut_ms", std::chrono::floor<milliseconds>(suspendAwareNow() - m_lostAt).count()}});
+}
+
+void PathProbe::tick()
+{
+    const Instant now = suspendAwareNow();
+    std::vector<std::string> silent;
+    for (const Probe &it : m_probes) {
+        if (now - it.begunAt >= ProbeTimeout) {
+            silent.push_back(it.server);
+        }
+    }
+    for (const std::string &it : silent) {
+        handleProbeEnd(it, false);
+    }
+    if (m_state.serverPath.takeProbe(now)) {
+        const auto ids = m_state.servers.ids();
+        if (!ids.empty()) {
+            connectToServer(ids[absl::Uniform<std::size_t>(m_state.random, 0, ids.size())]);
+        }
+    }
+    if (m_probes.empty() && !m_state.serverPath.isCut()) {
+        m_timer.stop();
+    }
+}
+
+void PathProbe::connectToServer(const std::string &server)
+{
+    const auto *entry = m_state.servers.find(server);
+    const auto address = entry == nullptr ? std::nullopt : net::parseAddress(entry->server.address);
+    if (!address) {
+        return;
+    }
+    net::TcpHooks hooks;
+    hooks.onConnected = [this, server] {
+        handleProbeEnd(server, true);
+    };
+    hooks.onEnd = [this, server](net::TcpEnd) {
+        handleProbeEnd(server, false);
+    };
+    m_probes.push_back({server, std::make_unique<net::TcpSocket>(std::move(hooks)), suspendAwareNow()});
+    m_probes.back().socket->connectTo(*address, ProbeTimeout);
+    if (!m_timer.isActive()) {
+        m_timer.start(TickInterval);
+    }
+}
+
+void PathProbe::handleProbeEnd(const std::string &server, bool isConnected)
+{
+    const auto it = std::find_if(m_probes.begin(), m_probes.end(), [&](const Probe &probe) {
+        return probe.server == server;
+    });
+    if (it == m_probes.end()) {
+        return;
+    }
+    // The hook that calls this belongs to the socket, which outlives the call.
+    const std::shared_ptr<net::TcpSocket> socket = std::move(it->socket);
+    const std::string name = server;
+    m_probes.erase(it);
+    socket->abort();
+    QTimer::singleShot(0, this, [socket] {
+    });
+    if (!isConnected) {
+        handleUnreachable(name);
+        return;
+    }
+    if (m_state.serverPath.isCut()) {
+        m_state.chooser.clearFailures(); // so that a server can be chosen for the trial
+    }
+    m_state.serverPath.onProbeConnected(suspendAwareNow());
+}
+
+} // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -42,9 +42,14 @@
               {.name = m_options.self.name, .fleetSecret = {}, .connectTimeout = m_options.connectTimeout, .answerTimeout = m_options.answerTimeout})
     , m_peerServer({}, m_noCuts)
     , m_server(peerOptions(), [this](const std::shared_ptr<net::Exchange> &exchange) {
-        if (!m_peerServer.handle(exchange)) {
-            exchange->respond(404, {}, {});
+        if (m_peerServer.handle(exchange)) {
+            return;
+        }
+        if (m_requestHandler) {
+            m_requestHandler(exchange);
+            return;
         }
+        exchange->respond(404, {}, {});
     })
 {
     m_pollTimer.setSingleShot(true);
--- a/src/auburndrum/gateway/relayserving.cpp
+++ b/src/auburndrum/gateway/relayserving.cpp
@@ -13,6 +13,12 @@
     });
 }
 
+void RelayLink::setRequestOptions(net::HttpServerOptions options)
+{
+    options.maxBodyBytes = std::max(options.maxBodyBytes, m_server.options().maxBodyBytes);
+    m_server.setOptions(std::move(options));
+}
+
 void RelayLink::addVm(const EntryVm &vm)
 {
     if (vm.name == m_options.self.name || !m_directory.put(vm)) {
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -34,6 +34,9 @@
                            {"ms", it.duration.count()},
                            {"ended_by_close", it.endedByClose},
                            {"partial_event_bytes", it.partialEventBytes}};
+    if (it.isPassedOn) {
+        object["passed_on"] = true;
+    }
     if (it.choice.limitPerSecond) {
         object["limit"] = *it.choice.limitPerSecond;
     }
@@ -92,6 +95,9 @@
                          {"patience_ms", record.callerTimeout.count()},
                          {"configuration", record.configurationVersion},
                          {"configuration_age_ms", record.configurationAge.count()}};
+    if (!record.relayedBy.empty()) {
+        line["relayed_by"] = record.relayedBy;
+    }
     if (!record.resumedAttempt.empty()) {
         line["resumes"] = record.resumedAttempt;
     }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -32,6 +32,7 @@
     bool endedByClose = false; ///< only the end of the connection marked the end of the response
     std::int64_t partialEventBytes = 0; ///< bytes of an event that had not ended when the response did
     std::optional<double> limitPerSecond; ///< requests a second that the response named as the server's limit
+    bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
 };
 
 /// What the log states of one request.
@@ -41,6 +42,7 @@
     std::string route;
     std::string organisation;
     std::string service;
+    std::string relayedBy; ///< the entry VM that passed the request on for its caller; empty for a caller of this VM
     std::string resumedAttempt; ///< of a stream that the caller takes up: the attempt that received its first event
     std::optional<OriginFinding> originFinding; ///< what was found out about who began that stream
     std::string affinityKey; ///< id of the prompt part that decides the preferred server; empty without a prompt
