--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -38,6 +38,7 @@
     std::chrono::milliseconds outdatedWeightsLimit{10000}; ///< time after new weights are named from which no request may begin on older ones
     std::chrono::milliseconds startSettleTime{4000}; ///< time after its start in which the platform holds a VM to no time limit
     std::chrono::milliseconds orderInterval{3000}; ///< least time between orders of two VMs to one backend server
+    std::chrono::milliseconds drainTime{2500}; ///< for which a backend server that leaves may still get requests
     std::chrono::milliseconds stopGrace{8000}; ///< time from the stop signal until the process is killed
     std::uint64_t memoryBytes = 256 * 1024 * 1024; ///< that the process may use in all
     int maxConnections = 2048;
--- a/include/auburndrum/gateway/wire.h
+++ b/include/auburndrum/gateway/wire.h
@@ -60,6 +60,8 @@
     bool isEventStream = false;
     std::optional<decision::LoadReport> load;
     std::optional<double> limitPerSecond; ///< requests a second that the server takes from all entry VMs together; empty: as many as come
+    bool isLeaving = false; ///< the server states that it leaves
+    std::optional<std::chrono::milliseconds> retryAfter; ///< time for which the server wants no more requests, where it turns one away
 };
 
 /// How the deployment's messages are read and written. Every hook must be set.
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -63,6 +63,10 @@
         metadata.requestId = head.header("Id").toStdString();
         metadata.isSealed = !head.header("Seal").isEmpty();
         metadata.hasNotRun = !head.header("Not-Run").isEmpty();
+        metadata.isLeaving = !head.header("Leaving").isEmpty();
+        if (const QByteArray rest = head.header("Retry-After"); !rest.isEmpty()) {
+            metadata.retryAfter = std::chrono::milliseconds(static_cast<std::int64_t>(rest.toDouble() * 1000));
+        }
         if (const QByteArray limit = head.header("Limit"); !limit.isEmpty()) {
             metadata.limitPerSecond = limit.toDouble();
         }
