A server that says in its answers that it leaves gets no more requests

Callers' requests reached servers long after these had said Server-Leaving. Cause: only the server list told a VM that a server leaves; the class is what a server says in its answers and nobody reads. Change: decision/traffic/serverpauses (pure) remembers it for the incarnation, also where another VM passed the answer on. Each request goes through the chooser: repeats, resumed streams, take-ups, sessions, trials.

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -7,6 +7,7 @@
 #include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/promptcacheestimate.h"
 #include "auburndrum/decision/traffic/serverlimits.h"
+#include "auburndrum/decision/traffic/serverpauses.h"
 #include "auburndrum/decision/traffic/storedprompts.h"
 
 #include <absl/random/bit_gen_ref.h>
@@ -87,6 +88,7 @@
     NoneListed, ///< the service has no server that accepts requests
     OtherSoftware, ///< only servers of other software versions than the one that began the stream
     AllTried,
+    AllLeaving, ///< only servers that say that they leave
     AllLimited, ///< only servers that have named a limit, and this VM has no permit for any of them
     AllFailing, ///< only servers that fail or don't respond
     AllFull,
@@ -103,7 +105,8 @@
 class ServerChooser
 {
 public:
-    ServerChooser(ServerChooserOptions options, const BackendList &servers, const StoredPrompts &storedPrompts, const ServerLimits &limits);
+    ServerChooser(
+        ServerChooserOptions options, const BackendList &servers, const StoredPrompts &storedPrompts, const ServerLimits &limits, const ServerPauses &pauses);
 
     void configure(const Configuration &configuration);
     void setOutdatedWeightsGrace(std::chrono::milliseconds limit);
@@ -167,6 +170,7 @@
     const BackendList &m_servers;
     const StoredPrompts &m_storedPrompts;
     const ServerLimits &m_limits;
+    const ServerPauses &m_pauses;
     std::map<std::string, EngineTraits, std::less<>> m_engines; ///< by service
     std::map<std::string, Load, std::less<>> m_loads;
     double m_prefillRate; ///< prompt tokens per millisecond
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -49,7 +49,7 @@
         , storedPrompts({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
         , limits({.vm = logOptions.vm})
         , peerRoutes({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
-        , chooser(std::move(chooserOptions), servers, storedPrompts, limits)
+        , chooser(std::move(chooserOptions), servers, storedPrompts, limits, pauses)
         , responseMemory(responses)
         , quarantine({.vm = logOptions.vm})
         , log(std::move(logOptions))
@@ -70,6 +70,7 @@
     decision::BackendList servers;
     decision::StoredPrompts storedPrompts;
     decision::ServerLimits limits;
+    decision::ServerPauses pauses;
     decision::PeerRoutes peerRoutes;
     decision::ServerPath serverPath;
     std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
--- a/src/auburndrum/decision/traffic/limitedchoice_test.cpp
+++ b/src/auburndrum/decision/traffic/limitedchoice_test.cpp
@@ -36,7 +36,8 @@
     BackendList servers;
     StoredPrompts storedPrompts{{.zone = "a"}};
     ServerLimits limits{{.vm = "vm"}};
-    ServerChooser chooser{{.zone = "a"}, servers, storedPrompts, limits};
+    ServerPauses pauses;
+    ServerChooser chooser{{.zone = "a"}, servers, storedPrompts, limits, pauses};
     Prompt prompt;
     NoServerReason reason = NoServerReason::NoneListed;
 };
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -31,6 +31,8 @@
         return "no server of the software version";
     case NoServerReason::AllTried:
         return "all servers tried";
+    case NoServerReason::AllLeaving:
+        return "all servers leaving";
     case NoServerReason::AllLimited:
         return "all servers at their limits";
     case NoServerReason::AllFailing:
@@ -45,11 +47,13 @@
     return "unknown";
 }
 
-ServerChooser::ServerChooser(ServerChooserOptions options, const BackendList &servers, const StoredPrompts &storedPrompts, const ServerLimits &limits)
+ServerChooser::ServerChooser(
+    ServerChooserOptions options, const BackendList &servers, const StoredPrompts &storedPrompts, const ServerLimits &limits, const ServerPauses &pauses)
     : m_options(std::move(options))
     , m_servers(servers)
     , m_storedPrompts(storedPrompts)
     , m_limits(limits)
+    , m_pauses(pauses)
     , m_prefillRate(m_options.initialPrefillRate)
 {
 }
@@ -214,9 +218,9 @@
 {
     reason = NoServerReason::NoneListed;
     const std::string_view key = query.prompt != nullptr ? std::string_view(affinityKey(*query.prompt)) : query.spreadKey;
-    const Instant limitsTime = query.suspendAwareTime.value_or(now);
+    const Instant suspendAwareTime = query.suspendAwareTime.value_or(now);
     std::vector<const BackendList::Entry *> candidates;
-    const BackendList::Entry *preferred = nullptr;
+    std::vector<const BackendList::Entry *> leaving; // used only when there is no other
     for (const BackendList::Entry *it : m_servers.findByService(query.service)) {
         if (!BackendList::acceptsRequests(*it)) {
             continue;
@@ -229,7 +233,7 @@
             reason = std::max(reason, NoServerReason::AllTried);
             continue;
         }
-        if (!m_limits.allows(it->server.id, it->server.startedAt, limitsTime)) {
+        if (!m_limits.allows(it->server.id, it->server.startedAt, suspendAwareTime)) {
             reason = std::max(reason, NoServerReason::AllLimited);
             continue;
         }
@@ -250,15 +254,24 @@
                 continue;
             }
         }
-        candidates.push_back(it);
-        if (preferred == nullptr || rank(it->server.id, key) > rank(preferred->server.id, key)) {
-            preferred = it;
+        if (!m_pauses.isLeaving(it->server.id, it->server.startedAt)) {
+            candidates.push_back(it);
+        } else if (m_pauses.mayUseLeaving(it->server.id, it->server.startedAt, suspendAwareTime)) {
+            leaving.push_back(it);
+        } else {
+            reason = std::max(reason, NoServerReason::AllLeaving);
         }
     }
+    if (candidates.empty()) {
+        candidates = std::move(leaving);
+    }
+    const auto preferred = std::max_element(candidates.begin(), candidates.end(), [&](const auto *a, const auto *b) {
+        return rank(a->server.id, key) < rank(b->server.id, key);
+    });
     std::optional<ServerChoice> best;
     microseconds bestCost{};
     for (const BackendList::Entry *it : candidates) {
-        const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == preferred, now);
+        const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == *preferred, now);
         // The request would begin only after its expected wait.
         if (query.namedWeights != nullptr && areWeightsPastGrace(query, choice.weightVersion, query.suspendAwareTime.value_or(now) + choice.expectedWait)) {
             reason = std::max(reason, NoServerReason::OutdatedWeights);
@@ -268,7 +281,7 @@
         if (query.namedWeights != nullptr && choice.weightVersion < query.namedWeights->newestVersion()) {
             cost += m_options.outdatedWeightsCost;
         }
-        if (m_limits.awaitsConfirmation(it->server.id, it->server.startedAt, limitsTime)) {
+        if (m_limits.awaitsConfirmation(it->server.id, it->server.startedAt, suspendAwareTime)) {
             cost -= m_options.limitConfirmationGain;
         }
         if (!best || cost < bestCost) {
--- a/src/auburndrum/decision/traffic/serverchooser_test.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser_test.cpp
@@ -19,7 +19,7 @@
 public:
     Fleet()
         : storedPrompts({.zone = "a1", .regionOfZone = zones()})
-        , chooser({.zone = "a1", .regionOfZone = zones(), .outdatedWeightsGrace = 7500ms}, servers, storedPrompts, limits)
+        , chooser({.zone = "a1", .regionOfZone = zones(), .outdatedWeightsGrace = 7500ms}, servers, storedPrompts, limits, pauses)
     {
         Configuration configuration;
         configuration.services["llm"] = ServiceTraits{"llm", "/", 0, EngineTraits{64, 80000, 18432}};
@@ -79,6 +79,7 @@
     StoredPrompts storedPrompts;
     ServerLimits limits{{.vm = "vm"}};
     NamedWeights weights;
+    ServerPauses pauses;
     ServerChooser chooser;
     NoServerReason reason = NoServerReason::NoneListed;
     absl::BitGen random;
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -52,8 +52,10 @@
     m_weightsTimer.stop();
     recordReached();
     if (m_attempt->isPassedOn()) {
-        m_attempt->choice.softwareVersion = readRelayedAnswer(head.headers).softwareVersion;
+        const RelayedAnswer answer = readRelayedAnswer(head.headers);
+        m_attempt->choice.softwareVersion = answer.softwareVersion;
         m_attempt->metadata = m_state.wire.readAnswer(head);
+        recordWords(answer.server); // they hold for each VM that passes them on
         return;
     }
     if (head.status != 421) { // which another server gives that has the address now
@@ -62,6 +64,7 @@
     m_attempt->metadata = m_state.wire.readAnswer(head);
     if (head.status != 421) {
         recordLimit();
+        recordWords(m_attempt->choice.id);
     }
     if (m_attempt->metadata.load) {
         m_state.chooser.onLoadReport(m_attempt->choice.id, *m_attempt->metadata.load, monotonicNow());
--- a/src/auburndrum/gateway/forwardedlimit.cpp
+++ b/src/auburndrum/gateway/forwardedlimit.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// What a request tells about limits that servers name, and when it may come back where all servers are limited.
+// What a request tells about limits that servers name and about what they ask for themselves, and when it may come back where none takes it.
 
 namespace auburndrum::gateway {
 
@@ -28,6 +28,19 @@
     }
 }
 
+void ForwardedRequest::recordWords(const std::string &server)
+{
+    const auto *entry = m_state.servers.find(server);
+    if (entry == nullptr) {
+        return;
+    }
+    const Instant now = suspendAwareNow();
+    if (m_attempt->metadata.isLeaving && m_state.pauses.onLeaving(server, entry->server.startedAt, now)) {
+        m_state.metrics.stateChanges.with({"server_leaving"}).Increment();
+        m_state.log.write(LinePriority::Notable, "server_leaving", {{"server", server}, {"request", m_record.id}});
+    }
+}
+
 milliseconds ForwardedRequest::promisePermit()
 {
     const Instant now = suspendAwareNow();
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -110,6 +110,8 @@
     /// @}
     /// @{ Limits that servers name, in forwardedlimit.cpp.
     void recordLimit();
+    /// What the server asks of this VM for itself.
+    void recordWords(const std::string &server);
     /// Time until this VM may send a request to one of the service's servers, all of which are limited.
     std::chrono::milliseconds promisePermit();
     /// @}
