Test: a server that turns a request away with a time to return gets nothing until then (fails)

Two new cases fail: the server gets further requests 200 ms after its refusal, and callers are told 0.5 s where the servers asked for 3 s and 6 s. The users measured 425 requests to 12 of 16 pairs of server and VM in a rest of 6 s.

--- a/src/auburndrum/gateway/serverwords_test.cpp
+++ b/src/auburndrum/gateway/serverwords_test.cpp
@@ -89,3 +89,37 @@
     CHECK(later.size() == 1);
     CHECK(later.contains(503));
 }
+
+TEST_CASE("a server that turns a request away with a time to return gets nothing until then, and the other serves all")
+{
+    // Guards against a VM that takes a server's word for a pause of its own length (BUDGET).
+    SpeakingServers it;
+    it.rests["a"] = "1.5";
+    it.sendFor(200ms);
+    const int before = it.arrivals["a"];
+    CHECK(before >= 1);
+    const auto counts = it.sendFor(1s);
+    CHECK(it.arrivals["a"] == before);
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(200));
+    it.rests.clear();
+    it.sendFor(1s);
+    CHECK(it.arrivals["a"] > before);
+}
+
+TEST_CASE("when all servers want a rest, callers are refused at once with the soonest of their times")
+{
+    // Guards against callers who come back too early, and against servers that are asked meanwhile (BUDGET).
+    SpeakingServers it;
+    it.rests = {{"a", "6"}, {"b", "3"}};
+    it.sendFor(100ms);
+    it.arrivals.clear();
+    const auto begin = monotonicNow();
+    const auto result = it.gateway.sendRequest("/once/");
+    CHECK(monotonicNow() - begin < 200ms);
+    CHECK(result.head.status == 503);
+    const double retryAfter = result.head.header("Retry-After").toDouble();
+    CHECK(retryAfter > 2);
+    CHECK(retryAfter <= 3);
+    CHECK(it.arrivals.empty());
+}
