A server that turns a request away with a time to return is left alone until then

Cause: a refusal paused a server for 200 ms whatever its Retry-After said. Change: the field of a 503 is read and decision/traffic/serverpauses keeps it for that VM and incarnation; where all servers want a rest, callers are refused at once with the soonest of these times. Before: 2 of 4 cases of serverwords_test failed. After: 0 of 4.

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -90,6 +90,7 @@
     AllTried,
     AllLeaving, ///< only servers that say that they leave
     AllLimited, ///< only servers that have named a limit, and this VM has no permit for any of them
+    AllResting, ///< only servers that want no requests for a while
     AllFailing, ///< only servers that fail or don't respond
     AllFull,
     AllLoadingWeights, ///< only servers that are loading weights
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -35,6 +35,8 @@
         return "all servers leaving";
     case NoServerReason::AllLimited:
         return "all servers at their limits";
+    case NoServerReason::AllResting:
+        return "all servers resting";
     case NoServerReason::AllFailing:
         return "all servers failing";
     case NoServerReason::AllFull:
@@ -237,6 +239,10 @@
             reason = std::max(reason, NoServerReason::AllLimited);
             continue;
         }
+        if (m_pauses.restLeft(it->server.id, it->server.startedAt, suspendAwareTime).count() > 0) {
+            reason = std::max(reason, NoServerReason::AllResting);
+            continue;
+        }
         const Load *load = findLoad(it->server.id);
         if (load != nullptr && !load->breaker.allowsRequest(now)) {
             reason = std::max(reason, NoServerReason::AllFailing);
--- a/src/auburndrum/gateway/forwardedlimit.cpp
+++ b/src/auburndrum/gateway/forwardedlimit.cpp
@@ -39,6 +39,27 @@
         m_state.metrics.stateChanges.with({"server_leaving"}).Increment();
         m_state.log.write(LinePriority::Notable, "server_leaving", {{"server", server}, {"request", m_record.id}});
     }
+    const auto rest = m_attempt->metadata.retryAfter;
+    if (m_attempt->isPassedOn() || m_attempt->head->status != 503 || !rest) {
+        return;
+    }
+    if (m_state.pauses.onRest(server, entry->server.startedAt, *rest, now)) {
+        m_state.metrics.stateChanges.with({"server_rest"}).Increment();
+        m_state.log.write(LinePriority::Notable, "server_rest", {{"server", server}, {"rest_ms", rest->count()}, {"request", m_record.id}});
+    }
+}
+
+milliseconds ForwardedRequest::soonestRestEnd() const
+{
+    const Instant now = suspendAwareNow();
+    milliseconds soonest = milliseconds::max();
+    for (const auto *it : m_state.servers.findByService(m_service)) {
+        const milliseconds left = m_state.pauses.restLeft(it->server.id, it->server.startedAt, now);
+        if (left.count() > 0 && decision::BackendList::acceptsRequests(*it)) {
+            soonest = std::min(soonest, left);
+        }
+    }
+    return soonest == milliseconds::max() ? milliseconds(0) : soonest;
 }
 
 milliseconds ForwardedRequest::promisePermit()
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -191,6 +191,8 @@
         }
         if (reason == decision::NoServerReason::AllLimited) {
             m_retryAfter = promisePermit();
+        } else if (reason == decision::NoServerReason::AllResting) {
+            m_retryAfter = soonestRestEnd();
         } else if (m_origin && !m_state.servers.hasSoftwareVersion(m_service, m_origin->softwareVersion)) {
             m_retryAfter.reset(); // the version has left the service
         }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -112,6 +112,8 @@
     void recordLimit();
     /// What the server asks of this VM for itself.
     void recordWords(const std::string &server);
+    /// Time until one of the service's servers, all of which want a rest, wants requests again.
+    std::chrono::milliseconds soonestRestEnd() const;
     /// Time until this VM may send a request to one of the service's servers, all of which are limited.
     std::chrono::milliseconds promisePermit();
     /// @}
