--- a/include/auburndrum/gateway/wire.h
+++ b/include/auburndrum/gateway/wire.h
@@ -60,6 +60,7 @@
     bool isEventStream = false;
     std::optional<decision::LoadReport> load;
     std::optional<double> limitPerSecond; ///< requests a second that the server takes from all entry VMs together; empty: as many as come
+    std::optional<double> borneRejections; ///< a second; a server that must turn more requests away falls over. Empty: it names no number
     bool isLeaving = false; ///< the server states that it leaves
     std::optional<std::chrono::milliseconds> retryAfter; ///< time for which the server wants no more requests, where it turns one away
 };
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -63,6 +63,9 @@
         metadata.requestId = head.header("Id").toStdString();
         metadata.isSealed = !head.header("Seal").isEmpty();
         metadata.hasNotRun = !head.header("Not-Run").isEmpty();
+        if (const QByteArray borne = head.header("Brittle"); !borne.isEmpty()) {
+            metadata.borneRejections = borne.toDouble();
+        }
         metadata.isLeaving = !head.header("Leaving").isEmpty();
         if (const QByteArray rest = head.header("Retry-After"); !rest.isEmpty()) {
             metadata.retryAfter = std::chrono::milliseconds(static_cast<std::int64_t>(rest.toDouble() * 1000));
