Brittle servers have to turn away few requests

Callers saw services whose servers fell over one after the other under more requests than they had room for: each of many VMs found out by one refusal, and the sum was over what a server bears. Cause: the class of LIMIT, a sum over all VMs that no VM sees; here of rejections, with a room that nobody names.

Change: decision/traffic/brittleservers (pure). A request beyond these takes one of the permits, 0.6 of the borne rejections a second over all VMs, and none for 3 s after a rejection. Places, permits and LIMIT's permits share permitowners, taken out of serverlimits. Words and rooms travel with the exchange between VMs. What finds no server is refused at once, with a time between 0.25 s and 1 s.

Weighed: load reports alone (older than a run at 7 VMs), a window per VM that grows (the windows' sum exceeds the room when callers move), permits alone (0.6 of 3 a second against 15 runs a second of a server).

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -3,6 +3,7 @@
 #include "auburndrum/base/time.h"
 #include "auburndrum/decision/circuitbreaker.h"
 #include "auburndrum/decision/traffic/backendlist.h"
+#include "auburndrum/decision/traffic/brittleservers.h"
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/promptcacheestimate.h"
@@ -91,6 +92,7 @@
     AllLeaving, ///< only servers that say that they leave
     AllLimited, ///< only servers that have named a limit, and this VM has no permit for any of them
     AllResting, ///< only servers that want no requests for a while
+    AllWithoutRoom, ///< only brittle servers that would probably turn the request away
     AllFailing, ///< only servers that fail or don't respond
     AllFull,
     AllLoadingWeights, ///< only servers that are loading weights
@@ -106,8 +108,12 @@
 class ServerChooser
 {
 public:
-    ServerChooser(
-        ServerChooserOptions options, const BackendList &servers, const StoredPrompts &storedPrompts, const ServerLimits &limits, const ServerPauses &pauses);
+    ServerChooser(ServerChooserOptions options,
+                  const BackendList &servers,
+                  const StoredPrompts &storedPrompts,
+                  const ServerLimits &limits,
+                  const ServerPauses &pauses,
+                  const BrittleServers &brittle);
 
     void configure(const Configuration &configuration);
     void setOutdatedWeightsGrace(std::chrono::milliseconds limit);
@@ -172,6 +178,7 @@
     const StoredPrompts &m_storedPrompts;
     const ServerLimits &m_limits;
     const ServerPauses &m_pauses;
+    const BrittleServers &m_brittle;
     std::map<std::string, EngineTraits, std::less<>> m_engines; ///< by service
     std::map<std::string, Load, std::less<>> m_loads;
     double m_prefillRate; ///< prompt tokens per millisecond
--- a/include/auburndrum/decision/traffic/serverlimits.h
+++ b/include/auburndrum/decision/traffic/serverlimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auburndrum/base/time.h"
+#include "auburndrum/decision/traffic/permitowners.h"
 
 #include <chrono>
 #include <cstdint>
@@ -77,6 +78,8 @@
     }
     /// The limit in force, requests a second; nothing when the server has none.
     std::optional<double> find(std::string_view server, WallTime startedAt) const;
+    /// The earliest moment at which any VM heard of the limit in force.
+    std::optional<Instant> numberedFrom(std::string_view server, WallTime startedAt) const;
     /// Whether a request may be sent to the server now: it has no limit, or this VM has a permit.
     bool allows(std::string_view server, WallTime startedAt, Instant now) const;
     /// Whether this VM has a permit, and no VM has heard from the server for a while: a request would show whether its limit still holds.
@@ -110,15 +113,12 @@
     std::chrono::nanoseconds permitInterval(const Limit &it) const;
     /// The first permit after a moment that belongs to this VM; nothing when none is near.
     std::optional<Instant> ownPermitAfter(const Limit &it, Instant moment) const;
-    bool isOwn(const Limit &it, std::int64_t number) const;
     std::optional<Instant> nextPermit(const Limit &it, Instant now) const;
     std::optional<Instant> nextPromise(const Limit &it, Instant now) const;
     LimitChange apply(Limit &it, const LimitNotice &notice, Instant now);
 
     ServerLimitsOptions m_options;
-    std::vector<std::uint64_t> m_otherVms; ///< hashes of their names
-    std::uint64_t m_self;
-    bool m_isShared = false; ///< whether the VMs are known
+    PermitOwners m_owners;
     std::map<std::string, Limit, std::less<>> m_limits; ///< by server, ended ones too
 };
 
--- a/include/auburndrum/gateway/exchangemessages.h
+++ b/include/auburndrum/gateway/exchangemessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auburndrum/base/errors.h"
+#include "auburndrum/decision/traffic/brittleservers.h"
 #include "auburndrum/decision/traffic/crashevidence.h"
 #include "auburndrum/decision/traffic/relaydirectory.h"
 #include "auburndrum/decision/traffic/serverlimits.h"
@@ -18,6 +19,8 @@
     decision::CrashEvidence evidence;
     std::vector<decision::LimitNotice> limits;
     std::vector<decision::VmSilence> silences;
+    std::vector<decision::LimitNotice> brittleServices; ///< each names a service in place of a server
+    std::vector<decision::ServerRoom> rooms; ///< of their servers
 };
 
 /// @{ Conversion to and from JSON text. Times travel as ages, since the clocks of two VMs differ; `now` is this VM's clock that counts suspension.
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -48,8 +48,9 @@
         , wire(std::move(wireHooks))
         , storedPrompts({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
         , limits({.vm = logOptions.vm})
+        , brittle({.vm = logOptions.vm})
         , peerRoutes({.zone = chooserOptions.zone, .regionOfZone = chooserOptions.regionOfZone})
-        , chooser(std::move(chooserOptions), servers, storedPrompts, limits, pauses)
+        , chooser(std::move(chooserOptions), servers, storedPrompts, limits, pauses, brittle)
         , responseMemory(responses)
         , quarantine({.vm = logOptions.vm})
         , log(std::move(logOptions))
@@ -71,6 +72,7 @@
     decision::StoredPrompts storedPrompts;
     decision::ServerLimits limits;
     decision::ServerPauses pauses;
+    decision::BrittleServers brittle;
     decision::PeerRoutes peerRoutes;
     decision::ServerPath serverPath;
     std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
--- a/src/auburndrum/decision/traffic/limitedchoice_test.cpp
+++ b/src/auburndrum/decision/traffic/limitedchoice_test.cpp
@@ -37,7 +37,8 @@
     StoredPrompts storedPrompts{{.zone = "a"}};
     ServerLimits limits{{.vm = "vm"}};
     ServerPauses pauses;
-    ServerChooser chooser{{.zone = "a"}, servers, storedPrompts, limits, pauses};
+    BrittleServers brittle{{.vm = "vm"}};
+    ServerChooser chooser{{.zone = "a"}, servers, storedPrompts, limits, pauses, brittle};
     Prompt prompt;
     NoServerReason reason = NoServerReason::NoneListed;
 };
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -37,6 +37,8 @@
         return "all servers at their limits";
     case NoServerReason::AllResting:
         return "all servers resting";
+    case NoServerReason::AllWithoutRoom:
+        return "all servers without room";
     case NoServerReason::AllFailing:
         return "all servers failing";
     case NoServerReason::AllFull:
@@ -49,13 +51,18 @@
     return "unknown";
 }
 
-ServerChooser::ServerChooser(
-    ServerChooserOptions options, const BackendList &servers, const StoredPrompts &storedPrompts, const ServerLimits &limits, const ServerPauses &pauses)
+ServerChooser::ServerChooser(ServerChooserOptions options,
+                             const BackendList &servers,
+                             const StoredPrompts &storedPrompts,
+                             const ServerLimits &limits,
+                             const ServerPauses &pauses,
+                             const BrittleServers &brittle)
     : m_options(std::move(options))
     , m_servers(servers)
     , m_storedPrompts(storedPrompts)
     , m_limits(limits)
     , m_pauses(pauses)
+    , m_brittle(brittle)
     , m_prefillRate(m_options.initialPrefillRate)
 {
 }
@@ -244,6 +251,10 @@
             continue;
         }
         const Load *load = findLoad(it->server.id);
+        if (!m_brittle.allows(query.service, it->server.id, it->server.startedAt, load == nullptr ? 0 : load->ownRequests, suspendAwareTime)) {
+            reason = std::max(reason, NoServerReason::AllWithoutRoom);
+            continue;
+        }
         if (load != nullptr && !load->breaker.allowsRequest(now)) {
             reason = std::max(reason, NoServerReason::AllFailing);
             continue;
--- a/src/auburndrum/decision/traffic/serverchooser_test.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser_test.cpp
@@ -19,7 +19,7 @@
 public:
     Fleet()
         : storedPrompts({.zone = "a1", .regionOfZone = zones()})
-        , chooser({.zone = "a1", .regionOfZone = zones(), .outdatedWeightsGrace = 7500ms}, servers, storedPrompts, limits, pauses)
+        , chooser({.zone = "a1", .regionOfZone = zones(), .outdatedWeightsGrace = 7500ms}, servers, storedPrompts, limits, pauses, brittle)
     {
         Configuration configuration;
         configuration.services["llm"] = ServiceTraits{"llm", "/", 0, EngineTraits{64, 80000, 18432}};
@@ -80,6 +80,7 @@
     ServerLimits limits{{.vm = "vm"}};
     NamedWeights weights;
     ServerPauses pauses;
+    BrittleServers brittle{{.vm = "vm"}};
     ServerChooser chooser;
     NoServerReason reason = NoServerReason::NoneListed;
     absl::BitGen random;
--- a/src/auburndrum/decision/traffic/serverlimits.cpp
+++ b/src/auburndrum/decision/traffic/serverlimits.cpp
@@ -1,9 +1,6 @@
 #include "auburndrum/decision/traffic/serverlimits.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <tuple>
 #include <utility>
@@ -15,24 +12,12 @@
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
-constexpr std::int64_t SoughtPermitsPerVm = 16; // a VM without a permit among so many for each VM is next to impossible
 constexpr double NotableChange = 0.2; // share by which a limit changes until the other VMs have to know at once
 constexpr std::size_t MaxSharedNotices = 512; // in one message
 constexpr milliseconds OpenTime{2000}; // news are exchanged often for this long, in which they reach 340 VMs
 constexpr milliseconds OftenInterval{250};
 constexpr milliseconds SeldomInterval{1000};
 
-std::uint64_t hashOf(std::string_view text)
-{
-    return XXH3_64bits(text.data(), text.size());
-}
-
-std::uint64_t mix(std::uint64_t vm, std::uint64_t permit)
-{
-    const std::array<std::uint64_t, 2> both = {vm, permit};
-    return XXH3_64bits(both.data(), sizeof(both));
-}
-
 } // namespace
 
 const char *toText(LimitChange change)
@@ -52,24 +37,15 @@
 
 ServerLimits::ServerLimits(ServerLimitsOptions options)
     : m_options(std::move(options))
-    , m_self(hashOf(m_options.vm))
+    , m_owners(m_options.vm)
 {
 }
 
 void ServerLimits::setVms(const std::vector<std::string> &vms)
 {
-    std::vector<std::uint64_t> others;
-    for (const std::string &it : vms) {
-        if (it != m_options.vm) {
-            others.push_back(hashOf(it));
-        }
-    }
-    std::sort(others.begin(), others.end());
-    if (m_isShared == !vms.empty() && others == m_otherVms) {
+    if (!m_owners.setVms(vms)) {
         return;
     }
-    m_isShared = !vms.empty();
-    m_otherVms = std::move(others);
     for (auto &[server, it] : m_limits) {
         it.nextPermit.reset();
     }
@@ -100,29 +76,15 @@
     return std::chrono::floor<nanoseconds>(std::clamp(interval, least, most));
 }
 
-bool ServerLimits::isOwn(const Limit &it, std::int64_t number) const
+std::optional<Instant> ServerLimits::numberedFrom(std::string_view server, WallTime startedAt) const
 {
-    const std::uint64_t permit = mix(hashOf(it.notice.server), static_cast<std::uint64_t>(number));
-    const std::uint64_t own = mix(m_self, permit);
-    return std::none_of(m_otherVms.begin(), m_otherVms.end(), [&](std::uint64_t vm) {
-        return mix(vm, permit) > own;
-    });
+    const Limit *it = findInForce(server, startedAt);
+    return it == nullptr ? std::nullopt : std::optional(it->notice.numberedFrom);
 }
 
 std::optional<Instant> ServerLimits::ownPermitAfter(const Limit &it, Instant moment) const
 {
-    if (!m_isShared) {
-        return std::nullopt;
-    }
-    const nanoseconds interval = permitInterval(it);
-    const std::int64_t first = std::max<std::int64_t>(0, (moment - it.notice.numberedFrom) / interval + 1);
-    const auto end = first + SoughtPermitsPerVm * static_cast<std::int64_t>(m_otherVms.size() + 1);
-    for (std::int64_t number = first; number < end; ++number) {
-        if (isOwn(it, number)) {
-            return it.notice.numberedFrom + number * interval;
-        }
-    }
-    return std::nullopt;
+    return m_owners.nextOwn(it.notice.server, it.notice.numberedFrom, permitInterval(it), moment);
 }
 
 std::optional<Instant> ServerLimits::nextPermit(const Limit &it, Instant now) const
--- a/src/auburndrum/gateway/exchangemessages.cpp
+++ b/src/auburndrum/gateway/exchangemessages.cpp
@@ -84,6 +84,22 @@
     return it;
 }
 
+json jsonOf(const decision::ServerRoom &it, Instant now)
+{
+    return {it.server, it.startedAt.time_since_epoch().count(), it.requests, ageOf(it.seenAt, now), ageOf(it.rejectedAt, now)};
+}
+
+decision::ServerRoom roomOf(const json &list, Instant now)
+{
+    decision::ServerRoom it;
+    it.server = list.at(0).get<std::string>();
+    it.startedAt = WallTime(milliseconds(list.at(1).get<std::int64_t>()));
+    it.requests = list.at(2).get<std::uint32_t>();
+    it.seenAt = momentOf(list.at(3), now);
+    it.rejectedAt = momentOf(list.at(4), now);
+    return it;
+}
+
 /// The elements of a list that a VM of an earlier version doesn't send.
 json listOf(const json &object, const char *name)
 {
@@ -114,12 +130,22 @@
     for (const decision::VmSilence &it : message.silences) {
         silences.push_back({it.vm, ageOf(it.silentAt, now), ageOf(it.heardAt, now)});
     }
+    json brittle = json::array();
+    for (const LimitNotice &it : message.brittleServices) {
+        brittle.push_back(jsonOf(it, now));
+    }
+    json rooms = json::array();
+    for (const decision::ServerRoom &it : message.rooms) {
+        rooms.push_back(jsonOf(it, now));
+    }
     const json object = {{"from", json::parse(toJson(message.from))},
                          {"crashes", std::move(crashes)},
                          {"successes", std::move(successes)},
                          {"verdicts", std::move(verdicts)},
                          {"limits", std::move(limits)},
-                         {"silences", std::move(silences)}};
+                         {"silences", std::move(silences)},
+                         {"brittle", std::move(brittle)},
+                         {"rooms", std::move(rooms)}};
     return object.dump();
 }
 
@@ -149,6 +175,12 @@
         for (const json &it : listOf(object, "silences")) {
             message.silences.push_back({it.at(0).get<std::string>(), momentOf(it.at(1), now), momentOf(it.at(2), now)});
         }
+        for (const json &it : listOf(object, "brittle")) {
+            message.brittleServices.push_back(limitOf(it, now));
+        }
+        for (const json &it : listOf(object, "rooms")) {
+            message.rooms.push_back(roomOf(it, now));
+        }
         return message;
     } catch (const json::exception &ec) {
         return failure(std::string(ec.what()));
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -64,6 +64,7 @@
     m_attempt->metadata = m_state.wire.readAnswer(head);
     if (head.status != 421) {
         recordLimit();
+        recordRoom();
         recordWords(m_attempt->choice.id);
     }
     if (m_attempt->metadata.load) {
--- a/src/auburndrum/gateway/forwardedlimit.cpp
+++ b/src/auburndrum/gateway/forwardedlimit.cpp
@@ -28,6 +28,32 @@
     }
 }
 
+void ForwardedRequest::recordRoom()
+{
+    const Instant now = suspendAwareNow();
+    const decision::ServerChoice &choice = m_attempt->choice;
+    const AnswerMetadata &metadata = m_attempt->metadata;
+    const auto change = m_state.brittle.onResponse(m_service, metadata.borneRejections, m_attempt->sentAtSuspendAware, now);
+    if (change != decision::LimitChange::None) {
+        m_state.metrics.stateChanges.with({"brittle_service"}).Increment();
+        m_state.log.write(LinePriority::Notable,
+                          "brittle_service",
+                          {{"service", m_service},
+                           {"change", decision::toText(change)},
+                           {"borne_per_second", metadata.borneRejections.value_or(0)},
+                           {"request", m_record.id}});
+        if (m_state.onNewsForPeers) {
+            m_state.onNewsForPeers();
+        }
+    }
+    const std::uint32_t held = metadata.load ? metadata.load->running + metadata.load->waiting : 0;
+    if (metadata.hasNotRun) {
+        m_state.brittle.onRejected(m_service, choice.id, choice.startedAt, metadata.load ? std::optional(held) : std::nullopt, now);
+        return;
+    }
+    m_state.brittle.onTaken(m_service, choice.id, choice.startedAt, m_attempt->ownRequests, held, m_attempt->sentAtSuspendAware, now);
+}
+
 void ForwardedRequest::recordWords(const std::string &server)
 {
     const auto *entry = m_state.servers.find(server);
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds MaxReuseAgeOnce{3000}; // for requests that can't be sent again
 // The request's own timer ends it at its deadline. A call timeout at the same moment would report another reason by chance.
 constexpr milliseconds CallTimeoutMargin{50};
+// Callers that found all brittle servers without room return spread over the time in which places become free.
+constexpr milliseconds ShortestRoomDelay{250};
+constexpr milliseconds LongestRoomDelay{1000};
 constexpr qint64 MaxResponseBytes = 64 * 1024 * 1024; // passed on in parts; what is held meanwhile has a limit of its own
 constexpr int MaxSilenceInEventGaps = 4; // a stream counts as broken after a silence of this many times the route's longest event gap
 } // namespace
@@ -191,6 +194,8 @@
         }
         if (reason == decision::NoServerReason::AllLimited) {
             m_retryAfter = promisePermit();
+        } else if (reason == decision::NoServerReason::AllWithoutRoom) {
+            m_retryAfter = milliseconds(absl::Uniform<std::int64_t>(m_state.random, ShortestRoomDelay.count(), LongestRoomDelay.count()));
         } else if (reason == decision::NoServerReason::AllResting) {
             m_retryAfter = soonestRestEnd();
         } else if (m_origin && !m_state.servers.hasSoftwareVersion(m_service, m_origin->softwareVersion)) {
@@ -279,6 +284,8 @@
     m_attempt->choice = choice;
     m_attempt->sentAtSuspendAware = suspendAwareNow();
     m_state.limits.onSent(choice.id, choice.startedAt, m_attempt->sentAtSuspendAware);
+    m_attempt->ownRequests = m_state.chooser.ownRequests(choice.id) + 1;
+    m_state.brittle.onSent(m_service, choice.id, choice.startedAt, m_attempt->ownRequests - 1, m_attempt->sentAtSuspendAware);
     if (const auto *server = m_state.servers.find(choice.id)) {
         m_attempt->incarnation = choice.id + '/' + std::to_string(server->server.startedAt.time_since_epoch().count());
         m_state.quarantine.onSent(m_crashDecision, m_attempt->sentAtSuspendAware);
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -21,6 +21,7 @@
     Instant sentAt{};
     std::string incarnation; ///< the server's process, for evidence on crashes
     Instant sentAtSuspendAware{};
+    std::uint32_t ownRequests = 0; ///< of this VM at the server, this one included
     std::optional<Instant> firstEventAt;
     bool hasResponded = false; ///< whether the first event was reported to the chooser
     std::optional<net::HttpHead> head;
@@ -110,6 +111,8 @@
     /// @}
     /// @{ Limits that servers name, in forwardedlimit.cpp.
     void recordLimit();
+    /// Whether the server is brittle, and what its answer shows of its room.
+    void recordRoom();
     /// What the server asks of this VM for itself.
     void recordWords(const std::string &server);
     /// Time until one of the service's servers, all of which want a rest, wants requests again.
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -130,6 +130,7 @@
 {
     m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
     m_state.pauses.setLeavingTime(m_options.drainTime);
+    m_state.brittle.setSettleTime(m_options.startSettleTime);
     m_state.maxHeldBodyBytes = static_cast<qint64>(m_options.memoryBytes / 16);
     m_relayLink.setRequestHandler([this](const std::shared_ptr<net::Exchange> &exchange) {
         handleRelayedRequest(exchange);
--- a/src/auburndrum/gateway/peerexchange.cpp
+++ b/src/auburndrum/gateway/peerexchange.cpp
@@ -52,7 +52,8 @@
     logChanges();
     const Instant now = suspendAwareNow();
     m_state.limits.removeOld(now);
-    if (!m_state.limits.isEmpty()) {
+    m_state.brittle.words().removeOld(now);
+    if (!m_state.limits.isEmpty() || !m_state.brittle.words().isEmpty()) {
         updateSharingVms();
     }
     const auto interval = exchangeInterval();
@@ -72,9 +73,13 @@
 std::optional<milliseconds> PeerExchange::exchangeInterval() const
 {
     const Instant now = suspendAwareNow();
-    const auto crashes = m_state.quarantine.exchangeInterval(now);
-    const auto limits = m_state.limits.exchangeInterval(now);
-    return crashes && limits ? std::min(crashes, limits) : crashes ? crashes : limits;
+    std::optional<milliseconds> least;
+    for (const auto &it : {m_state.quarantine.exchangeInterval(now), m_state.limits.exchangeInterval(now), m_state.brittle.words().exchangeInterval(now)}) {
+        if (it && (!least || *it < *least)) {
+            least = it;
+        }
+    }
+    return least;
 }
 
 void PeerExchange::updateSharingVms()
@@ -93,7 +98,9 @@
             names.push_back(it.name);
         }
     }
-    m_state.limits.setVms(m_presence.present(names, now));
+    const auto present = m_presence.present(names, now);
+    m_state.limits.setVms(present);
+    m_state.brittle.setVms(present);
 }
 
 void PeerExchange::logChanges()
@@ -175,7 +182,12 @@
 ExchangeMessage PeerExchange::message() const
 {
     const Instant now = suspendAwareNow();
-    return {m_relayLink.self(), m_state.quarantine.evidence(now), m_state.limits.notices(), m_presence.silences(now)};
+    return {m_relayLink.self(),
+            m_state.quarantine.evidence(now),
+            m_state.limits.notices(),
+            m_presence.silences(now),
+            m_state.brittle.words().notices(),
+            m_state.brittle.rooms()};
 }
 
 void PeerExchange::merge(const ExchangeMessage &message)
@@ -193,6 +205,18 @@
                            {"heard_by", notice.vm},
                            {"age_ms", std::chrono::floor<milliseconds>(suspendAwareNow() - notice.at).count()}});
     }
+    for (const auto &[notice, change] : m_state.brittle.words().merge(message.brittleServices, suspendAwareNow())) {
+        hasNews = true;
+        m_state.metrics.stateChanges.with({"brittle_service"}).Increment();
+        m_state.log.write(LinePriority::Notable,
+                          "brittle_service",
+                          {{"service", notice.server},
+                           {"change", decision::toText(change)},
+                           {"borne_per_second", notice.perSecond},
+                           {"heard_by", notice.vm},
+                           {"age_ms", std::chrono::floor<milliseconds>(suspendAwareNow() - notice.at).count()}});
+    }
+    m_state.brittle.merge(message.rooms, suspendAwareNow());
     if (hasNews) {
         logChanges();
         wake();
--- a/src/auburndrum/gateway/peerexchange_test.cpp
+++ b/src/auburndrum/gateway/peerexchange_test.cpp
@@ -203,6 +203,8 @@
     message.evidence.verdicts.push_back({"bad", "a:1:1", now - 500ms, 60s, true, {"server"}});
     message.limits.push_back({"server", WallTime(7ms), 1.5, 4, "b", now - 100ms, now - 9s});
     message.silences.push_back({"c", now - 1s, now - 4s});
+    message.brittleServices.push_back({"service", {}, 3, 2, "c", now - 200ms, now - 5s});
+    message.rooms.push_back({"server", WallTime(7ms), 12, now - 300ms, now - 4s});
     const Instant later{90000s};
     const auto read = exchangeMessageFrom(toJson(message, now), later);
     REQUIRE(read);
@@ -225,6 +227,12 @@
     CHECK(read.value().limits[0].numberedFrom == later - 9s);
     REQUIRE(read.value().silences.size() == 1);
     CHECK(read.value().silences[0].heardAt == later - 4s);
+    REQUIRE(read.value().brittleServices.size() == 1);
+    CHECK(read.value().brittleServices[0].perSecond == 3);
+    REQUIRE(read.value().rooms.size() == 1);
+    CHECK(read.value().rooms[0].requests == 12);
+    CHECK(read.value().rooms[0].seenAt == later - 300ms);
+    CHECK(read.value().rooms[0].rejectedAt == later - 4s);
     CHECK_FALSE(exchangeMessageFrom("{}", now));
     CHECK_FALSE(exchangeMessageFrom("nonsense", now));
 }
