A request that was passed on to a VM without a configuration or a server list goes on to another one

A VM that has just started refused what another one passed on to it, as if the servers had; the caller got that refusal while a third VM could serve it. It now says that it has no path, which costs the caller a hop. Test: lostpath_test, the new case got 503 answers before.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -48,6 +48,7 @@
     m_record.arrivedAt = m_exchange->arrivedAt();
     m_configuration = m_state.configuration;
     if (!m_configuration) {
+        m_hasNoPath = m_source == Source::EntryVm; // another VM may serve it
         refuse(503, "no configuration yet");
         return;
     }
@@ -185,7 +186,8 @@
     m_record.serversKnown = m_state.servers.findByService(m_service).size();
     if (!choice) {
         const bool isUnreachable = reason == decision::NoServerReason::AllFailing || (reason == decision::NoServerReason::AllTried && m_deliveries == 0);
-        if (isUnreachable && m_source == Source::EntryVm) {
+        const bool isUnread = reason == decision::NoServerReason::NoneListed; // by a VM that has just started
+        if ((isUnreachable || isUnread) && m_source == Source::EntryVm) {
             refuseWithoutPath();
             return;
         }
--- a/src/auburndrum/gateway/lostpath_test.cpp
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -334,3 +334,20 @@
     CHECK_FALSE(result.head.header("Retry-After").isEmpty());
     CHECK(healthy.receivedRequests.size() == 1);
 }
+
+TEST_CASE("a request is passed on to a further VM when the first one has no servers listed")
+{
+    // Guards against a VM that has just started and refuses, as if the servers had, what another VM can serve (RECOVER).
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet(respondOk);
+    fleet.addVm("healthy");
+    GatewayFixture &started = fleet.addVm("started");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    for (const std::string &it : ServerIds) {
+        started.store.put("servers", it, std::nullopt);
+    }
+    fleet.introduce();
+    const auto counts = SplitFleet::sendFor(cut, 1s, AllKinds);
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(200));
+}
