--- a/src/auburndrum/decision/traffic/originload_test.cpp
+++ b/src/auburndrum/decision/traffic/originload_test.cpp
@@ -74,7 +74,7 @@
 
     std::optional<StreamOrigin> find(std::size_t vm, const std::string &attempt)
     {
-        if (const auto known = m_memories[vm].find(attempt, m_now)) {
+        if (auto known = m_memories[vm].find(attempt, m_now)) {
             return known;
         }
         Instant now = m_now;
--- a/src/auburndrum/decision/traffic/peerroutes_test.cpp
+++ b/src/auburndrum/decision/traffic/peerroutes_test.cpp
@@ -100,7 +100,9 @@
 TEST_CASE("while one VM has a path, the callers of those without one are served, and no VM gets more than its share")
 {
     // Guards against callers of cut-off VMs who are refused, and against a healthy VM that gets the requests of all of them (RECOVER).
-    for (const auto &[vms, cut] : std::vector<std::pair<std::size_t, std::size_t>>{{3, 1}, {3, 2}, {7, 4}, {90, 30}, {90, 60}}) {
+    for (const auto &sizes : std::vector<std::pair<std::size_t, std::size_t>>{{3, 1}, {3, 2}, {7, 4}, {90, 30}, {90, 60}}) {
+        const std::size_t vms = sizes.first;
+        const std::size_t cut = sizes.second;
         CAPTURE(vms);
         CAPTURE(cut);
         const Load load = passOn(vms, firstVms(cut));
