--- a/src/auburndrum/decision/traffic/streamorigins_test.cpp
+++ b/src/auburndrum/decision/traffic/streamorigins_test.cpp
@@ -46,6 +46,7 @@
 {
     // Guards against an origin that is sought at other VMs than those which remember it (LOST).
     std::vector<std::string> known;
+    known.reserve(90);
     for (int n = 0; n < 90; ++n) {
         known.push_back("vm-" + std::to_string(n));
     }
--- a/src/auburndrum/gateway/lostpath_test.cpp
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <map>
 #include <set>
 
@@ -38,7 +39,7 @@
             ::close(std::exchange(m_listener, -1));
             return;
         }
-        ::listen(m_listener, kind == Kind::Hanging ? 0 : 100);
+        REQUIRE(::listen(m_listener, kind == Kind::Hanging ? 0 : 100) == 0);
         if (kind == Kind::Hanging) {
             for (int n = 0; n < 2; ++n) { // a full queue of connections drops the packets that open further ones
                 connectOnce();
@@ -81,8 +82,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), size);
-        ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+        REQUIRE(::bind(descriptor, reinterpret_cast<sockaddr *>(&address), size) == 0);
+        REQUIRE(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0);
         m_address = {QHostAddress(QStringLiteral("127.0.0.1")), ntohs(address.sin_port)};
         return descriptor;
     }
@@ -94,7 +95,8 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(m_address.port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        const bool isOpening = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0 || errno == EINPROGRESS;
+        REQUIRE(isOpening);
         m_sockets.push_back(descriptor);
     }
 
