A cut that was a wrong guess doesn't reset the circuit breakers of servers that have gone

Callers saw: with several gone servers still listed and one alive, requests tried the gone ones again and again. Cause: each of their refused connections made the VM count as cut off, the next response ended that, and the breakers were reset each time. Change: breakers are reset only after a cut of half a second or more.

--- a/src/auburndrum/gateway/pathprobe.cpp
+++ b/src/auburndrum/gateway/pathprobe.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds TickInterval{50};
 constexpr milliseconds ProbeTimeout{300}; // several times the round trip between regions
+// A cut that ends sooner was a wrong guess, from several servers that have gone: what failed in it is theirs.
+constexpr milliseconds MinCutTime{500};
 constexpr std::size_t SuspicionProbes = 3; // servers that are tried after one was out of reach
 
 } // namespace
@@ -54,8 +56,9 @@
 void PathProbe::handleRegained()
 {
     m_probes.clear();
-    // What failed during the cut says nothing about the servers.
-    m_state.chooser.clearFailures();
+    if (suspendAwareNow() - m_lostAt >= MinCutTime) {
+        m_state.chooser.clearFailures(); // what failed during the cut says nothing about the servers
+    }
     m_state.metrics.stateChanges.with({"server_path"}).Increment();
     m_state.log.write(
         LinePriority::Notable, "server_path", {{"change", "regained"}, {"cut_ms", std::chrono::floor<milliseconds>(suspendAwareNow() - m_lostAt).count()}});
@@ -124,7 +127,7 @@
         handleUnreachable(name);
         return;
     }
-    if (m_state.serverPath.isCut()) {
+    if (m_state.serverPath.isCut() && suspendAwareNow() - m_lostAt >= MinCutTime) {
         m_state.chooser.clearFailures(); // so that a server can be chosen for the trial
     }
     m_state.serverPath.onProbeConnected(suspendAwareNow());
