Measure the event loop's lag, and for how long requests wait unread and unsent

Three histograms, the line loop_lag, and the fields unread_ms, sent_ms and unacknowledged_bytes tell a late loop, an unread socket and a full link apart.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -84,6 +84,8 @@
     void applyConfiguration(decision::Configuration configuration);
     void applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage);
     void expireServers();
+    /// Measures how late the event loop runs.
+    void measureLag();
     void skipRecord(const std::string &topic, const std::string &key, const std::string &problem);
     KeyedFeedHooks feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
     bool isReady() const;
@@ -105,6 +107,7 @@
     WeightUpdater m_weightUpdater;
     PromptStoreReader m_promptStoreReader;
     QTimer m_expiryTimer;
+    Instant m_lastExpiryAt{}; ///< when that timer last ran, on the clock of monotonicNow()
     QTimer m_stopTimer;
     bool m_isStopping = false;
     Instant m_stopAt{};
--- a/include/auburndrum/net/exchange.h
+++ b/include/auburndrum/net/exchange.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace auburndrum::net {
@@ -27,6 +28,7 @@
         QByteArray body; ///< the part of the body that had arrived when the handler was called
         QHostAddress remoteAddress;
         std::chrono::steady_clock::time_point arrivedAt; ///< when the first byte of the request was read
+        std::optional<std::chrono::milliseconds> unreadFor; ///< time for which the request's latest bytes had waited to be read; empty when unknown
     };
 
     Exchange(Request request, std::weak_ptr<ServerConnection> connection);
@@ -59,6 +61,12 @@
         return m_request.arrivedAt;
     }
 
+    /// Time for which the request's latest bytes had waited to be read when it began to be read; empty when the system doesn't tell.
+    std::optional<std::chrono::milliseconds> unreadFor() const
+    {
+        return m_request.unreadFor;
+    }
+
     /// Whether the complete body has arrived.
     bool isBodyComplete() const
     {
--- a/include/auburndrum/net/httpclient.h
+++ b/include/auburndrum/net/httpclient.h
@@ -83,6 +83,8 @@
     void writeBody(const QByteArray &part, bool last);
     /// Number of bytes of the request that the operating system has not accepted yet.
     qint64 unsentBytes() const;
+    /// Number of bytes of the request that the peer has not acknowledged yet.
+    qint64 unacknowledgedBytes() const;
     /// Pauses or resumes reading of the response, so that TCP flow control slows the peer down to the speed of the caller.
     void setReadingPaused(bool paused);
 
--- a/include/auburndrum/net/tcpsocket.h
+++ b/include/auburndrum/net/tcpsocket.h
@@ -43,6 +43,8 @@
     void write(const QByteArray &bytes);
     /// Number of bytes that the operating system has not accepted yet.
     qint64 bytesToWrite() const;
+    /// Number of bytes that the peer has not acknowledged yet, those of bytesToWrite() included.
+    qint64 unacknowledgedBytes() const;
     /// Pauses or resumes reading.
     void setReadingPaused(bool paused);
     /// Closes the connection at once, without calling a hook.
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -257,6 +257,8 @@
                                  m_attempt->endedByClose,
                                  m_attempt->events.incompleteEventBytes(),
                                  m_attempt->metadata.limitPerSecond,
+                                 std::chrono::floor<milliseconds>(m_attempt->sentAt - m_record.arrivedAt),
+                                 m_attempt->unacknowledgedBytes,
                                  m_attempt->isPassedOn()});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
     if (m_attempt->isPassedOn()) {
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -46,6 +46,7 @@
         m_record.parts.push_back(m_metadata.prompt->parts[n].id);
     }
     m_record.arrivedAt = m_exchange->arrivedAt();
+    m_record.unreadFor = m_exchange->unreadFor();
     m_configuration = m_state.configuration;
     if (!m_configuration) {
         m_hasNoPath = m_source == Source::EntryVm; // another VM may serve it
@@ -352,6 +353,7 @@
     }
     if (m_attempt) {
         net::HttpCallHandle call = m_attempt->call;
+        m_attempt->unacknowledgedBytes = call.unacknowledgedBytes();
         endAttempt("caller_gone");
         call.cancel();
     }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -34,6 +34,7 @@
     {
         return !vm.empty();
     }
+    qint64 unacknowledgedBytes = 0; ///< of the request, when its caller left
     bool endedByClose = false; ///< only the end of the connection marked the end of the response
 };
 
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds ExpiryInterval{250}; // between checks for expired entries; short against their grace period of 2 s
 // Requests are sent only when they are expected to begin this long before the limit; those that wait longer are taken back shortly before it.
 constexpr milliseconds WeightsMargin{1000};
+constexpr milliseconds NotableLag{250}; // half of the time within which a server must hear that a caller left
 constexpr milliseconds StopCheckInterval{50};
 // The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
 constexpr milliseconds BalancerLag{2600};
@@ -186,6 +187,8 @@
     m_operatorFeed.start();
     m_backendFeed.start();
     m_weightUpdater.start();
+    m_lastExpiryAt = monotonicNow();
+    m_expiryTimer.setTimerType(Qt::PreciseTimer);
     m_expiryTimer.start(ExpiryInterval);
     return true;
 }
@@ -302,8 +305,23 @@
                        {"during_outage", duringOutage}});
 }
 
+void Gateway::measureLag()
+{
+    const Instant now = monotonicNow();
+    const auto lag = std::max(milliseconds(0), std::chrono::floor<milliseconds>(now - m_lastExpiryAt) - ExpiryInterval);
+    m_lastExpiryAt = now;
+    m_state.metrics.loopLagSeconds.with().Observe(std::chrono::duration<double>(lag).count());
+    if (lag < NotableLag) {
+        return;
+    }
+    m_state.log.write(LinePriority::Notable,
+                      "loop_lag",
+                      {{"lag_ms", lag.count()}, {"open_requests", m_callerServer.openExchanges()}, {"connections", m_callerServer.connectionCount()}});
+}
+
 void Gateway::expireServers()
 {
+    measureLag();
     for (const std::string &it : m_state.servers.removeExpired(monotonicNow())) {
         m_state.chooser.forget(it);
         m_state.limits.forget(it);
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -21,6 +21,18 @@
                                        .help = "From a request's first byte to its answer's last.",
                                        .labels = {"route"},
                                        .buckets = LatencyBuckets}))
+    , loopLagSeconds(metrics.histograms({.name = "auburndrum_gateway_loop_lag_seconds",
+                                         .help = "By how much the event loop runs a timer late.",
+                                         .labels = {},
+                                         .buckets = LatencyBuckets}))
+    , unreadSeconds(metrics.histograms({.name = "auburndrum_gateway_unread_seconds",
+                                        .help = "Time for which a request's first bytes waited to be read.",
+                                        .labels = {},
+                                        .buckets = LatencyBuckets}))
+    , sentSeconds(metrics.histograms({.name = "auburndrum_gateway_sent_seconds",
+                                      .help = "From a request's first byte until an attempt was sent.",
+                                      .labels = {},
+                                      .buckets = LatencyBuckets}))
     , stateChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
     , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -31,9 +31,13 @@
                            {"weights", it.choice.weightVersion},
                            {"weights_replaced_ms", it.choice.weightsReplacedFor.count()},
                            {"result", it.result},
+                           {"sent_ms", it.sentAfter.count()},
                            {"ms", it.duration.count()},
                            {"ended_by_close", it.endedByClose},
                            {"partial_event_bytes", it.partialEventBytes}};
+    if (it.unacknowledgedBytes > 0) {
+        object["unacknowledged_bytes"] = it.unacknowledgedBytes;
+    }
     if (it.isPassedOn) {
         object["passed_on"] = true;
     }
@@ -79,7 +83,11 @@
     if (record.firstByteAt) {
         state.metrics.firstByteSeconds.with({record.route}).Observe(seconds(*record.firstByteAt - record.arrivedAt));
     }
+    if (record.unreadFor) {
+        state.metrics.unreadSeconds.with().Observe(std::chrono::duration<double>(*record.unreadFor).count());
+    }
     for (const AttemptRecord &it : record.attempts) {
+        state.metrics.sentSeconds.with().Observe(std::chrono::duration<double>(it.sentAfter).count());
         state.metrics.attempts.with({record.service, it.result}).Increment();
     }
     ordered_json line = {{"request", record.id},
@@ -92,6 +100,7 @@
                          {"prompt", record.affinityKey},
                          {"ms", millisecondsOf(now - record.arrivedAt)},
                          {"first_byte_ms", record.firstByteAt ? millisecondsOf(*record.firstByteAt - record.arrivedAt) : -1},
+                         {"unread_ms", record.unreadFor ? record.unreadFor->count() : -1},
                          {"patience_ms", record.callerTimeout.count()},
                          {"configuration", record.configurationVersion},
                          {"configuration_age_ms", record.configurationAge.count()}};
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -32,6 +32,8 @@
     bool endedByClose = false; ///< only the end of the connection marked the end of the response
     std::int64_t partialEventBytes = 0; ///< bytes of an event that had not ended when the response did
     std::optional<double> limitPerSecond; ///< requests a second that the response named as the server's limit
+    std::chrono::milliseconds sentAfter{0}; ///< from the request's first byte until it was sent
+    std::int64_t unacknowledgedBytes = 0; ///< of the request, when its caller left
     bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
 };
 
@@ -47,6 +49,7 @@
     std::optional<OriginFinding> originFinding; ///< what was found out about who began that stream
     std::string affinityKey; ///< id of the prompt part that decides the preferred server; empty without a prompt
     Instant arrivedAt{};
+    std::optional<std::chrono::milliseconds> unreadFor; ///< time for which its first bytes had waited to be read; empty when unknown
     std::optional<Instant> firstByteAt; ///< when the response's first byte was sent
     std::uint64_t configurationVersion = 0;
     std::chrono::milliseconds configurationAge{0};
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -175,6 +175,11 @@
     return m_socket.bytesToWrite();
 }
 
+qint64 ClientConnection::unacknowledgedBytes(std::uint64_t callNumber) const
+{
+    return m_call && callNumber == m_callNumber ? m_socket.unacknowledgedBytes() : 0;
+}
+
 void ClientConnection::setReadingPaused(std::uint64_t callNumber, bool paused)
 {
     if (!m_call || callNumber != m_callNumber || m_paused == paused) {
--- a/src/auburndrum/net/clientconnection.h
+++ b/src/auburndrum/net/clientconnection.h
@@ -30,6 +30,7 @@
     void cancel(std::uint64_t callNumber);
     void writeBody(std::uint64_t callNumber, const QByteArray &part, bool last);
     qint64 unsentBytes() const;
+    qint64 unacknowledgedBytes(std::uint64_t callNumber) const;
     void setReadingPaused(std::uint64_t callNumber, bool paused);
     /// How long the peer keeps an idle connection open, from the Keep-Alive field of its last response; not set when it sent none.
     std::optional<std::chrono::milliseconds> peerIdleTimeout() const
--- a/src/auburndrum/net/httpclient.cpp
+++ b/src/auburndrum/net/httpclient.cpp
@@ -72,6 +72,12 @@
     return it ? it->unsentBytes() : 0;
 }
 
+qint64 HttpCallHandle::unacknowledgedBytes() const
+{
+    const auto it = m_connection.lock();
+    return it ? it->unacknowledgedBytes(m_callNumber) : 0;
+}
+
 void HttpCallHandle::setReadingPaused(bool paused)
 {
     if (const auto it = m_connection.lock()) {
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "serverconnection.h"
 
 #include "responsehead.h"
+#include "socketstate.h"
 
 namespace auburndrum::net {
 
@@ -34,6 +35,11 @@
     return m_socket && m_socket->state() == QAbstractSocket::ConnectedState && !m_rejected;
 }
 
+int ServerConnection::descriptor() const
+{
+    return m_socket ? static_cast<int>(m_socket->socketDescriptor()) : -1;
+}
+
 qint64 ServerConnection::unsentBytes() const
 {
     return m_socket ? m_socket->bytesToWrite() : 0;
@@ -110,6 +116,7 @@
 {
     if (!m_parser) {
         m_firstByteAt = std::chrono::steady_clock::now();
+        m_unreadFor = sinceLastReceived(descriptor());
         m_isHeadAccepted = false;
         m_timer.start(m_options.requestTimeout);
         m_parser.emplace(m_options.maxHeaderBytes, m_options.maxBodyBytes, [this](const char *data, std::size_t size) {
@@ -186,7 +193,7 @@
 
 void ServerConnection::startExchange(bool isComplete)
 {
-    Exchange::Request request{m_parser->head(), std::exchange(m_body, {}), m_socket->peerAddress(), m_firstByteAt};
+    Exchange::Request request{m_parser->head(), std::exchange(m_body, {}), m_socket->peerAddress(), m_firstByteAt, m_unreadFor};
     m_exchange = std::make_shared<Exchange>(std::move(request), weak_from_this());
     m_exchange->m_bodyComplete = isComplete;
     m_isHandlerCalled = true;
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -49,6 +49,7 @@
     void startExchange(bool isComplete);
     void finishRequest();
     void becomeIdle();
+    int descriptor() const;
 
     QPointer<QTcpSocket> m_socket;
     const HttpServerOptions &m_options;
@@ -58,6 +59,7 @@
     QByteArray m_body; ///< part of the body that is parsed and not yet passed to the handler
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
+    std::optional<std::chrono::milliseconds> m_unreadFor; ///< time for which the bytes that were read then had waited
     bool m_isHeadAccepted = false;
     bool m_isHandlerCalled = false; ///< the request being read was passed to the handler
     bool m_keepsAlive = true;
--- a/src/auburndrum/net/tcpsocket.cpp
+++ b/src/auburndrum/net/tcpsocket.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/net/tcpsocket.h"
 
+#include "socketstate.h"
+
 #include <QMetaObject>
 #include <QSocketNotifier>
 
@@ -208,6 +210,11 @@
     return d->output.size();
 }
 
+qint64 TcpSocket::unacknowledgedBytes() const
+{
+    return d->output.size() + (d->descriptor < 0 ? 0 : net::unacknowledgedBytes(d->descriptor).value_or(0));
+}
+
 void TcpSocket::setReadingPaused(bool paused)
 {
     d->paused = paused;
