--- a/src/auburndrum/backend/serverwatch.cpp
+++ b/src/auburndrum/backend/serverwatch.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/backend/serverwatch.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <QPointer>
@@ -22,7 +24,7 @@
 
 json parseBody(const net::HttpResult &result)
 {
-    return json::parse(result.body.toStdString(), nullptr, false);
+    return parseJsonOrDiscard(result.body.toStdString());
 }
 
 std::uint64_t numberOf(const json &body, const char *field)
--- a/src/auburndrum/base/timelinejson.cpp
+++ b/src/auburndrum/base/timelinejson.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/base/timeline.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -137,7 +139,7 @@
 
 std::optional<TimelineReport> parseTimelineReport(std::string_view json)
 {
-    const Json root = Json::parse(json, nullptr, false);
+    const Json root = parseJsonOrDiscard(json);
     if (!root.is_object() || !root.contains("events") || !root["events"].is_array()) {
         return std::nullopt;
     }
--- a/src/auburndrum/caller/completionrequest.cpp
+++ b/src/auburndrum/caller/completionrequest.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/caller/completionrequest.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -11,35 +13,7 @@
 using nlohmann::json;
 
 constexpr std::int64_t MaxTokensLimit = 1'000'000;
-constexpr int MaxJsonDepth = 32; // no valid completion nests deeper, and parsing deeper bodies costs stack
-
-/// Checks the nesting depth before the body is parsed.
-bool isTooDeep(std::string_view text)
-{
-    int depth = 0;
-    bool inText = false;
-    for (std::size_t n = 0; n < text.size(); ++n) {
-        const char it = text[n];
-        if (inText) {
-            if (it == '\\') {
-                ++n;
-            } else if (it == '"') {
-                inText = false;
-            }
-            continue;
-        }
-        if (it == '"') {
-            inText = true;
-        } else if (it == '{' || it == '[') {
-            if (++depth > MaxJsonDepth) {
-                return true;
-            }
-        } else if (it == '}' || it == ']') {
-            --depth;
-        }
-    }
-    return false;
-}
+constexpr std::size_t MaxBodyDepth = 32; // no valid completion nests deeper
 
 std::optional<ApiError> readModel(const json &body, CompletionRequest &request)
 {
@@ -138,7 +112,7 @@
 
 ApiResult<CompletionRequest> parseCompletion(CompletionKind kind, std::string_view text)
 {
-    if (isTooDeep(text)) {
+    if (jsonDepth(text.data(), text.size()) > MaxBodyDepth) {
         return invalidField("body", "The body is nested too deeply.");
     }
     const json body = json::parse(text, nullptr, false);
--- a/src/auburndrum/caller/outcomelookup.cpp
+++ b/src/auburndrum/caller/outcomelookup.cpp
@@ -1,5 +1,7 @@
 #include "outcomelookup.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <QUrl>
@@ -24,7 +26,7 @@
     if (result.failure != net::HttpFailure::None || result.head.status != StatusOk) {
         return std::nullopt;
     }
-    const json body = json::parse(result.body.toStdString(), nullptr, false);
+    const json body = parseJsonOrDiscard(result.body.toStdString());
     const bool isFound = body.is_object() && body.value("found", json()) == true;
     if (!isFound || !body.value("status", json()).is_number_unsigned() || !body.value("body", json()).is_string()) {
         return std::nullopt;
--- a/src/auburndrum/daemon/entries.cpp
+++ b/src/auburndrum/daemon/entries.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/daemon/daemon.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -69,7 +71,7 @@
 
 std::string Daemon::timelineReport(const std::string &filterJson) const
 {
-    const json filter = json::parse(filterJson, nullptr, false);
+    const json filter = parseJsonOrDiscard(filterJson);
     TimelineFilter timelineFilter;
     if (filter.is_object()) {
         timelineFilter.requestId = filter.value("request", std::string());
--- a/src/auburndrum/decision/logrecord.cpp
+++ b/src/auburndrum/decision/logrecord.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/decision/logrecord.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -136,7 +138,7 @@
 
 RecordResult<LogEntry> decodeEntry(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = parseJsonOrDiscard(text);
     const bool isEntry = json.is_object() && json.contains("format") && json["format"].is_number_unsigned();
     if (!isEntry) {
         return RecordError::Unreadable;
--- a/src/auburndrum/entry/claimforwarder.cpp
+++ b/src/auburndrum/entry/claimforwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "auburndrum/base/randomid.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <QPointer>
@@ -33,7 +35,7 @@
 std::optional<Envelope> envelopeFrom(const std::string &paramsJson)
 {
     try {
-        const json params = json::parse(paramsJson);
+        const json params = parseJson(paramsJson);
         return Envelope{params.at("id").get<std::string>(), params.at("text").get<std::string>()};
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/auburndrum/entry/configexchange.cpp
+++ b/src/auburndrum/entry/configexchange.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/entry/configexchange.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -15,8 +17,8 @@
 std::optional<ConfigTransfer> transferFrom(const std::string &text)
 {
     try {
-        const json value = json::parse(text);
-        return ConfigTransfer{value.at("offset").get<std::uint64_t>(), value.at("text").get<std::string>(), value.at("whole").get<bool>()};
+        const json value = parseJson(text);
+        return ConfigTransfer{integerFrom<std::uint64_t>(value.at("offset")), value.at("text").get<std::string>(), value.at("whole").get<bool>()};
     } catch (const json::exception &) {
         return std::nullopt;
     }
@@ -87,8 +89,8 @@
     std::uint64_t after = 0;
     bool whole = false;
     try {
-        const json params = json::parse(paramsJson);
-        after = params.at("after").get<std::uint64_t>();
+        const json params = parseJson(paramsJson);
+        after = integerFrom<std::uint64_t>(params.at("after"));
         whole = params.at("whole").get<bool>();
     } catch (const json::exception &) {
         return rpcError(RpcInvalidParams, "after and whole are required");
--- a/src/auburndrum/entry/gossipcodec.cpp
+++ b/src/auburndrum/entry/gossipcodec.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/entry/gossipcodec.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -30,11 +32,11 @@
     record.address = it.at(1).get<std::string>();
     record.zone = it.at(2).get<std::string>();
     record.region = it.at(3).get<std::string>();
-    record.incarnation = it.at(4).get<std::uint64_t>();
-    record.refutation = it.at(5).get<std::uint32_t>();
-    const int liveness = it.at(6).get<int>();
+    record.incarnation = integerFrom<std::uint64_t>(it.at(4));
+    record.refutation = integerFrom<std::uint32_t>(it.at(5));
+    const int liveness = integerFrom<int>(it.at(6));
     record.liveness = liveness == 0 ? Liveness::Alive : liveness == 1 ? Liveness::Suspect : Liveness::Dead;
-    record.leaving = it.at(7).get<int>() != 0;
+    record.leaving = integerFrom<int>(it.at(7)) != 0;
     return record;
 }
 
@@ -68,13 +70,13 @@
         return memberFrom(it.at(2));
     }
     if (kind == LeavingKind) {
-        return LeavingServer{it.at(2).get<std::string>(), it.at(3).get<std::uint64_t>()};
+        return LeavingServer{it.at(2).get<std::string>(), integerFrom<std::uint64_t>(it.at(3))};
     }
     if (kind == LinkKind) {
-        return LinkDemand{it.at(2).get<std::string>(), it.at(3).get<std::string>(), it.at(4).get<std::uint64_t>(), it.at(5).get<std::uint64_t>()};
+        return LinkDemand{it.at(2).get<std::string>(), it.at(3).get<std::string>(), integerFrom<std::uint64_t>(it.at(4)), integerFrom<std::uint64_t>(it.at(5))};
     }
     if (kind == CircuitKind) {
-        return CircuitReport{it.at(2).get<std::string>(), it.at(3).get<std::string>(), it.at(4).get<std::uint64_t>(), it.at(5).get<int>() != 0};
+        return CircuitReport{it.at(2).get<std::string>(), it.at(3).get<std::string>(), integerFrom<std::uint64_t>(it.at(4)), integerFrom<int>(it.at(5)) != 0};
     }
     return std::nullopt;
 }
@@ -108,18 +110,18 @@
 {
     GossipMessage message;
     message.sender = memberFrom(value.at("self"));
-    message.senderAge = std::chrono::seconds(value.at("age").get<std::uint32_t>());
-    message.configOffset = value.at("offset").get<std::uint64_t>();
-    message.digest = value.at("digest").get<std::uint64_t>();
+    message.senderAge = std::chrono::seconds(integerFrom<std::uint32_t>(value.at("age")));
+    message.configOffset = integerFrom<std::uint64_t>(value.at("offset"));
+    message.digest = integerFrom<std::uint64_t>(value.at("digest"));
     message.wantsFullState = value.contains("wantsAll");
     message.isFullState = value.contains("isAll");
     message.bucketDigests = decodeBuckets(value.value("buckets", std::string()));
-    for (const json &it : value.value("deltas", json::array())) {
+    for (const json &it : listIn(value, "deltas")) {
         std::optional<DeltaValue> fact = valueFrom(it);
         if (!fact) {
             continue;
         }
-        message.deltas.push_back({std::move(*fact), std::chrono::seconds(it.at(1).get<std::uint32_t>())});
+        message.deltas.push_back({std::move(*fact), std::chrono::seconds(integerFrom<std::uint32_t>(it.at(1)))});
     }
     return message;
 }
@@ -147,7 +149,7 @@
 EntryResult<GossipMessage> decodeGossip(std::string_view json)
 {
     try {
-        return messageFrom(nlohmann::json::parse(json));
+        return messageFrom(parseJson(json));
     } catch (const nlohmann::json::exception &) {
         return EntryError::Malformed;
     }
--- a/src/auburndrum/entry/jsonrpc.cpp
+++ b/src/auburndrum/entry/jsonrpc.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/entry/jsonrpc.h"
 
+#include "auburndrum/base/jsondepth.h"
+
 #include <jsonrpccpp/client.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
@@ -57,6 +59,13 @@
     return Json::writeString(builder, value);
 }
 
+/// Whether the library may read the text: it ends the process where its reader gives up a text that is nested too deeply.
+bool isReadable(const std::string &text)
+{
+    return jsonDepth(text.data(), text.size()) <= MaxJsonDepth;
+}
+
+constexpr const char *MalformedRequestResponse = R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"malformed request"}})";
 constexpr const char *NullResponse = R"({"jsonrpc":"2.0","id":1,"result":null})";
 
 } // namespace
@@ -91,6 +100,10 @@
 
 RpcResult decodeRpcResponse(const std::string &response)
 {
+    Json::Value value;
+    if (!isReadable(response) || !parseJson(response, value) || !value.isObject()) {
+        return rpcError(RpcMalformedResponse, "malformed response");
+    }
     TextConnector connector(response);
     jsonrpc::Client client(connector);
     try {
@@ -120,10 +133,13 @@
     std::string dispatch(const std::string &request)
     {
         std::string response;
+        if (!isReadable(request)) {
+            return MalformedRequestResponse;
+        }
         try {
             m_protocol->HandleRequest(request, response);
         } catch (const std::exception &) {
-            response = R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"malformed request"}})";
+            response = MalformedRequestResponse;
         }
         return response;
     }
--- a/src/auburndrum/gateway/exchangemessages.cpp
+++ b/src/auburndrum/gateway/exchangemessages.cpp
@@ -2,6 +2,8 @@
 
 #include "auburndrum/gateway/relaymessages.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburndrum::gateway {
@@ -22,7 +24,12 @@
 
 Instant momentOf(const json &age, Instant now)
 {
-    return now - milliseconds(age.get<std::int64_t>());
+    // Another VM may count a moment as just ahead, never as far ahead.
+    const milliseconds time(integerFrom<std::int64_t>(age));
+    if (time < -MaxJsonTime || time > MaxJsonTime) {
+        throwOutOfRange(age);
+    }
+    return now - time;
 }
 
 json jsonOf(const CrashReport &it, Instant now)
@@ -59,7 +66,7 @@
     it.mark = object.at("part").get<std::string>();
     it.id = object.at("id").get<std::string>();
     it.decidedAt = momentOf(object.at("age_ms"), now);
-    it.hold = milliseconds(object.at("hold_ms").get<std::int64_t>());
+    it.hold = timeFrom(object.at("hold_ms"));
     it.isLifted = object.at("lifted").get<bool>();
     it.servers = object.at("servers").get<std::vector<std::string>>();
     return it;
@@ -75,9 +82,9 @@
 {
     LimitNotice it;
     it.server = list.at(0).get<std::string>();
-    it.startedAt = WallTime(milliseconds(list.at(1).get<std::int64_t>()));
-    it.perSecond = list.at(2).get<double>();
-    it.number = list.at(3).get<std::uint64_t>();
+    it.startedAt = WallTime(unixTimeFrom(list.at(1)));
+    it.perSecond = numberFrom(list.at(2));
+    it.number = integerFrom<std::uint64_t>(list.at(3));
     it.vm = list.at(4).get<std::string>();
     it.at = momentOf(list.at(5), now);
     it.numberedFrom = momentOf(list.at(6), now);
@@ -93,19 +100,13 @@
 {
     decision::ServerRoom it;
     it.server = list.at(0).get<std::string>();
-    it.startedAt = WallTime(milliseconds(list.at(1).get<std::int64_t>()));
-    it.requests = list.at(2).get<std::uint32_t>();
+    it.startedAt = WallTime(unixTimeFrom(list.at(1)));
+    it.requests = integerFrom<std::uint32_t>(list.at(2));
     it.seenAt = momentOf(list.at(3), now);
     it.rejectedAt = momentOf(list.at(4), now);
     return it;
 }
 
-/// The elements of a list that a VM of an earlier version doesn't send.
-json listOf(const json &object, const char *name)
-{
-    return object.value(name, json::array());
-}
-
 } // namespace
 
 std::string toJson(const ExchangeMessage &message, Instant now)
@@ -152,7 +153,7 @@
 Result<ExchangeMessage, std::string> exchangeMessageFrom(const std::string &text, Instant now)
 {
     try {
-        const json object = json::parse(text);
+        const json object = parseJson(text);
         ExchangeMessage message;
         const auto from = entryVmFrom(object.at("from").dump());
         if (!from) {
@@ -164,21 +165,22 @@
         }
         for (const json &it : object.at("successes")) {
             message.evidence.successes.push_back(
-                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<std::uint64_t>(), momentOf(it.at(3), now)});
+                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), integerFrom<std::uint64_t>(it.at(2)), momentOf(it.at(3), now)});
         }
         for (const json &it : object.at("verdicts")) {
             message.evidence.verdicts.push_back(verdictOf(it, now));
         }
-        for (const json &it : listOf(object, "limits")) {
+        // A VM of an earlier version sends none of the following lists.
+        for (const json &it : listIn(object, "limits")) {
             message.limits.push_back(limitOf(it, now));
         }
-        for (const json &it : listOf(object, "silences")) {
+        for (const json &it : listIn(object, "silences")) {
             message.silences.push_back({it.at(0).get<std::string>(), momentOf(it.at(1), now), momentOf(it.at(2), now)});
         }
-        for (const json &it : listOf(object, "brittle")) {
+        for (const json &it : listIn(object, "brittle")) {
             message.brittleServices.push_back(limitOf(it, now));
         }
-        for (const json &it : listOf(object, "rooms")) {
+        for (const json &it : listIn(object, "rooms")) {
             message.rooms.push_back(roomOf(it, now));
         }
         return message;
--- a/src/auburndrum/gateway/originmessages.cpp
+++ b/src/auburndrum/gateway/originmessages.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/gateway/originmessages.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburndrum::gateway {
@@ -52,7 +54,7 @@
 Result<OriginMessage, std::string> originMessageFrom(const std::string &text)
 {
     try {
-        const json object = json::parse(text);
+        const json object = parseJson(text);
         OriginMessage message;
         const auto kind = kindFrom(object.at("kind").get<std::string>());
         if (!kind) {
@@ -60,7 +62,7 @@
         }
         message.kind = *kind;
         message.attempt = object.at("attempt").get<std::string>();
-        message.number = object.value("number", std::uint64_t{0});
+        message.number = integerIn(object, "number", std::uint64_t{0});
         message.from = object.value("from", std::string());
         if (object.contains("software") || message.kind == OriginMessage::Kind::Record) {
             message.origin = decision::StreamOrigin{object.at("service").get<std::string>(), object.at("software").get<std::string>()};
--- a/src/auburndrum/gateway/relaymessages.cpp
+++ b/src/auburndrum/gateway/relaymessages.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/gateway/relaymessages.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -21,7 +23,7 @@
     return {object.at("name").get<std::string>(),
             object.at("address").get<std::string>(),
             object.at("zone").get<std::string>(),
-            object.at("link_mbit").get<double>()};
+            numberFrom(object.at("link_mbit"))};
 }
 
 json jsonOf(const RecordBatch &batch)
@@ -40,12 +42,12 @@
 RecordBatch batchOf(const json &object)
 {
     RecordBatch batch;
-    batch.nextOffset = object.at("next").get<std::uint64_t>();
-    batch.era = object.value("era", std::uint64_t{0}); // a VM of an earlier version sends none
-    batch.age = std::chrono::milliseconds(object.at("age_ms").get<std::int64_t>());
+    batch.nextOffset = integerFrom<std::uint64_t>(object.at("next"));
+    batch.era = integerIn(object, "era", std::uint64_t{0}); // a VM of an earlier version sends none
+    batch.age = timeFrom(object.at("age_ms"));
     for (const json &it : object.at("records")) {
         StoreRecord record;
-        record.offset = it.at(0).get<std::uint64_t>();
+        record.offset = integerFrom<std::uint64_t>(it.at(0));
         record.key = it.at(1).get<std::string>();
         if (!it.at(2).is_null()) {
             record.value = QByteArray::fromBase64(QByteArray::fromStdString(it.at(2).get<std::string>()));
@@ -87,13 +89,13 @@
         return logEntry;
     }
     decision::PromptStoreUpdate update;
-    update.incarnation = object.at("incarnation").get<std::uint64_t>();
-    update.nextChange = object.at("next").get<std::uint64_t>();
+    update.incarnation = integerFrom<std::uint64_t>(object.at("incarnation"));
+    update.nextChange = integerFrom<std::uint64_t>(object.at("next"));
     update.isSnapshot = object.at("whole").get<bool>();
     const auto scopes = object.at("scopes").get<std::vector<std::string>>();
     for (const json &it : object.at("changes")) {
-        const auto scopeIndex = it.at(1).get<std::size_t>();
-        update.changes.push_back({it.at(0).get<int>() != 0, scopes.at(scopeIndex), it.at(2).get<std::string>(), it.at(3).get<std::uint32_t>()});
+        const auto scopeIndex = integerFrom<std::size_t>(it.at(1));
+        update.changes.push_back({integerFrom<int>(it.at(0)) != 0, scopes.at(scopeIndex), it.at(2).get<std::string>(), integerFrom<std::uint32_t>(it.at(3))});
     }
     logEntry.update = std::move(update);
     return logEntry;
@@ -104,7 +106,7 @@
 Result<T, std::string> parse(const std::string &text, const Read &read)
 {
     try {
-        return read(json::parse(text));
+        return read(parseJson(text));
     } catch (const json::exception &ec) {
         return failure(std::string(ec.what()));
     } catch (const std::out_of_range &) {
@@ -149,9 +151,11 @@
     return parse<RelayRequest>(text, [](const json &object) {
         RelayRequest it;
         it.from = vmOf(object.at("from"));
-        it.topics = object.at("topics").get<std::map<std::string, std::uint64_t>>();
+        for (const auto &[topic, offset] : object.at("topics").items()) {
+            it.topics[topic] = integerFrom<std::uint64_t>(offset);
+        }
         it.promptStoreLogName = object.at("kept_log").get<std::string>();
-        it.promptStoreLogFrom = object.at("kept_from").get<std::uint64_t>();
+        it.promptStoreLogFrom = integerFrom<std::uint64_t>(object.at("kept_from"));
         return it;
     });
 }
@@ -165,7 +169,7 @@
         }
         it.followsStores = object.at("follows_stores").get<bool>();
         it.promptStoreLog.logName = object.at("kept_log").get<std::string>();
-        it.promptStoreLog.nextEntry = object.at("kept_next").get<std::uint64_t>();
+        it.promptStoreLog.nextEntry = integerFrom<std::uint64_t>(object.at("kept_next"));
         for (const json &entry : object.at("kept")) {
             it.promptStoreLog.entries.push_back(logEntryOf(entry));
         }
--- a/src/auburndrum/gateway/weightupdater_test.cpp
+++ b/src/auburndrum/gateway/weightupdater_test.cpp
@@ -171,3 +171,30 @@
     runFor(300ms);
     CHECK(engines.receivedOrders.empty());
 }
+
+// Guards against processes that end over a record of another writer in the topic of orders, such as one whose era is no number.
+TEST_CASE("odd records in the topic of orders are skipped, and orders go on")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    UpdaterVm one("one", fake, engines);
+    for (const QByteArray record : {R"({"holder":"x","nonce":"n","replaces":0,"duration_ms":3000,"era":"one"})",
+                                    R"({"holder":"x","nonce":"n","replaces":0,"duration_ms":3000,"era":-1})",
+                                    R"({"holder":"x","nonce":"n","replaces":0,"duration_ms":18446744073709551615,"era":1})",
+                                    R"({"holder":"x","nonce":"n","replaces":18446744073709551615,"duration_ms":1,"era":1})",
+                                    R"({"holder":"x","loading":"e1","version":1e300})",
+                                    "[[[",
+                                    ""}) {
+        bool isAppended = false;
+        fake.hooks().append(UpdaterVm::options("one").topic, record, [&](const StoreResult<std::uint64_t> &) {
+            isAppended = true;
+        });
+        CHECK(runUntil([&] {
+            return isAppended;
+        }));
+    }
+    one.nameWeights(2);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/gateway/weightupdater.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -18,6 +20,7 @@
 constexpr std::uint64_t LatestFirstEra = 2; // eras may begin at 0 or 1, which are 1 and 2 here; a later one shows that the store returned from a copy
 constexpr milliseconds ResignCheckInterval{10};
 constexpr milliseconds ResignTimeout{200}; // less than what a stopping process keeps in reserve
+constexpr milliseconds MaxLeaseDuration{60000};
 constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
 
 /// @p era of the store as the writer knows it.
@@ -32,21 +35,35 @@
     return object.contains(field) && object[field].is_string();
 }
 
+/// Whether a field is a whole number that JSON carries exactly.
 bool isCount(const json &object, const char *field)
 {
-    return object.contains(field) && object[field].is_number_unsigned();
+    constexpr std::uint64_t Greatest = std::uint64_t{1} << 53U;
+    return object.contains(field) && object[field].is_number_unsigned() && object[field].get<std::uint64_t>() <= Greatest;
+}
+
+/// Whether a field is the duration of a lease that an entry VM may have written; a longer one would keep all orders back.
+bool isLeaseDuration(const json &object, const char *field)
+{
+    return isCount(object, field) && milliseconds(object[field].get<std::int64_t>()) <= MaxLeaseDuration;
+}
+
+std::string_view textOf(const QByteArray &bytes)
+{
+    return {bytes.constData(), static_cast<std::size_t>(bytes.size())};
 }
 
 /// Whether a record has one of the two forms that entry VMs write to the topic: an announced load or a lease.
 bool isOrderRecord(const json &object)
 {
-    if (!object.is_object() || !isText(object, "holder")) {
+    const bool hasEra = object.is_object() && object.contains("era"); // an announced load has none
+    if (!object.is_object() || !isText(object, "holder") || (hasEra && !isCount(object, "era"))) {
         return false;
     }
     if (object.contains("loading")) {
         return isText(object, "loading") && isCount(object, "version");
     }
-    return isText(object, "nonce") && isCount(object, "replaces") && isCount(object, "duration_ms");
+    return isText(object, "nonce") && isCount(object, "replaces") && isLeaseDuration(object, "duration_ms");
 }
 
 /// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none. A new era gives offsets out again, so it counts first.
@@ -131,7 +148,7 @@
 
 void WeightUpdater::applyRecord(const StoreRecord &record)
 {
-    const json object = record.value ? json::parse(record.value->constBegin(), record.value->constEnd(), nullptr, false) : json();
+    const json object = record.value ? parseJsonOrDiscard(textOf(*record.value)) : json();
     if (!isOrderRecord(object)) {
         m_state.log.write(LinePriority::Notable,
                           "record_skipped",
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -15,7 +15,7 @@
     buf += call.method + ' ' + call.target + " HTTP/1.1\r\n";
     buf += "Host: " + (call.host.isEmpty() ? QByteArray::fromStdString(toText(call.peer)) : call.host) + "\r\n";
     for (const Header &it : call.headers) {
-        buf += it.name + ": " + it.value + "\r\n";
+        appendField(buf, it);
     }
     if (call.bodyFollows && !call.bodyLength) {
         buf += "Transfer-Encoding: chunked\r\n";
--- a/src/auburndrum/net/header.cpp
+++ b/src/auburndrum/net/header.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/net/header.h"
 
+#include <algorithm>
+
 namespace auburndrum::net {
 
 QByteArray headerValue(const std::vector<Header> &headers, const QByteArray &name)
@@ -12,4 +14,19 @@
     return {};
 }
 
+void appendField(QByteArray &buf, const Header &field)
+{
+    const auto begin = buf.size();
+    buf += field.name + ": " + field.value;
+    std::replace_if(
+        buf.begin() + begin,
+        buf.end(),
+        [](char it) {
+            const auto code = static_cast<unsigned char>(it);
+            return (code < ' ' && it != '\t') || code == 0x7f;
+        },
+        ' ');
+    buf += "\r\n";
+}
+
 } // namespace auburndrum::net
--- a/src/auburndrum/net/httpserver_test.cpp
+++ b/src/auburndrum/net/httpserver_test.cpp
@@ -78,6 +78,22 @@
     CHECK(result.body == "got hello");
 }
 
+// Guards against values from outside, such as names in another writer's entries, that add fields to a request or a response.
+TEST_CASE("line ends in a field's value add no fields")
+{
+    std::vector<Header> received;
+    HttpServer server({}, [&](const std::shared_ptr<Exchange> &it) {
+        received = it->head().headers;
+        it->respond(200, {{"X-Answer", "a\r\nX-More: b\r\n\r\nc"}}, {});
+    });
+    const HttpResult result = call({.peer = server.listenOn(AnyLoopbackPort), .headers = {{"X-Value", "a\r\nX-Added: b\n\nc"}}});
+    CHECK(result.failure == HttpFailure::None);
+    CHECK(headerValue(received, "X-Added").isEmpty());
+    CHECK(headerValue(received, "X-Value").startsWith("a"));
+    CHECK(result.head.header("X-More").isEmpty());
+    CHECK(result.body.isEmpty());
+}
+
 TEST_CASE("the parts of a streamed response arrive complete and in order")
 {
     HttpServer server({}, [](const std::shared_ptr<Exchange> &it) {
--- a/src/auburndrum/net/responsehead.cpp
+++ b/src/auburndrum/net/responsehead.cpp
@@ -11,7 +11,7 @@
     buf.reserve(256);
     buf += "HTTP/1.1 " + QByteArray::number(status) + ' ' + QByteArray(reason.data(), static_cast<qsizetype>(reason.size())) + "\r\n";
     for (const Header &it : headers) {
-        buf += it.name + ": " + it.value + "\r\n";
+        appendField(buf, it);
     }
     if (length) {
         buf += "Content-Length: " + QByteArray::number(*length) + "\r\n";
--- a/src/auburndrum/platform/logclient.cpp
+++ b/src/auburndrum/platform/logclient.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/platform/logclient.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburndrum::platform {
@@ -21,7 +23,7 @@
     if (it.error != PlatformError::None) {
         return it;
     }
-    const json body = json::parse(result.body.toStdString(), nullptr, false);
+    const json body = parseJsonOrDiscard(result.body.toStdString());
     if (!body.is_object() || !body.contains("offset") || !body["offset"].is_number_unsigned()) {
         it.error = PlatformError::Unknown;
         return it;
@@ -32,7 +34,9 @@
 
 bool readRecord(const json &item, StoredRecord &record)
 {
-    if (!item.is_object() || !item.value("offset", json()).is_number_unsigned() || !item.value("value", json()).is_string()) {
+    const bool hasTime = item.is_object() && item.contains("time_ms");
+    if (!item.is_object() || !item.value("offset", json()).is_number_unsigned() || !item.value("value", json()).is_string()
+        || (hasTime && !item["time_ms"].is_number_integer())) {
         return false;
     }
     record.offset = item["offset"].get<std::uint64_t>();
@@ -48,7 +52,7 @@
     if (it.error != PlatformError::None && it.error != PlatformError::Truncated) {
         return it;
     }
-    const json body = json::parse(result.body.toStdString(), nullptr, false);
+    const json body = parseJsonOrDiscard(result.body.toStdString());
     if (!body.is_object() || !body.value("first", json()).is_number_unsigned() || !body.value("next", json()).is_number_unsigned()) {
         it.error = PlatformError::Unknown;
         return it;
--- a/src/auburndrum/platform/vmlist.cpp
+++ b/src/auburndrum/platform/vmlist.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/platform/vmlist.h"
 
+#include "auburndrum/base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -59,7 +61,7 @@
 std::vector<Vm> vmsOf(const QByteArray &text)
 {
     std::vector<Vm> list;
-    const json body = json::parse(text.toStdString(), nullptr, false);
+    const json body = parseJsonOrDiscard(text.toStdString());
     if (!body.is_object() || !body.contains("vms")) {
         return list;
     }
