An answer is believed only if it bears the id of the request that waits for it

Operators of systems like ours saw clients told 'not run, try again' for requests that ran, or such requests run twice: a faulty worker wrote an earlier refusal once more on a kept connection.

Servers repeat the id of every request that has one, so an answer without it is skipped like one with another id, and counted (foreign_answers, auburndrum_gateway_foreign_answers_total). A connection that has carried a request isn't used for another of the same id; a request without an id goes over a connection of its own. In auburndrumd an engine's refusal counts only with the attempt's id; it was believed from any.

The store's answers, changes of prompt stores (numbered) and JSON-RPC between our own VMs stay on kept connections: a call that times out closes its connection, and none of these peers repeats answers.

In crashingpart_test a server answered 421 without the id, which no server does; it bears it now.

--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -16,6 +16,7 @@
     Histograms &loopLagSeconds; ///< by how much the event loop runs a timer late
     Histograms &unreadSeconds; ///< time for which a request's first bytes had waited to be read
     Histograms &sentSeconds; ///< from a request's first byte until an attempt was sent
+    Counters &foreignAnswers; ///< by service: answers that were not those of the request that waited for one
     Counters &stateChanges; ///< changes of configuration, weights, servers and relay, by what changed
     Counters &recordsSkipped; ///< by topic: records that can't be used
     Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
--- a/include/auburndrum/net/httpclient.h
+++ b/include/auburndrum/net/httpclient.h
@@ -40,6 +40,7 @@
     QByteArray body; ///< the complete body, or its first part when `bodyFollows` is set
     bool bodyFollows = false; ///< true: the rest of the body is sent through HttpCallHandle::writeBody()
     std::optional<qint64> bodyLength; ///< total length of the body when `bodyFollows` is set; without it the body is sent chunked
+    QByteArray identity; ///< what responses to the call repeat of it: a connection that carried a call of the same identity isn't reused; empty: none
     bool freshConnection = false; ///< true: never reuse a connection, so that a failed connect proves that nothing was sent
     qint64 maxBodyBytes = 8 * 1024 * 1024; ///< of the whole response, also of one that HttpHooks::onBody receives in parts
     std::chrono::milliseconds maxIdleTime{20000}; ///< a connection that has been idle for this long is not reused
--- a/src/auburndrum/backend/enginestream.cpp
+++ b/src/auburndrum/backend/enginestream.cpp
@@ -165,6 +165,10 @@
 void EngineStream::handleStatus(const net::HttpResult &result)
 {
     const int status = result.head.status;
+    if (result.head.header("X-Attempt-Id") != m_attempt.attemptId) { // a refusal of an earlier attempt says nothing about this one
+        end(EngineEndKind::WrongAttempt, result);
+        return;
+    }
     if (status == StatusOk) {
         if (verify(result.head)) {
             end(m_attempt.isStream ? EngineEndKind::Broken : EngineEndKind::Complete, result);
--- a/src/auburndrum/gateway/crashingpart_test.cpp
+++ b/src/auburndrum/gateway/crashingpart_test.cpp
@@ -254,7 +254,7 @@
         it.send("shared,bad");
         RawServer other(
             [](QTcpSocket *socket, const QByteArray &) {
-                socket->write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+                socket->write("HTTP/1.1 421 Misdirected Request\r\nId: request-1\r\nContent-Length: 0\r\n\r\n");
             },
             port);
         it.send("shared,another"); // refused by the server that has the address now
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -46,6 +46,20 @@
         && !m_attempt->metadata.isEncoded;
 }
 
+bool ForwardedRequest::isOwnAnswer(const net::HttpHead &head)
+{
+    const std::string id = m_state.wire.readAnswer(head).requestId;
+    // Another VM's own answers bear no id; the connection to it has carried nothing else.
+    const bool isOwn = id == m_metadata.id || (id.empty() && m_attempt && m_attempt->isPassedOn());
+    if (!isOwn) {
+        m_state.metrics.foreignAnswers.with({m_service}).Increment();
+    }
+    if (!isOwn && m_attempt) {
+        ++m_attempt->foreignAnswers;
+    }
+    return isOwn;
+}
+
 void ForwardedRequest::handleHead(const net::HttpHead &head)
 {
     m_attempt->head = head;
@@ -263,6 +277,7 @@
                                  m_attempt->metadata.limitPerSecond,
                                  std::chrono::floor<milliseconds>(m_attempt->sentAt - m_record.arrivedAt),
                                  m_attempt->unacknowledgedBytes,
+                                 m_attempt->foreignAnswers,
                                  m_attempt->isPassedOn()});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
     if (m_attempt->isPassedOn()) {
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t MaxPeers = 3; // VMs that one request is passed on to, should the first ones have no path either
 constexpr milliseconds PeerConnectTimeout{250}; // many times the round trip between regions
-constexpr milliseconds PeerIdleTime{8000}; // a connection between VMs that was idle for longer may have died without notice
 constexpr milliseconds NoPathRetryDelay{1000}; // until a path may be there again
 constexpr milliseconds SkewRetryDelay{500}; // until the other VM has the configuration that this one has
 
@@ -67,7 +66,7 @@
     call.peer = net::parseAddress(vm.address).value_or(net::Address{});
     call.headers = withoutRelayFields(m_state.wire.relayHeaders(m_exchange->head(), metadata));
     addFields(call.headers, RelayedRequest{.by = m_state.vmName, .deliveries = m_deliveries});
-    call.maxIdleTime = PeerIdleTime;
+    call.freshConnection = true; // its answer needs no id then, and a connection that was idle may have died without notice
     call.connectTimeout = std::min(PeerConnectTimeout, metadata.timeLeft);
     return call;
 }
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -252,6 +252,9 @@
     call.method = m_exchange->method();
     call.target = m_exchange->head().target;
     call.host = QByteArray::fromStdString(m_metadata.host);
+    // A server repeats a request's id in its answers. One without an id goes over a connection that no other answer can come from.
+    call.identity = QByteArray::fromStdString(m_metadata.id);
+    call.freshConnection = m_metadata.id.empty();
     call.body = m_heldBody ? *m_heldBody : m_exchange->body();
     call.bodyFollows = !m_heldBody && !m_exchange->isBodyComplete();
     call.bodyLength = m_exchange->head().bodyLength;
@@ -315,8 +318,7 @@
         return !self->m_exchange->hasCallerClosed();
     };
     hooks.isForCall = [self](const net::HttpHead &head) {
-        const AnswerMetadata metadata = self->m_state.wire.readAnswer(head);
-        return metadata.requestId.empty() || metadata.requestId == self->m_metadata.id;
+        return self->isOwnAnswer(head);
     };
     hooks.onHead = [self](const net::HttpHead &head) {
         self->handleHead(head);
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -35,6 +35,7 @@
         return !vm.empty();
     }
     qint64 unacknowledgedBytes = 0; ///< of the request, when its caller left
+    std::uint32_t foreignAnswers = 0; ///< answers on its connection that were not the request's
     bool endedByClose = false; ///< only the end of the connection marked the end of the response
 };
 
@@ -84,6 +85,8 @@
     net::HttpCall makeCall(std::chrono::milliseconds timeLeft) const;
     void startCall(const net::HttpCall &call);
     void addCacheMetadata(const decision::ServerChoice &choice, ForwardMetadata &metadata) const;
+    /// Whether an answer on the attempt's connection is shown to be this request's. Another one is skipped.
+    bool isOwnAnswer(const net::HttpHead &head);
     void handleHead(const net::HttpHead &head);
     void handleBody(const QByteArray &part);
     void handleEvents(const QByteArray &part);
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -21,10 +21,8 @@
                                        .help = "From a request's first byte to its answer's last.",
                                        .labels = {"route"},
                                        .buckets = LatencyBuckets}))
-    , loopLagSeconds(metrics.histograms({.name = "auburndrum_gateway_loop_lag_seconds",
-                                         .help = "By how much the event loop runs a timer late.",
-                                         .labels = {},
-                                         .buckets = LatencyBuckets}))
+    , loopLagSeconds(metrics.histograms(
+          {.name = "auburndrum_gateway_loop_lag_seconds", .help = "By how much the event loop runs a timer late.", .labels = {}, .buckets = LatencyBuckets}))
     , unreadSeconds(metrics.histograms({.name = "auburndrum_gateway_unread_seconds",
                                         .help = "Time for which a request's first bytes waited to be read.",
                                         .labels = {},
@@ -33,6 +31,9 @@
                                       .help = "From a request's first byte until an attempt was sent.",
                                       .labels = {},
                                       .buckets = LatencyBuckets}))
+    , foreignAnswers(metrics.counters({.name = "auburndrum_gateway_foreign_answers_total",
+                                       .help = "Answers that were not those of the request that waited for one.",
+                                       .labels = {"service"}}))
     , stateChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
     , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -38,6 +38,9 @@
     if (it.unacknowledgedBytes > 0) {
         object["unacknowledged_bytes"] = it.unacknowledgedBytes;
     }
+    if (it.foreignAnswers > 0) {
+        object["foreign_answers"] = it.foreignAnswers;
+    }
     if (it.isPassedOn) {
         object["passed_on"] = true;
     }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -34,6 +34,7 @@
     std::optional<double> limitPerSecond; ///< requests a second that the response named as the server's limit
     std::chrono::milliseconds sentAfter{0}; ///< from the request's first byte until it was sent
     std::int64_t unacknowledgedBytes = 0; ///< of the request, when its caller left
+    std::uint32_t foreignAnswers = 0; ///< answers on its connection that were not the request's
     bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
 };
 
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr std::size_t MaxIdentities = 1024; // of the calls that one connection carries; limits the memory for them
 constexpr int MaxSkippedResponses = 16; // interim ones and those to other calls, while one call waits
 constexpr qint64 MaxSkippedBytes = 1024 * 1024; // received for them
 constexpr std::chrono::milliseconds UnacknowledgedTimeout{20000}; // a connection whose sent bytes stay unacknowledged this long is broken
@@ -86,13 +87,21 @@
 
 bool ClientConnection::isReusable() const
 {
-    return m_socket.isConnectedAndIdle();
+    return m_identities.size() < MaxIdentities && m_socket.isConnectedAndIdle();
+}
+
+bool ClientConnection::hasCarried(const QByteArray &identity) const
+{
+    return !identity.isEmpty() && m_identities.contains(qHash(identity));
 }
 
 std::uint64_t ClientConnection::start(const HttpCall &call, HttpHooks hooks)
 {
     ++m_callNumber;
     m_call = call;
+    if (!call.identity.isEmpty()) {
+        m_identities.insert(qHash(call.identity));
+    }
     m_hooks = std::move(hooks);
     m_result = {};
     m_unreportedBody.clear();
--- a/src/auburndrum/net/clientconnection.h
+++ b/src/auburndrum/net/clientconnection.h
@@ -6,6 +6,7 @@
 #include <QTimer>
 
 #include <optional>
+#include <set>
 
 namespace auburndrum::net {
 
@@ -25,6 +26,8 @@
         return m_peer;
     }
     bool isReusable() const;
+    /// Whether this connection has carried a call of this identity, so that a response to that one could be taken for a response to another.
+    bool hasCarried(const QByteArray &identity) const;
     /// Sends a request, after connecting if necessary. Returns the number that identifies the call in the other functions.
     std::uint64_t start(const HttpCall &call, HttpHooks hooks);
     void cancel(std::uint64_t callNumber);
@@ -63,6 +66,7 @@
     QByteArray m_unreportedBody;
     qint64 m_bodyBytes = 0;
     std::uint64_t m_callNumber = 0;
+    std::set<std::size_t> m_identities; ///< digests of those of the calls so far
     bool m_connected = false;
     bool m_paused = false;
     int m_skippedResponses = 0;
--- a/src/auburndrum/net/httpclient.cpp
+++ b/src/auburndrum/net/httpclient.cpp
@@ -95,23 +95,26 @@
     std::uint64_t openedConnections = 0;
 
 private:
-    std::shared_ptr<ClientConnection> acquireIdleConnection(const std::string &key, std::chrono::milliseconds maxAge);
+    std::shared_ptr<ClientConnection> acquireIdleConnection(const std::string &key, const HttpCall &call);
 
     std::map<std::string, std::vector<IdleConnection>> m_idle;
     std::map<ClientConnection *, std::shared_ptr<ClientConnection>> m_busy;
 };
 
-std::shared_ptr<ClientConnection> HttpClient::Private::acquireIdleConnection(const std::string &key, std::chrono::milliseconds maxAge)
+std::shared_ptr<ClientConnection> HttpClient::Private::acquireIdleConnection(const std::string &key, const HttpCall &call)
 {
     auto &list = m_idle[key];
     const auto now = std::chrono::steady_clock::now();
     // The most recently used connection comes first: it is the least likely to have been closed by the peer.
-    while (!list.empty()) {
-        const IdleConnection it = std::move(list.back());
-        list.pop_back();
+    for (std::size_t n = list.size(); n > 0; --n) {
+        const IdleConnection it = list[n - 1];
+        if (it.connection->hasCarried(call.identity)) {
+            continue;
+        }
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(n - 1));
         const auto limit = it.connection->peerIdleTimeout();
         const auto age = now - it.since;
-        if (age >= maxAge || (limit && age + PeerIdleMargin >= *limit) || !it.connection->isReusable()) {
+        if (age >= call.maxIdleTime || (limit && age + PeerIdleMargin >= *limit) || !it.connection->isReusable()) {
             continue;
         }
         return it.connection;
@@ -123,7 +126,7 @@
 {
     std::shared_ptr<ClientConnection> it;
     if (!call.freshConnection) {
-        it = acquireIdleConnection(toText(call.peer), call.maxIdleTime);
+        it = acquireIdleConnection(toText(call.peer), call);
     }
     if (!it) {
         ++openedConnections;
