Test: a VM of an earlier build that doesn't know passed-on requests doesn't end the matter (fails)

A cut-off VM between one VM of an earlier build and one of the present build asked the earlier one 54 times in 2 s and gave its callers the refusal.

--- a/src/auburndrum/gateway/lostpath_test.cpp
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -1,6 +1,8 @@
 #include "gatewayfixture.h"
 
+#include "auburndrum/gateway/relaymessages.h"
 #include "eventloop.h"
+#include "rawserver.h"
 
 #include <doctest/doctest.h>
 
@@ -353,3 +355,25 @@
     CHECK(counts.size() == 1);
     CHECK(counts.contains(200));
 }
+
+// Guards against callers of a cut-off VM who are refused in an upgrade: a VM of an earlier version doesn't know requests that are passed on, and its 404 ended
+// the matter though a third VM could serve them.
+TEST_CASE("a request is passed on to a further VM when the first one doesn't know such requests")
+{
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet(respondOk);
+    fleet.addVm("healthy");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    int asked = 0;
+    RawServer earlier([&asked](QTcpSocket *socket, const QByteArray &request) {
+        asked += request.startsWith("POST /rpc ") ? 0 : 1;
+        socket->write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    });
+    cut.store.put("entries", "earlier", QByteArray::fromStdString(toJson(decision::EntryVm{"earlier", earlier.address().toStdString(), "zone", 1000})));
+    fleet.introduce();
+    const auto counts = SplitFleet::sendFor(cut, 2s, AllKinds);
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(200));
+    CHECK(asked > 0);
+    CHECK(asked <= 2);
+}
