A request that is passed on goes to a further VM where the first one's version doesn't know the call

Cause: an answer of a VM that doesn't know the call was taken for its word on the request.

VMs name themselves in their own answers (Relayed-Vm; earlier ones ignore it). A 404, 405 or 501 without that field and without a server's names the call, not the request: nothing has run, the next VM is asked, and the earlier one is left alone for 10 s (log line unknown_call).

lostpath_test: 54 questions to the earlier VM in 2 s before, at most 2 now, and all callers are served.

--- a/include/auburndrum/decision/traffic/peerroutes.h
+++ b/include/auburndrum/decision/traffic/peerroutes.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds provenTime{2000}; ///< a VM that served a request this short a time ago is taken to have a path
     double unprovenCost = 1; ///< any other is asked when those that have one have so many more of this VM's requests in progress
     std::chrono::milliseconds silencePause{2000}; ///< a VM that did not answer is left alone this long
+    std::chrono::milliseconds unknownCallPause{10000}; ///< a VM whose version doesn't know the call is left alone this long; it may be replaced by then
     std::uint32_t failuresUntilPause = 8; ///< VMs in a row without a path after which none is asked: then the servers are down, not the path
     std::chrono::milliseconds pause{500}; ///< how long none is asked then
     double otherZoneCost = 1; ///< a VM in another zone of the region is chosen when a near one has this many more of this VM's requests in progress
@@ -49,6 +50,8 @@
     void onServed(std::string_view service, std::string_view vm, Instant now);
     /// The VM answered that it reaches no server of the service either.
     void onNoPath(std::string_view service, std::string_view vm, Instant now);
+    /// The VM runs a version that doesn't know requests that are passed on.
+    void onUnknownCall(std::string_view vm, Instant now);
     /// The VM did not answer, or could not be reached.
     void onSilent(std::string_view vm, Instant now);
 
--- a/include/auburndrum/gateway/relayedrequest.h
+++ b/include/auburndrum/gateway/relayedrequest.h
@@ -20,6 +20,7 @@
 /// What the other VM states in its answer, besides the backend server's own fields.
 struct RelayedAnswer
 {
+    std::string vm; ///< the VM whose own answer it is; empty for a backend server's answer, and from VMs of versions that don't say it
     bool hasNoPath = false; ///< the VM reaches no server of the service either; the request has not run there
     std::string server; ///< that answered; empty when the VM itself answered
     std::string service;
--- a/src/auburndrum/decision/traffic/peerroutes.cpp
+++ b/src/auburndrum/decision/traffic/peerroutes.cpp
@@ -102,6 +102,11 @@
     }
 }
 
+void PeerRoutes::onUnknownCall(std::string_view vm, Instant now)
+{
+    m_silentUntil[std::string(vm)] = now + m_options.unknownCallPause;
+}
+
 void PeerRoutes::onSilent(std::string_view vm, Instant now)
 {
     m_silentUntil[std::string(vm)] = now + m_options.silencePause;
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -273,8 +273,8 @@
     if (meansNotRun(status) && m_retryAfter) {
         headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(*m_retryAfter).count())});
     }
-    if (m_hasNoPath && status == 503) {
-        addFields(headers, RelayedAnswer{.hasNoPath = true});
+    if (m_source == Source::EntryVm) {
+        addFields(headers, RelayedAnswer{.vm = m_state.vmName, .hasNoPath = m_hasNoPath && status == 503});
     }
     const nlohmann::json body = {{"error", reason}};
     m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -13,6 +13,12 @@
 constexpr std::size_t MaxPeers = 3; // VMs that one request is passed on to, should the first ones have no path either
 constexpr milliseconds PeerConnectTimeout{250}; // many times the round trip between regions
 constexpr milliseconds NoPathRetryDelay{1000}; // until a path may be there again
+/// Whether a status says that nothing answers calls of this kind there.
+bool isUnknownTarget(int status)
+{
+    return status == 404 || status == 405 || status == 501;
+}
+
 constexpr milliseconds SkewRetryDelay{500}; // until the other VM has the configuration that this one has
 
 } // namespace
@@ -84,6 +90,15 @@
         tryNextServer();
         return true;
     }
+    // A VM that knows the call names itself in its own answers; one of the version before does so only where a server answered or it has no path.
+    const bool isUnknownCall = answer.server.empty() && answer.vm.empty() && isUnknownTarget(head.status);
+    if (isUnknownCall) {
+        m_state.peerRoutes.onUnknownCall(m_attempt->vm, suspendAwareNow());
+        m_state.log.write(LinePriority::Notable, "unknown_call", {{"peer", m_attempt->vm}, {"status", head.status}, {"request", m_record.id}});
+        endAttempt("unknown_call");
+        tryNextServer();
+        return true;
+    }
     m_state.peerRoutes.onServed(m_service, m_attempt->vm, suspendAwareNow());
     if (!answer.server.empty()) {
         return false; // a backend server's own answer
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -211,7 +211,7 @@
 {
     if (m_isStopping) {
         std::vector<net::Header> headers;
-        addFields(headers, RelayedAnswer{.hasNoPath = true});
+        addFields(headers, RelayedAnswer{.vm = m_options.vm, .hasNoPath = true});
         exchange->respond(503, headers, {});
         return;
     }
--- a/src/auburndrum/gateway/relayedrequest.cpp
+++ b/src/auburndrum/gateway/relayedrequest.cpp
@@ -10,10 +10,11 @@
 const QByteArray By = "Relayed-By";
 const QByteArray Deliveries = "Relayed-Deliveries";
 const QByteArray NoPath = "Relayed-No-Path";
+const QByteArray Vm = "Relayed-Vm";
 const QByteArray Server = "Relayed-Server";
 const QByteArray Service = "Relayed-Service";
 const QByteArray Software = "Relayed-Software";
-const std::array AllFields = {By, Deliveries, NoPath, Server, Service, Software};
+const std::array AllFields = {By, Deliveries, NoPath, Vm, Server, Service, Software};
 
 } // namespace
 
@@ -25,6 +26,9 @@
 
 void addFields(std::vector<net::Header> &headers, const RelayedAnswer &answer)
 {
+    if (!answer.vm.empty()) {
+        headers.push_back({Vm, QByteArray::fromStdString(answer.vm)});
+    }
     if (answer.hasNoPath) {
         headers.push_back({NoPath, "1"});
     }
@@ -42,7 +46,8 @@
 
 RelayedAnswer readRelayedAnswer(const std::vector<net::Header> &headers)
 {
-    return {!net::headerValue(headers, NoPath).isEmpty(),
+    return {net::headerValue(headers, Vm).toStdString(),
+            !net::headerValue(headers, NoPath).isEmpty(),
             net::headerValue(headers, Server).toStdString(),
             net::headerValue(headers, Service).toStdString(),
             net::headerValue(headers, Software).toStdString()};
