--- a/src/auburndrum/gateway/upgrade_test.cpp
+++ b/src/auburndrum/gateway/upgrade_test.cpp
@@ -193,7 +193,7 @@
         const auto &before = written.contains("loading") ? loadBefore : leaseBefore;
         ++(written.contains("loading") ? loads : leases);
         for (const auto &it : before.items()) {
-            const std::string field = it.key();
+            const std::string &field = it.key();
             CAPTURE(field);
             CHECK(written.contains(field));
             CHECK(std::string_view(written[field].type_name()) == it.value().type_name());
