Logs and metrics tell how old a VM's configuration may be

Whether the VM had read late, had read through another VM or had skipped the record could not be told from its logs: they gave the time at which a version came into force, not that of the read before.

Each request line has configuration_unread_ms, the time since the store was last known to hold no newer configuration; the lines of configurations and backend servers have delay_ms, the longest time for which the change may have been in the store, and by which way it came. A histogram counts the delays.

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace auburndrum::gateway {
@@ -69,6 +70,8 @@
     Wire wire;
     std::shared_ptr<const decision::Configuration> configuration; ///< null until the first one
     Instant configurationAppliedAt{}; ///< when this VM applied it
+    /// All configurations that the store had acknowledged by this time were read; empty when none was.
+    std::function<std::optional<Instant>()> configurationCompleteAt;
     decision::BackendList servers;
     decision::StoredPrompts storedPrompts;
     decision::ServerLimits limits;
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -63,6 +63,11 @@
     {
         return m_previousCompleteAt;
     }
+    /// All changes that the store had acknowledged by this time have been reported. Nothing before the first snapshot.
+    std::optional<Instant> completeAt() const
+    {
+        return m_completeAt;
+    }
 
 private:
     void readPage(const std::string &afterKey);
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -55,6 +55,9 @@
     }
     m_record.configurationVersion = m_configuration->version;
     m_record.configurationAge = std::chrono::floor<milliseconds>(monotonicNow() - m_state.configurationAppliedAt);
+    if (const auto completeAt = m_state.configurationCompleteAt ? m_state.configurationCompleteAt() : std::nullopt) {
+        m_record.configurationUnreadFor = std::chrono::ceil<milliseconds>(suspendAwareNow() - *completeAt);
+    }
     m_route = m_configuration->findRoute(m_metadata.host, m_exchange->path().toStdString());
     if (m_route == nullptr) {
         refuse(404, "no such route");
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -130,6 +130,9 @@
                                }})
 {
     m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
+    m_state.configurationCompleteAt = [this] {
+        return m_operatorFeed.completeAt();
+    };
     m_state.pauses.setLeavingTime(m_options.drainTime);
     m_state.brittle.setSettleTime(m_options.startSettleTime);
     m_state.maxHeldBodyBytes = static_cast<qint64>(m_options.memoryBytes / 16);
@@ -168,6 +171,17 @@
     return hooks;
 }
 
+std::optional<milliseconds> Gateway::observeChange(const std::string &topic, const KeyedFeed &feed)
+{
+    const auto before = feed.previousReadAt();
+    if (!before) {
+        return std::nullopt;
+    }
+    const auto delay = std::chrono::floor<milliseconds>(suspendAwareNow() - *before);
+    m_state.metrics.changeDelaySeconds.with({topic}).Observe(std::chrono::duration<double>(delay).count());
+    return delay;
+}
+
 bool Gateway::start()
 {
     const net::Address callers = m_callerServer.listenOn(m_options.callerAddress);
@@ -266,9 +280,14 @@
     m_callerServer.setOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections));
     m_relayLink.setRequestOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections / 2));
     m_state.metrics.stateChanges.with({"configuration"}).Increment();
+    const auto delay = observeChange(m_options.operatorTopic, m_operatorFeed);
     m_state.log.write(LinePriority::Notable,
                       "configuration",
-                      {{"version", m_state.configuration->version}, {"before", before}, {"routes", m_state.configuration->routes.size()}});
+                      {{"version", m_state.configuration->version},
+                       {"before", before},
+                       {"routes", m_state.configuration->routes.size()},
+                       {"delay_ms", delay ? delay->count() : -1},
+                       {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
 }
 
 void Gateway::applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage)
@@ -294,6 +313,7 @@
         m_state.limits.forget(id);
     }
     m_state.metrics.stateChanges.with({"backend_server"}).Increment();
+    const auto delay = observeChange(m_options.backendTopic, m_backendFeed);
     const auto *entry = m_state.servers.find(id);
     m_state.log.write(LinePriority::Notable,
                       "backend_server",
@@ -302,6 +322,7 @@
                        {"service", entry == nullptr ? "" : entry->server.service},
                        {"address", entry == nullptr ? "" : entry->server.address},
                        {"software", entry == nullptr ? "" : entry->server.softwareVersion},
+                       {"delay_ms", delay ? delay->count() : -1},
                        {"during_outage", duringOutage}});
 }
 
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -35,6 +35,10 @@
                                        .help = "Answers that were not those of the request that waited for one.",
                                        .labels = {"service"}}))
     , stateChanges(metrics.counters({.name = "auburndrum_gateway_belief_changes_total", .help = "Changes of what the process believes.", .labels = {"what"}}))
+    , changeDelaySeconds(metrics.histograms({.name = "auburndrum_gateway_change_delay_seconds",
+                                             .help = "Longest time for which a change may have been acknowledged when it was applied.",
+                                             .labels = {"topic"},
+                                             .buckets = LatencyBuckets}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
     , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
                                       .help = "Streams that callers take up, by whether the software that began them is known.",
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -106,7 +106,8 @@
                          {"unread_ms", record.unreadFor ? record.unreadFor->count() : -1},
                          {"patience_ms", record.callerTimeout.count()},
                          {"configuration", record.configurationVersion},
-                         {"configuration_age_ms", record.configurationAge.count()}};
+                         {"configuration_age_ms", record.configurationAge.count()},
+                         {"configuration_unread_ms", record.configurationUnreadFor ? record.configurationUnreadFor->count() : -1}};
     if (!record.relayedBy.empty()) {
         line["relayed_by"] = record.relayedBy;
     }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -54,6 +54,7 @@
     std::optional<Instant> firstByteAt; ///< when the response's first byte was sent
     std::uint64_t configurationVersion = 0;
     std::chrono::milliseconds configurationAge{0};
+    std::optional<std::chrono::milliseconds> configurationUnreadFor; ///< time since which a newer one may be in the store; empty before the first read
     std::chrono::milliseconds callerTimeout{0};
     std::vector<AttemptRecord> attempts;
     double retriesLeft = 0;
