--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -4,12 +4,6 @@
 
 namespace auburndrum::gateway {
 
-namespace {
-
-constexpr std::chrono::milliseconds CallTimeout{50}; // after this time a call without a response fails, as the real client's calls do
-
-} // namespace
-
 RecordStore FakeStore::hooks()
 {
     RecordStore it;
@@ -37,14 +31,16 @@
             });
             return;
         }
-        const auto pending = std::make_shared<PendingRead>(PendingRead{topic, from, done, m_losesReads});
+        const bool isLost = m_losesReads || m_readsToLose > 0;
+        m_readsToLose = std::max(0, m_readsToLose - 1);
+        const auto pending = std::make_shared<PendingRead>(PendingRead{topic, from, done, isLost});
         m_pendingReads.push_back(pending);
         QTimer::singleShot(wait, &m_context, [this, pending] {
             if (pending->done && !pending->isLost) {
                 std::exchange(pending->done, {})(batch(pending->topic, pending->from));
             }
         });
-        QTimer::singleShot(wait + CallTimeout, &m_context, [pending] {
+        QTimer::singleShot(wait + m_callTimeout, &m_context, [pending] {
             if (pending->done) {
                 std::exchange(pending->done, {})(failure(StoreError::TimedOut));
             }
@@ -68,7 +64,7 @@
                 });
                 return;
             }
-            QTimer::singleShot(CallTimeout, &m_context, [done] {
+            QTimer::singleShot(m_callTimeout, &m_context, [done] {
                 done(failure(StoreError::TimedOut));
             });
         });
@@ -128,6 +124,14 @@
     }
 }
 
+void FakeStore::loseReads(int n)
+{
+    m_readsToLose = n;
+    for (const auto &it : m_pendingReads) {
+        it->isLost = true;
+    }
+}
+
 RecordBatch FakeStore::batch(const std::string &topic, std::uint64_t from)
 {
     const Topic &it = m_topics[topic];
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -42,6 +42,13 @@
     }
     /// No read that is pending now, or sent while this holds, is ever answered, so the caller sees a timeout.
     void setLosesReads(bool loses);
+    /// No read that is pending now, nor the next `n` reads, are ever answered.
+    void loseReads(int n);
+    /// After this time, and the one for which it may wait, a call without a response fails.
+    void setCallTimeout(std::chrono::milliseconds timeout)
+    {
+        m_callTimeout = timeout;
+    }
     const std::vector<StoreRecord> &records(const std::string &topic)
     {
         return m_topics[topic].records;
@@ -79,6 +86,8 @@
     bool m_losesAnswers = false;
     std::chrono::milliseconds m_appendAnswerDelay{0};
     bool m_losesReads = false;
+    int m_readsToLose = 0;
+    std::chrono::milliseconds m_callTimeout{50};
     int m_calls = 0;
     QObject m_context;
 };
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -97,6 +97,14 @@
     return it;
 }
 
+/// For requests whose bytes or work take seconds.
+decision::Route slowRoute()
+{
+    decision::Route it = route("slow", decision::RequestKind::Unsafe, 1);
+    it.timeout = 10s;
+    return it;
+}
+
 RecordReaders readers()
 {
     RecordReaders it;
@@ -117,6 +125,7 @@
                                 route("single", decision::RequestKind::Unsafe, 1),
                                 route("safe", decision::RequestKind::Safe, 2),
                                 route("stream", decision::RequestKind::Streaming, 2, true),
+                                slowRoute(),
                                 route("brief", decision::RequestKind::Streaming, 2)};
         if (configuration.version >= 5) {
             configuration.routes.pop_back();
--- /dev/null
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -0,0 +1,139 @@
+#include "gatewayfixture.h"
+
+#include "eventloop.h"
+#include "rawcaller.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds WorkTime{900};
+constexpr std::chrono::milliseconds SoonEnough{300}; // for a refusal of a request that can't end in time
+
+/// A caller whose connection was open, and its request half sent, when the stop began.
+struct SlowCaller
+{
+    SlowCaller(const net::Address &gateway, int number)
+        : text(requestText("/slow/x", "body", "slow-" + QByteArray::number(number)))
+        , socket(gateway)
+    {
+        socket.send(text.left(text.size() / 2));
+    }
+
+    void sendRest()
+    {
+        socket.send(text.mid(text.size() / 2));
+        sentAt = monotonicNow();
+    }
+
+    void read()
+    {
+        answer += socket.readAll();
+        if (!answer.isEmpty() && !answeredAt) {
+            answeredAt = monotonicNow();
+        }
+    }
+
+    QByteArray text;
+    QByteArray answer;
+    std::optional<Instant> sentAt;
+    std::optional<Instant> answeredAt;
+    RawCaller socket;
+};
+
+} // namespace
+
+TEST_CASE("in a planned stop each request that was read gets a whole answer, or is refused at once as not run, whenever its last byte comes")
+{
+    // Guards against requests that are taken late in the grace and cut at its end: a connection with a request half read is not idle, and nothing asked
+    // whether what came could still end (LOST).
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &exchange, int) {
+        QTimer::singleShot(WorkTime, [exchange] {
+            exchange->respond(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}}, "done");
+        });
+    });
+    REQUIRE(it.sendRequest("/slow/x").head.status == 200); // shows how long such requests take
+    std::vector<std::unique_ptr<SlowCaller>> callers;
+    for (int n = 0; n < 40; ++n) { // the last ones are still sending when the grace of 4 s ends
+        callers.push_back(std::make_unique<SlowCaller>(it.callerAddress, n));
+    }
+    runFor(100ms);
+    bool isStopped = false;
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    QTimer poll;
+    std::size_t next = 0;
+    QObject::connect(&poll, &QTimer::timeout, &poll, [&] {
+        for (const auto &caller : callers) {
+            caller->read();
+        }
+    });
+    poll.start(10ms);
+    QTimer sending;
+    QObject::connect(&sending, &QTimer::timeout, &sending, [&] {
+        if (!isStopped && next < callers.size()) {
+            callers[next++]->sendRest();
+        }
+    });
+    sending.start(100ms);
+    REQUIRE(runUntil(
+        [&] {
+            return isStopped;
+        },
+        5s));
+    it.gateway.reset(); // the process is gone
+    runFor(50ms);
+    std::size_t served = 0;
+    for (std::size_t n = 0; n < callers.size(); ++n) {
+        CAPTURE(n);
+        const SlowCaller &caller = *callers[n];
+        const bool isServed = caller.answer.startsWith("HTTP/1.1 200") && caller.answer.endsWith("\r\n\r\ndone");
+        const bool isTooSlow = caller.answer.startsWith("HTTP/1.1 408");
+        const bool isRefused = caller.answer.startsWith("HTTP/1.1 503") || isTooSlow;
+        const bool isAnswered = isServed || isRefused;
+        CAPTURE(caller.answer.toStdString());
+        CHECK(isAnswered);
+        served += isServed ? 1 : 0;
+        if (isRefused && caller.sentAt && caller.answeredAt) {
+            CHECK(*caller.answeredAt - *caller.sentAt < SoonEnough);
+        }
+    }
+    CHECK(served >= 20); // those that end in time are served
+    CHECK(it.receivedRequests.size() == served + 1); // a request that was refused has not run
+}
+
+TEST_CASE("a request that still runs when the grace ends gets a final answer")
+{
+    // Guards against callers that see a connection close and can't know whether anybody works for them (LOST).
+    GatewayFixture it(
+        [](const std::shared_ptr<net::Exchange> &, int) {
+        },
+        true,
+        [](GatewayFixture &, GatewayOptions &options) {
+            options.stopGrace = 1200ms;
+        });
+    RawCaller caller(it.callerAddress);
+    caller.send(requestText("/once/x", "body"));
+    REQUIRE(runUntil([&] {
+        return it.receivedRequests.size() == 1;
+    }));
+    bool isStopped = false;
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    REQUIRE(runUntil(
+        [&] {
+            return isStopped;
+        },
+        1200ms));
+    it.gateway.reset();
+    runFor(50ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 504"));
+}
