A change of the store is in force within its bound, also when two answers in a row are lost

No step knew of the bound, and no test held their sum.

Class of fault: time-outs that are set one by one, whose sum nobody holds. Repeats go over new connections to the store itself while the first answer that comes counts, so a relay that is gone, stands still or has lost the store adds nothing. A store that is slow gets more time.

Calls: a read each 1.5 s as before; a quiet feed sends 4 in 4 s at most, a relay's zone 4 in 3 s.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -38,6 +38,7 @@
     std::chrono::milliseconds outdatedWeightsLimit{10000}; ///< time after new weights are named from which no request may begin on older ones
     std::chrono::milliseconds startSettleTime{4000}; ///< time after its start in which the platform holds a VM to no time limit
     std::chrono::milliseconds orderInterval{3000}; ///< least time between orders of two VMs to one backend server
+    std::chrono::milliseconds changeTime{2500}; ///< from the store's acknowledgement of a change until each VM must apply it
     std::chrono::milliseconds drainTime{2500}; ///< for which a backend server that leaves may still get requests
     std::chrono::milliseconds stopGrace{8000}; ///< time from the stop signal until the process is killed
     std::uint64_t memoryBytes = 256 * 1024 * 1024; ///< that the process may use in all
@@ -69,7 +70,7 @@
 
     /// Starts listening; false when an address is not available.
     bool start();
-    /// Applies the settings that may change at run time: the retry allowance, the limit for outdated weights and the stop grace.
+    /// Applies the settings that may change at run time: the retry allowance, the time for changes, the limit for outdated weights and the stop grace.
     void reload(const GatewayOptions &options);
     /// Logs that changed settings are invalid; the old ones stay in force.
     void logRejectedSettings(const std::string &problem);
@@ -80,6 +81,7 @@
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
     /// Serves a request that another entry VM passes on for one of its callers.
     void handleRelayedRequest(const std::shared_ptr<net::Exchange> &exchange);
+    void logOverdue(const std::string &topic, int repeats, std::chrono::milliseconds waited);
     /// The longest time for which a change that a feed reports now may have been acknowledged; empty in its first snapshot.
     std::optional<std::chrono::milliseconds> observeChange(const std::string &topic, const KeyedFeed &feed);
     void applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value);
@@ -89,6 +91,7 @@
     /// Measures how late the event loop runs.
     void measureLag();
     void skipRecord(const std::string &topic, const std::string &key, const std::string &problem);
+    KeyedFeedOptions feedOptions(const std::string &topic);
     KeyedFeedHooks feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
     bool isReady() const;
     void finishStop();
--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -19,6 +19,7 @@
     Counters &foreignAnswers; ///< by service: answers that were not those of the request that waited for one
     Counters &stateChanges; ///< changes of configuration, weights, servers and relay, by what changed
     Histograms &changeDelaySeconds; ///< by topic: the longest time for which a change may have been acknowledged when it was applied
+    Counters &readsRepeated; ///< by topic: reads whose answers were overdue
     Counters &recordsSkipped; ///< by topic: records that can't be used
     Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
     Gauges &outdatedServers; ///< listed backend servers that don't have the newest named weights
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -2,6 +2,7 @@
 
 #include "auburndrum/base/time.h"
 #include "auburndrum/gateway/pausedetector.h"
+#include "auburndrum/gateway/readbudget.h"
 #include "auburndrum/gateway/recordstore.h"
 
 #include <QObject>
@@ -16,11 +17,11 @@
 struct KeyedFeedOptions
 {
     std::string topic;
-    /// A read that finds no records ends after this time. The store may fail to wake a waiting read for a new record, and a connection may go silent:
-    /// together with the longest read interval and a connect to a server this stays below the 2.5 s in which a change must be in force.
-    std::chrono::milliseconds longPollTimeout{1500};
+    ReadBudget budget; ///< of the time in which a change must be in force
+    /// Longest time for which a read may wait for records; empty: the budget's refresh interval.
+    std::function<std::chrono::milliseconds()> longestRead;
     /// Between two reads, so that records that arrive together are read in one call, since each call has a cost. Grows with the number of keys,
-    /// since more of them change at once in a larger fleet, up to a fraction of the 2.5 s in which a change must be in force.
+    /// since more of them change at once in a larger fleet. The next read waits the shorter for records, so the budget holds all the same.
     std::chrono::milliseconds readInterval{150};
     std::chrono::milliseconds intervalPerKey{5};
     std::chrono::milliseconds maxInterval{500};
@@ -36,6 +37,8 @@
     /// Receives the newest value of a key; nothing when the key was dropped. `duringOutage`: the store was unavailable just before.
     std::function<void(const std::string &key, const std::optional<QByteArray> &value, bool duringOutage)> onChange;
     std::function<void()> onSynced; ///< everything that the store held at one moment has been reported
+    /// No answer came in time, and the read is repeated over a new connection; `repeats` counts those of this read.
+    std::function<void(int repeats, std::chrono::milliseconds waited)> onOverdue;
     std::function<void(StoreError)> onStoreLost; ///< the store doesn't respond
     std::function<void()> onStoreRegained;
     std::function<void(std::uint64_t era)> onNewEra; ///< the store returned from an older copy of its records
@@ -53,6 +56,12 @@
     KeyedFeed(KeyedFeedOptions options, const RecordStore &store, KeyedFeedHooks hooks, QObject *parent = nullptr);
 
     void start();
+    /// Replaces the budget, from the next read on.
+    void setBudget(const ReadBudget &budget)
+    {
+        m_options.budget = budget;
+        m_answerTime = budget.answerTime;
+    }
     bool isSynced() const
     {
         return m_isSynced;
@@ -70,6 +79,19 @@
     }
 
 private:
+    /// Sends a read and its repeats; receives how long the store may wait for records.
+    using SendRead = std::function<void(std::chrono::milliseconds wait)>;
+
+    void beginRead(std::chrono::milliseconds wait, SendRead send);
+    void sendRead(std::chrono::milliseconds wait);
+    void repeatRead();
+    /// Wraps a handler of the present read's results, so that the first answer is handled once and late ones are dropped.
+    template<typename T>
+    std::function<void(StoreResult<T>)> onFirstAnswer(std::function<void(const StoreResult<T> &)> handle);
+    /// Whether the result of an attempt of a read is to be handled: its first answer, or the failure of its last attempt.
+    bool endRead(std::uint64_t read, int attempt, Instant sentAt, bool isAnswer);
+    void recordLost(StoreError error);
+    std::chrono::milliseconds currentWait() const;
     void readPage(const std::string &afterKey);
     void handlePage(const StoreResult<NewestPage> &result);
     void finishSnapshot();
@@ -87,9 +109,15 @@
     const RecordStore &m_store;
     KeyedFeedHooks m_hooks;
     QTimer m_readTimer;
+    QTimer m_overdueTimer; ///< runs while an answer is awaited
+    SendRead m_send; ///< of the present read
+    std::uint64_t m_read = 0; ///< number of the present read
+    int m_attempt = 0; ///< repeats of the present read
+    Instant m_readBeganAt{};
+    std::chrono::milliseconds m_answerTime; ///< grows while the store is slow
     PauseDetector m_pauses;
     Instant m_lastReadAt{}; ///< when the last read began
-    Instant m_sentAt{}; ///< when the last call, a read or a page of a snapshot, was sent
+    Instant m_sentAt{}; ///< when the call that was answered last, a read or a page of a snapshot, was sent
     std::map<std::string, std::uint64_t> m_offsets; ///< of the newest record reported for each key, dropped keys too
     std::set<std::string> m_presentKeys; ///< keys that have a value
     std::set<std::string> m_snapshotKeys; ///< keys seen in the snapshot being read
--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -61,6 +61,8 @@
     std::function<void(const std::string &topic, const std::string &afterKey, std::function<void(StoreResult<NewestPage>)>)> readNewest;
     /// Returns as soon as a record is there, or without records after `wait`.
     std::function<void(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)>)> read;
+    /// Optional. The calls that follow open new connections, as the idle ones may have gone silent.
+    std::function<void()> closeIdleConnections;
     /// Appends one record; returns its offset.
     std::function<void(const std::string &topic, const QByteArray &record, std::function<void(StoreResult<std::uint64_t>)>)> append;
     /// Sets the value of a key; returns the record's offset.
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -6,6 +6,7 @@
 #include "auburndrum/gateway/gatewaystate.h"
 #include "auburndrum/gateway/pausedetector.h"
 #include "auburndrum/gateway/promptstorelog.h"
+#include "auburndrum/gateway/readbudget.h"
 #include "auburndrum/gateway/recordstore.h"
 #include "auburndrum/gateway/relaymessages.h"
 #include "auburndrum/gateway/topiccache.h"
@@ -33,11 +34,9 @@
     std::string directoryTopic; ///< topic in which entry VMs register; empty: this VM reads everything directly
     /// Delay until VMs that start together have all registered, which takes about a second.
     std::chrono::milliseconds directoryDelay{0};
-    std::chrono::milliseconds pollInterval{200}; ///< several polls are short against the limits for changes in the store, 2.5 s and more
+    ReadBudget budget; ///< of the time in which a change must be in force
     std::chrono::milliseconds connectTimeout{250}; ///< many times the round trip within a zone
     std::chrono::milliseconds answerTimeout{400}; ///< many times the round trip within a zone, and a scheduling pause of a busy relay
-    std::chrono::milliseconds maxRelayedAge{1800}; ///< greatest age of records read through a relay: the relay's longest read and one more poll
-    std::chrono::milliseconds maxReadTime{1000}; ///< longest read by a VM that others may poll, so that it soon notices a silent store
     std::size_t defaultAllowedReaders = 12; ///< readers that each prompt store allows, when the configuration names no number
 };
 
@@ -65,6 +64,9 @@
     void stop();
     /// The store, with reads that may go through the relay. A read that repeats a failed one of its topic doesn't wait for records.
     RecordStore relayedStore();
+    /// How long a read may wait for records: shorter for a VM that others may poll, whose age adds to theirs.
+    std::chrono::milliseconds longestRead() const;
+    void setBudget(const ReadBudget &budget);
     /// Applies the number of readers that each prompt store of the configuration in force allows.
     void configure();
     /// Whether records come from a relay that reads them from the store itself.
@@ -127,6 +129,8 @@
     void read(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done);
     void readDirectly(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done);
     void readPendingDirectly();
+    /// Greatest age of records read through a relay.
+    std::chrono::milliseconds maxRelayedAge() const;
     void handleEra(std::uint64_t era);
     entry::RpcResult handlePoll(const std::string &request);
     bool exceedsAllowedReaders() const;
--- a/src/auburndrum/gateway/changedelay_test.cpp
+++ b/src/auburndrum/gateway/changedelay_test.cpp
@@ -22,10 +22,15 @@
 struct Follower
 {
     explicit Follower(FakeStore &fake)
-        : store(fake.hooks())
+        : Follower(fake.hooks())
+    {
+    }
+
+    explicit Follower(const RecordStore &hooks)
+        : store(hooks)
         , feed({.topic = Topic}, store, {.onChange = [this](const std::string & /*key*/, const std::optional<QByteArray> & /*value*/, bool /*duringOutage*/) {
-                    ++changes;
-                }})
+                   ++changes;
+               }})
     {
         feed.start();
         REQUIRE(runUntil([this] {
@@ -75,6 +80,49 @@
     CHECK(fake.calls() - before <= 4); // a read of 1.5 s each
 }
 
+TEST_CASE("a store whose answers come late, though not lost, is given more time")
+{
+    // Guards against reads that are all sent twice, and more, to a store that is slow already.
+    FakeStore fake;
+    RecordStore slow = fake.hooks();
+    slow.read = [read = slow.read](const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, auto done) {
+        read(topic, from, wait, [done](const StoreResult<RecordBatch> &result) {
+            QTimer::singleShot(400ms, [done, result] {
+                done(result);
+            });
+        });
+    };
+    Follower it(slow);
+    runFor(4s); // the feed learns that
+    const int before = fake.calls();
+    runFor(6s);
+    CHECK(fake.calls() - before <= 6); // a read of 1.5 s each, most of them without a repeat
+    fake.put(Topic, "key", "new");
+    CHECK(runUntil(
+        [&it] {
+            return it.changes == 1;
+        },
+        Bound));
+}
+
+TEST_CASE("a VM that starts has what the store holds in time when the answer to its first read is lost")
+{
+    // Guards against a VM that is ready late, or not at all, since it waits for an answer that never comes (CONFIG).
+    FakeStore fake;
+    fake.setCallTimeout(1s);
+    fake.put(Topic, "key", "there");
+    RecordStore hooks = fake.hooks();
+    hooks.readNewest = [&fake, calls = 0](const std::string &topic, const std::string &afterKey, auto done) mutable {
+        if (++calls > 2) {
+            fake.hooks().readNewest(topic, afterKey, done);
+        }
+    };
+    const Instant begin = monotonicNow();
+    const Follower it(hooks);
+    CHECK(it.changes == 1);
+    CHECK(monotonicNow() - begin < 1s);
+}
+
 TEST_CASE("a VM that can't know whether it has all changes refuses an unknown key or route as not run, and serves the ones it knows")
 {
     // Guards against a final refusal of a caller whose key was just added: the VM had not heard from the store for seconds (CONFIG).
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -40,6 +40,7 @@
     it.regionOfZone = options.regionOfZone;
     it.directoryTopic = options.entryTopic;
     it.directoryDelay = options.directoryDelay;
+    it.budget = ReadBudget::of(options.changeTime);
     return it;
 }
 
@@ -96,13 +97,13 @@
     , m_streamOriginLink(m_state, m_relayLink)
     , m_pathProbe(m_state)
     , m_store(m_relayLink.relayedStore())
-    , m_operatorFeed({.topic = m_options.operatorTopic},
+    , m_operatorFeed(feedOptions(m_options.operatorTopic),
                      m_store,
                      feedHooks(m_options.operatorTopic,
                                [this](const std::string &key, const std::optional<QByteArray> &value, bool /*duringOutage*/) {
                                    applyOperatorRecord(key, value);
                                }))
-    , m_backendFeed({.topic = m_options.backendTopic},
+    , m_backendFeed(feedOptions(m_options.backendTopic),
                     m_store,
                     feedHooks(m_options.backendTopic,
                               [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
@@ -152,6 +153,17 @@
 
 Gateway::~Gateway() = default;
 
+KeyedFeedOptions Gateway::feedOptions(const std::string &topic)
+{
+    KeyedFeedOptions it;
+    it.topic = topic;
+    it.budget = ReadBudget::of(m_options.changeTime);
+    it.longestRead = [this] {
+        return m_relayLink.longestRead();
+    };
+    return it;
+}
+
 KeyedFeedHooks Gateway::feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange)
 {
     KeyedFeedHooks hooks;
@@ -159,6 +171,9 @@
     hooks.onSynced = [this, topic] {
         m_state.log.write(LinePriority::Notable, "topic_synced", {{"topic", topic}, {"servers_known", m_state.servers.size()}});
     };
+    hooks.onOverdue = [this, topic](int repeats, milliseconds waited) {
+        logOverdue(topic, repeats, waited);
+    };
     hooks.onStoreLost = [this, topic](StoreError error) {
         m_state.log.write(LinePriority::Notable, "dependency_lost", {{"dependency", "store"}, {"topic", topic}, {"error", toText(error)}});
     };
@@ -171,6 +186,14 @@
     return hooks;
 }
 
+void Gateway::logOverdue(const std::string &topic, int repeats, milliseconds waited)
+{
+    m_state.metrics.readsRepeated.with({topic}).Increment();
+    m_state.log.write(LinePriority::Notable,
+                      "read_overdue",
+                      {{"topic", topic}, {"repeats", repeats}, {"waited_ms", waited.count()}, {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
+}
+
 std::optional<milliseconds> Gateway::observeChange(const std::string &topic, const KeyedFeed &feed)
 {
     const auto before = feed.previousReadAt();
@@ -361,6 +384,11 @@
     m_options.retries = options.retries;
     m_options.outdatedWeightsLimit = options.outdatedWeightsLimit;
     m_options.stopGrace = options.stopGrace;
+    m_options.changeTime = options.changeTime;
+    const ReadBudget budget = ReadBudget::of(options.changeTime);
+    m_relayLink.setBudget(budget);
+    m_operatorFeed.setBudget(budget);
+    m_backendFeed.setBudget(budget);
     m_state.retryOptions = options.retries;
     m_state.retryAllowances.clear();
     m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -39,6 +39,8 @@
                                              .help = "Longest time for which a change may have been acknowledged when it was applied.",
                                              .labels = {"topic"},
                                              .buckets = LatencyBuckets}))
+    , readsRepeated(
+          metrics.counters({.name = "auburndrum_gateway_reads_repeated_total", .help = "Reads of the store whose answers were overdue.", .labels = {"topic"}}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
     , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
                                       .help = "Streams that callers take up, by whether the software that began them is known.",
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -4,6 +4,16 @@
 
 namespace auburndrum::gateway {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int RepeatsUntilLost = 2; // of one read, after which the store counts as lost
+constexpr int MaxSlowness = 4; // times the usual answer time that a slow store is given
+constexpr int MaxDoublings = 4; // of the time between repeats, while the store is silent
+
+} // namespace
+
 const char *toText(StoreError error)
 {
     switch (error) {
@@ -28,9 +38,14 @@
     , m_options(std::move(options))
     , m_store(store)
     , m_hooks(std::move(hooks))
+    , m_answerTime(m_options.budget.answerTime)
     , m_retryDelay(m_options.minRetryDelay)
 {
     m_readTimer.setSingleShot(true);
+    m_readTimer.setTimerType(Qt::PreciseTimer);
+    m_overdueTimer.setSingleShot(true);
+    m_overdueTimer.setTimerType(Qt::PreciseTimer); // a coarse timer is off by up to 5%
+    connect(&m_overdueTimer, &QTimer::timeout, this, &KeyedFeed::repeatRead);
     connect(&m_readTimer, &QTimer::timeout, this, [this] {
         if (m_isSynced) {
             readNext();
@@ -47,11 +62,69 @@
     readPage({});
 }
 
+void KeyedFeed::beginRead(milliseconds wait, SendRead send)
+{
+    ++m_read;
+    m_attempt = 0;
+    m_send = std::move(send);
+    m_readBeganAt = suspendAwareNow();
+    sendRead(wait);
+}
+
+void KeyedFeed::sendRead(milliseconds wait)
+{
+    const milliseconds grown = m_answerTime * (1 << std::clamp(m_attempt - RepeatsUntilLost, 0, MaxDoublings));
+    m_overdueTimer.start(wait + std::max(m_answerTime, std::min(grown, m_options.maxRetryDelay)));
+    m_send(wait);
+}
+
+void KeyedFeed::repeatRead()
+{
+    ++m_attempt;
+    if (m_hooks.onOverdue) {
+        m_hooks.onOverdue(m_attempt, std::chrono::floor<milliseconds>(suspendAwareNow() - m_readBeganAt));
+    }
+    if (m_attempt == RepeatsUntilLost) {
+        recordLost(StoreError::TimedOut);
+    }
+    if (m_store.closeIdleConnections) {
+        m_store.closeIdleConnections(); // one that was opened before may be as silent as the read's
+    }
+    sendRead(milliseconds(0));
+}
+
+bool KeyedFeed::endRead(std::uint64_t read, int attempt, Instant sentAt, bool isAnswer)
+{
+    if (read != m_read || (!isAnswer && attempt != m_attempt)) {
+        return false;
+    }
+    ++m_read;
+    m_overdueTimer.stop();
+    m_sentAt = sentAt;
+    if (!isAnswer) {
+        return true;
+    }
+    const milliseconds usual = m_options.budget.answerTime;
+    m_answerTime = attempt < m_attempt ? std::min(m_answerTime * 2, usual * MaxSlowness) : std::max(m_answerTime / 2, usual);
+    return true;
+}
+
+template<typename T>
+std::function<void(StoreResult<T>)> KeyedFeed::onFirstAnswer(std::function<void(const StoreResult<T> &)> handle)
+{
+    return [this, read = m_read, attempt = m_attempt, sentAt = suspendAwareNow(), handle = std::move(handle)](const StoreResult<T> &result) {
+        if (endRead(read, attempt, sentAt, static_cast<bool>(result))) {
+            handle(result);
+        }
+    };
+}
+
 void KeyedFeed::readPage(const std::string &afterKey)
 {
-    m_sentAt = suspendAwareNow();
-    m_store.readNewest(m_options.topic, afterKey, [this](const StoreResult<NewestPage> &result) {
-        handlePage(result);
+    beginRead(milliseconds(0), [this, afterKey](milliseconds /*wait*/) {
+        m_store.readNewest(m_options.topic, afterKey, onFirstAnswer<NewestPage>([this](const StoreResult<NewestPage> &result) {
+                               handlePage(result);
+                           }));
     });
 }
 
@@ -61,7 +134,7 @@
         handleFailure(result.error());
         return;
     }
-    recordAnswer(std::chrono::milliseconds(0));
+    recordAnswer(milliseconds(0));
     const NewestPage &page = result.value();
     if (!acceptEra(page.era)) {
         return;
@@ -136,23 +209,32 @@
     return false;
 }
 
-std::chrono::milliseconds KeyedFeed::currentReadInterval() const
+milliseconds KeyedFeed::currentReadInterval() const
 {
     const auto grown = std::min(m_options.intervalPerKey * static_cast<std::int64_t>(m_presentKeys.size()), m_options.maxInterval);
     return std::max(m_options.readInterval, grown);
 }
 
+milliseconds KeyedFeed::currentWait() const
+{
+    const milliseconds longest = m_options.longestRead ? m_options.longestRead() : m_options.budget.refreshInterval;
+    const Instant due = m_completeAt.value_or(suspendAwareNow()) + longest;
+    return std::clamp(std::chrono::floor<milliseconds>(due - suspendAwareNow()), milliseconds(0), longest);
+}
+
 void KeyedFeed::readNext()
 {
-    const auto sinceRead = std::chrono::floor<std::chrono::milliseconds>(suspendAwareNow() - m_lastReadAt);
+    const auto sinceRead = std::chrono::floor<milliseconds>(suspendAwareNow() - m_lastReadAt);
     if (sinceRead < currentReadInterval()) {
         m_readTimer.start(currentReadInterval() - sinceRead);
         return;
     }
     m_lastReadAt = suspendAwareNow();
-    m_sentAt = m_lastReadAt;
-    m_store.read(m_options.topic, m_nextOffset, m_options.longPollTimeout, [this](const StoreResult<RecordBatch> &result) {
-        handleBatch(result);
+    // A read that follows a failed one doesn't wait, so its reader learns early that the store is back.
+    beginRead(m_isStoreLost ? milliseconds(0) : currentWait(), [this](milliseconds wait) {
+        m_store.read(m_options.topic, m_nextOffset, wait, onFirstAnswer<RecordBatch>([this](const StoreResult<RecordBatch> &result) {
+                         handleBatch(result);
+                     }));
     });
 }
 
@@ -171,7 +253,8 @@
         start();
         return;
     }
-    m_previousCompleteAt = std::exchange(m_completeAt, m_answerGivenAt);
+    m_previousCompleteAt = m_completeAt;
+    m_completeAt = std::max(m_completeAt.value_or(m_answerGivenAt), m_answerGivenAt);
     for (const StoreRecord &it : result.value().records) {
         apply(it);
     }
@@ -194,10 +277,10 @@
     m_hooks.onChange(record.key, record.value, isAfterOutage());
 }
 
-void KeyedFeed::recordAnswer(std::chrono::milliseconds age)
+void KeyedFeed::recordAnswer(milliseconds age)
 {
     const Instant now = suspendAwareNow() - age;
-    if (m_lastAnswerAt && now - *m_lastAnswerAt > m_options.longPollTimeout + m_options.outageThreshold) {
+    if (m_lastAnswerAt && now - *m_lastAnswerAt > m_options.budget.refreshInterval + m_options.outageThreshold) {
         m_regainedAt = now;
     }
     m_lastAnswerAt = now;
@@ -212,13 +295,18 @@
     }
 }
 
+void KeyedFeed::recordLost(StoreError error)
+{
+    if (!std::exchange(m_isStoreLost, true) && m_hooks.onStoreLost) {
+        m_hooks.onStoreLost(error);
+    }
+}
+
 void KeyedFeed::handleFailure(StoreError error)
 {
-    if (!m_isStoreLost) {
-        m_isStoreLost = true;
-        if (m_hooks.onStoreLost) {
-            m_hooks.onStoreLost(error);
-        }
+    recordLost(error);
+    if (error != StoreError::Refused && m_store.closeIdleConnections) {
+        m_store.closeIdleConnections();
     }
     m_readTimer.start(m_retryDelay);
     m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
--- a/src/auburndrum/gateway/keyedfeed_test.cpp
+++ b/src/auburndrum/gateway/keyedfeed_test.cpp
@@ -20,7 +20,7 @@
     explicit Follower(FakeStore &fake)
         : store(fake.hooks())
         , feed({.topic = Topic,
-                .longPollTimeout = 50ms,
+                .budget = {.refreshInterval = 50ms, .answerTime = 60ms},
                 .readInterval = 10ms,
                 .minRetryDelay = 5ms,
                 .maxRetryDelay = 20ms,
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -159,12 +159,28 @@
         readDirectly(topic, from, wait, std::move(done));
         return;
     }
-    m_pendingReads[topic] = {from, suspendAwareNow() + wait, std::move(done)};
+    // One poll earlier, so that the answer to the last poll comes by the end of the wait.
+    m_pendingReads[topic] = {from, suspendAwareNow() + std::max(wait - m_options.budget.pollInterval, milliseconds(0)), std::move(done)};
+}
+
+milliseconds RelayLink::longestRead() const
+{
+    return exceedsAllowedReaders() && m_relay.empty() ? m_options.budget.relayReadTime : m_options.budget.refreshInterval;
+}
+
+milliseconds RelayLink::maxRelayedAge() const
+{
+    return m_options.budget.refreshInterval + m_options.budget.answerTime;
+}
+
+void RelayLink::setBudget(const ReadBudget &budget)
+{
+    m_options.budget = budget;
 }
 
 void RelayLink::readDirectly(const std::string &topic, std::uint64_t from, milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done)
 {
-    milliseconds longest = exceedsAllowedReaders() ? std::min(wait, m_options.maxReadTime) : wait;
+    milliseconds longest = exceedsAllowedReaders() ? std::min(wait, m_options.budget.relayReadTime) : wait;
     if (m_failedTopics.contains(topic)) {
         longest = milliseconds(0); // a lost read is noticed sooner, so its reader learns early that the store is back
     }
@@ -225,7 +241,7 @@
 
 bool RelayLink::isRelayed() const
 {
-    return !m_relay.empty() && m_isFresh && since(m_lastResponseAt) <= m_options.maxRelayedAge;
+    return !m_relay.empty() && m_isFresh && since(m_lastResponseAt) <= maxRelayedAge();
 }
 
 void RelayLink::updateMode()
@@ -239,7 +255,7 @@
         return;
     }
     if (!m_pollTimer.isActive() && !m_isPolling) {
-        m_pollTimer.start(m_options.pollInterval);
+        m_pollTimer.start(m_options.budget.pollInterval);
     }
 }
 
@@ -256,7 +272,7 @@
     if (!relay) {
         setRelay({}, "no other entry VM to poll");
         setFollowsStores(true);
-        m_pollTimer.start(m_options.pollInterval);
+        m_pollTimer.start(m_options.budget.pollInterval);
         return;
     }
     sendPoll(*relay);
@@ -287,7 +303,7 @@
         } else {
             handleResponse(relay, request, response.value(), polledAt);
         }
-        m_pollTimer.start(m_options.pollInterval);
+        m_pollTimer.start(m_options.budget.pollInterval);
     });
 }
 
@@ -318,7 +334,7 @@
             continue;
         }
         const auto relayed = response.topics.find(topic);
-        const bool isUsable = relayed != response.topics.end() && relayed->second.age + since(polledAt) <= m_options.maxRelayedAge;
+        const bool isUsable = relayed != response.topics.end() && relayed->second.age + since(polledAt) <= maxRelayedAge();
         if (!isUsable) {
             // The relay has lost the store, or no longer caches records that old.
             isFresh = false;
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -1,7 +1,9 @@
 #include "auburndrum/gateway/relaylink.h"
 
+#include "auburndrum/gateway/keyedfeed.h"
 #include "eventloop.h"
 #include "fakestore.h"
+#include "rawserver.h"
 
 #include <doctest/doctest.h>
 
@@ -13,12 +15,13 @@
 
 const std::string Topic = "operator";
 const std::string PromptStore = "10.0.0.1:1";
+const ReadBudget QuickBudget = {.refreshInterval = 250ms, .relayReadTime = 100ms, .answerTime = 50ms, .pollInterval = 10ms};
 
 /// The RelayLink of one entry VM, and what it reports.
 class Vm
 {
 public:
-    Vm(FakeStore &fake, const std::string &name, double linkMegabits)
+    Vm(FakeStore &fake, const std::string &name, double linkMegabits, const ReadBudget &budget = QuickBudget)
         : state({.zone = "zone"},
                 {.vm = name,
                  .write =
@@ -26,7 +29,7 @@
                      }},
                 Wire{},
                 {})
-        , link(options(name, linkMegabits),
+        , link(options(name, linkMegabits, budget),
                state,
                fake.hooks(),
                {.onFollowsStoresChanged =
@@ -43,15 +46,13 @@
         link.start();
     }
 
-    static RelayLinkOptions options(const std::string &name, double linkMegabits)
+    static RelayLinkOptions options(const std::string &name, double linkMegabits, const ReadBudget &budget)
     {
         RelayLinkOptions it;
         it.self = {name, "127.0.0.1:0", "zone", linkMegabits};
         it.directoryTopic = "entries";
         it.directoryDelay = 50ms;
-        it.pollInterval = 10ms;
-        it.maxReadTime = 100ms;
-        it.maxRelayedAge = 300ms;
+        it.budget = budget;
         it.defaultAllowedReaders = 4;
         return it;
     }
@@ -283,10 +284,87 @@
         return others[0]->link.isRelayed();
     }));
     lostStore.setError(StoreError::Unreachable);
-    runFor(400ms); // longer than maxRelayedAge
+    runFor(400ms); // longer than records through a relay may be old
     CHECK_FALSE(others[0]->link.isRelayed());
     workingStore.put(Topic, "key", "one");
     for (auto &it : others) {
         CHECK(it->receives("one"));
     }
 }
+
+namespace {
+
+/// A fleet with the budget of 2.5 s, each VM with a feed.
+struct FollowingFleet
+{
+    FollowingFleet()
+    {
+        vms.push_back(std::make_unique<Vm>(store, "large", 200, ReadBudget()));
+        for (int k = 1; k < 6; ++k) {
+            vms.push_back(std::make_unique<Vm>(store, "small-" + std::to_string(k), 10, ReadBudget()));
+        }
+        for (const auto &it : vms) {
+            KeyedFeedOptions options;
+            options.topic = Topic;
+            options.longestRead = [link = &it->link] {
+                return link->longestRead();
+            };
+            KeyedFeedHooks hooks;
+            hooks.onChange = [this](const std::string & /*key*/, const std::optional<QByteArray> & /*value*/, bool /*duringOutage*/) {
+                ++changes;
+            };
+            feeds.push_back(std::make_unique<KeyedFeed>(options, it->store, std::move(hooks)));
+            feeds.back()->start();
+        }
+    }
+
+    /// Whether all VMs have a change that is made now when it must be in force, less a reserve for a late event loop.
+    bool hasChangeInTime()
+    {
+        store.put(Topic, "key", "new");
+        return runUntil(
+            [this] {
+                return changes == vms.size();
+            },
+            2250ms);
+    }
+
+    FakeStore store;
+    std::vector<std::unique_ptr<Vm>> vms;
+    std::vector<std::unique_ptr<KeyedFeed>> feeds;
+    std::size_t changes = 0;
+};
+
+} // namespace
+
+TEST_CASE("a change is in force in time at all VMs when the answers to two reads of their relay are lost")
+{
+    // Guards against VMs whose relay's delay, its own poll and a direct read add up to more than allowed (CONFIG, DRAIN).
+    FollowingFleet it;
+    it.store.setCallTimeout(1s);
+    REQUIRE(runUntil([&] {
+        return std::all_of(it.vms.begin() + 1, it.vms.end(), [](const auto &vm) {
+            return vm->link.isRelayed();
+        });
+    }));
+    runFor(1700ms); // reads that began before the relay was known end
+    const int before = it.store.calls();
+    runFor(3s);
+    CHECK(it.store.calls() - before <= 4); // the relay's alone
+    it.store.loseReads(1);
+    CHECK(it.hasChangeInTime());
+}
+
+TEST_CASE("a change is in force in time at all VMs when their relay accepts polls and never answers")
+{
+    FollowingFleet it;
+    RawServer silent([](QTcpSocket *, const QByteArray &) {
+    });
+    const decision::EntryVm relay{"silent", silent.address().toStdString(), "zone", 1000};
+    for (const auto &vm : it.vms) {
+        vm->link.addVm(relay);
+    }
+    runFor(1s);
+    CHECK(it.hasChangeInTime());
+    CHECK(silent.requests() > 0);
+}
