A VM that may have missed a configuration refuses unknown keys and routes as not run

Cause: a refusal rested on the configuration at hand, whatever its age.

401 and 404 are now given only when all changes acknowledged longer ago than the bound have been read. Otherwise the answer is 503 with Retry-After, so the caller comes back, and mostly to another VM; one that was passed on goes to a further VM.

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -79,6 +79,7 @@
     decision::BrittleServers brittle;
     decision::PeerRoutes peerRoutes;
     decision::ServerPath serverPath;
+    std::chrono::milliseconds changeTime{2500}; ///< after its acknowledgement, within which a configuration must be in force
     std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
     /// @{ Called with each server that can't be connected to, and when one responds while serverPath is cut.
     std::function<void(const std::string &server)> onServerUnreachable;
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -60,12 +60,12 @@
     }
     m_route = m_configuration->findRoute(m_metadata.host, m_exchange->path().toStdString());
     if (m_route == nullptr) {
-        refuse(404, "no such route");
+        rejectUnknown(404, "no such route");
         return;
     }
     m_record.route = m_route->name;
     if (!authorise()) {
-        refuse(401, "unknown API key");
+        rejectUnknown(401, "unknown API key");
         return;
     }
     const milliseconds callerTimeout = std::min(m_metadata.callerTimeout.value_or(m_route->timeout), m_route->timeout);
@@ -158,6 +158,16 @@
             break;
         }
         pick -= it.weight;
+void ForwardedRequest::rejectUnknown(int status, const char *reason)
+{
+    if (m_record.configurationUnreadFor && *m_record.configurationUnreadFor <= m_state.changeTime) {
+        refuse(status, reason);
+        return;
+    }
+    m_hasNoPath = m_source == Source::EntryVm; // another VM may know it
+    refuse(503, "not in the configuration, which may be outdated");
+}
+
     }
     m_record.service = m_service;
 }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -69,6 +69,8 @@
 
     // Sending to a server, in forwardedrequest.cpp.
     bool authorise();
+    /// Refuses a request that the configuration doesn't allow, for good only where this VM can't have missed a configuration that does.
+    void rejectUnknown(int status, const char *reason);
     void chooseService();
     void sendFirst();
     void tryNextServer();
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -132,6 +132,7 @@
 {
     m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
     m_state.configurationCompleteAt = [this] {
+    m_state.changeTime = m_options.changeTime;
         return m_operatorFeed.completeAt();
     };
     m_state.pauses.setLeavingTime(m_options.drainTime);
@@ -386,6 +387,7 @@
     m_options.stopGrace = options.stopGrace;
     m_options.changeTime = options.changeTime;
     const ReadBudget budget = ReadBudget::of(options.changeTime);
+    m_state.changeTime = options.changeTime;
     m_relayLink.setBudget(budget);
     m_operatorFeed.setBudget(budget);
     m_backendFeed.setBudget(budget);
