In a planned stop each request that was read gets a whole answer, or is refused at once as not run

Another operator's clients lost requests that were taken late in the grace of a planned stop and cut at its end with no answer, among them ones that may not be repeated. Cause: a connection with a request half read is not idle, so it stayed open, the request was begun at whatever second it ended, and the process ended with requests open.

A request is begun only if it can end in time: its own time, or the longest of its route's latest ones, fits into what is left of the grace. Otherwise it gets 503 at once, with Retry-After 0, and a request that was passed on goes to another VM.

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -8,6 +8,7 @@
 #include "auburndrum/decision/traffic/peerroutes.h"
 #include "auburndrum/decision/traffic/responsememory.h"
 #include "auburndrum/decision/traffic/retryallowance.h"
+#include "auburndrum/decision/traffic/routedurations.h"
 #include "auburndrum/decision/traffic/serverchooser.h"
 #include "auburndrum/decision/traffic/serverlimits.h"
 #include "auburndrum/decision/traffic/serverpath.h"
@@ -24,10 +25,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace auburndrum::gateway {
 
+class ForwardedRequest;
+
 /// What a search for the origin of a stream found.
 struct OriginFinding
 {
@@ -67,11 +71,15 @@
     }
 
     std::string vmName;
+    std::set<ForwardedRequest *> openRequests; ///< those that were begun and have no final answer
+    std::optional<Instant> stopEndsAt; ///< in a planned stop: when each request must have its final answer
+    decision::RouteDurations routeDurations;
     Wire wire;
     std::shared_ptr<const decision::Configuration> configuration; ///< null until the first one
     Instant configurationAppliedAt{}; ///< when this VM applied it
     /// All configurations that the store had acknowledged by this time were read; empty when none was.
     std::function<std::optional<Instant>()> configurationCompleteAt;
+    std::chrono::milliseconds changeTime{2500}; ///< after its acknowledgement, within which a configuration must be in force
     decision::BackendList servers;
     decision::StoredPrompts storedPrompts;
     decision::ServerLimits limits;
@@ -79,7 +87,6 @@
     decision::BrittleServers brittle;
     decision::PeerRoutes peerRoutes;
     decision::ServerPath serverPath;
-    std::chrono::milliseconds changeTime{2500}; ///< after its acknowledgement, within which a configuration must be in force
     std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
     /// @{ Called with each server that can't be connected to, and when one responds while serverPath is cut.
     std::function<void(const std::string &server)> onServerUnreachable;
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -88,6 +88,11 @@
     {
         return m_server.isIdle();
     }
+    /// As HttpServer::refuseUnreadRequests(), for those of other VMs.
+    void refuseUnreadRequests()
+    {
+        m_server.refuseUnreadRequests();
+    }
     void addMethod(const std::string &name, std::function<entry::RpcResult(const std::string &request)> handler);
     void addVm(const decision::EntryVm &vm);
     std::vector<decision::EntryVm> knownVms() const
--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -48,6 +48,8 @@
     void closeAfterAnswers();
     /// Closes the connections that have no request in progress.
     void closeIdleConnections();
+    /// Answers requests that were not read completely, and so not passed to the handler, with 503, and closes their connections.
+    void refuseUnreadRequests();
     int connectionCount() const;
     /// Number of requests passed to the handler whose response is not complete yet.
     int openExchanges() const;
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -286,6 +286,10 @@
 void ForwardedRequest::conclude(Outcome outcome, int status, const char *reason)
 {
     m_isConcluded = true;
+    m_state.openRequests.erase(this);
+    if (outcome == Outcome::Served || outcome == Outcome::TimedOut) {
+        m_state.routeDurations.add(m_record.route, std::chrono::ceil<milliseconds>(monotonicNow() - m_startedAt));
+    }
     releaseHeldBody();
     m_deadlineTimer.stop();
     m_silenceTimer.stop();
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -31,8 +31,14 @@
 {
 }
 
+ForwardedRequest::~ForwardedRequest()
+{
+    m_state.openRequests.erase(this);
+}
+
 void ForwardedRequest::start()
 {
+    m_startedAt = monotonicNow();
     m_metadata = m_state.wire.readRequest(m_exchange->head());
     m_record.id = m_metadata.id;
     m_record.resumedAttempt = m_metadata.resumedAttempt;
@@ -71,6 +77,13 @@
     const milliseconds callerTimeout = std::min(m_metadata.callerTimeout.value_or(m_route->timeout), m_route->timeout);
     m_record.callerTimeout = callerTimeout;
     m_deadline = m_record.arrivedAt + callerTimeout;
+    if (!canEndBeforeStop()) {
+        m_hasNoPath = m_source == Source::EntryVm; // another VM may serve it
+        m_retryAfter = milliseconds(0); // there
+        refuse(503, "the VM stops before the request could end");
+        return;
+    }
+    m_state.openRequests.insert(this);
 
     const auto self = shared_from_this();
     m_exchange->setOnCallerDisconnected([self] {
@@ -99,6 +112,7 @@
         handleTimeout();
     });
     m_deadlineTimer.start(std::max(milliseconds(0), timeLeft()));
+    endWithStop();
     m_silenceTimer.setSingleShot(true);
     QObject::connect(&m_silenceTimer, &QTimer::timeout, &m_silenceTimer, [this] {
         checkSilence();
@@ -144,6 +158,16 @@
     return m_organisation != nullptr;
 }
 
+void ForwardedRequest::rejectUnknown(int status, const char *reason)
+{
+    if (m_record.configurationUnreadFor && *m_record.configurationUnreadFor <= m_state.changeTime) {
+        refuse(status, reason);
+        return;
+    }
+    m_hasNoPath = m_source == Source::EntryVm; // another VM may know it
+    refuse(503, "not in the configuration, which may be outdated");
+}
+
 void ForwardedRequest::chooseService()
 {
     std::uint32_t total = 0;
@@ -158,16 +182,6 @@
             break;
         }
         pick -= it.weight;
-void ForwardedRequest::rejectUnknown(int status, const char *reason)
-{
-    if (m_record.configurationUnreadFor && *m_record.configurationUnreadFor <= m_state.changeTime) {
-        refuse(status, reason);
-        return;
-    }
-    m_hasNoPath = m_source == Source::EntryVm; // another VM may know it
-    refuse(503, "not in the configuration, which may be outdated");
-}
-
     }
     m_record.service = m_service;
 }
@@ -350,6 +364,23 @@
     }
 }
 
+bool ForwardedRequest::canEndBeforeStop() const
+{
+    if (!m_state.stopEndsAt) {
+        return true;
+    }
+    const milliseconds expected = std::min(m_state.routeDurations.longest(m_route->name).value_or(timeLeft()), timeLeft());
+    return monotonicNow() + expected < *m_state.stopEndsAt;
+}
+
+void ForwardedRequest::endWithStop()
+{
+    if (m_state.stopEndsAt && *m_state.stopEndsAt < m_deadline) {
+        m_deadline = *m_state.stopEndsAt;
+        m_deadlineTimer.start(std::max(milliseconds(0), timeLeft()));
+    }
+}
+
 void ForwardedRequest::handleTimeout()
 {
     if (m_isConcluded) {
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -53,9 +53,15 @@
     };
 
     ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange, Source source);
+    ~ForwardedRequest();
+
+    ForwardedRequest(const ForwardedRequest &) = delete;
+    ForwardedRequest &operator=(const ForwardedRequest &) = delete;
 
     /// Starts the request, which ends with exactly one final response unless the caller disconnects.
     void start();
+    /// Moves the deadline forward to the end of a planned stop.
+    void endWithStop();
 
 private:
     static constexpr qint64 PauseAboveBytes = 64 * 1024; ///< above this number of unsent bytes to a slow caller or server, reading from the sender pauses
@@ -69,6 +75,8 @@
 
     // Sending to a server, in forwardedrequest.cpp.
     bool authorise();
+    /// Whether the request ends before the VM does, as far as the route's latest ones tell.
+    bool canEndBeforeStop() const;
     /// Refuses a request that the configuration doesn't allow, for good only where this VM can't have missed a configuration that does.
     void rejectUnknown(int status, const char *reason);
     void chooseService();
@@ -185,6 +193,7 @@
     QTimer m_deadlineTimer; ///< ends the request at its deadline
     QTimer m_silenceTimer; ///< checks for a server that gives no response
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
+    Instant m_startedAt{}; ///< when the request was passed to this object; its bytes may have taken longer to arrive
     Instant m_deadline{};
     std::optional<ForwardAttempt> m_attempt;
     Source m_source;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -16,7 +16,8 @@
 constexpr milliseconds StopCheckInterval{50};
 // The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
 constexpr milliseconds BalancerLag{2600};
-constexpr milliseconds StopMargin{500}; // reserve before the platform kills the process
+constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer
+constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
 
 decision::ServerChooserOptions chooserOptions(const GatewayOptions &options)
 {
@@ -131,8 +132,8 @@
                                }})
 {
     m_state.outdatedWeightsLimit = m_options.outdatedWeightsLimit;
-    m_state.configurationCompleteAt = [this] {
     m_state.changeTime = m_options.changeTime;
+    m_state.configurationCompleteAt = [this] {
         return m_operatorFeed.completeAt();
     };
     m_state.pauses.setLeavingTime(m_options.drainTime);
@@ -386,8 +387,8 @@
     m_options.outdatedWeightsLimit = options.outdatedWeightsLimit;
     m_options.stopGrace = options.stopGrace;
     m_options.changeTime = options.changeTime;
-    const ReadBudget budget = ReadBudget::of(options.changeTime);
     m_state.changeTime = options.changeTime;
+    const ReadBudget budget = ReadBudget::of(options.changeTime);
     m_relayLink.setBudget(budget);
     m_operatorFeed.setBudget(budget);
     m_backendFeed.setBudget(budget);
@@ -416,6 +417,11 @@
     m_isStopping = true;
     m_stopAt = monotonicNow();
     m_onStopped = std::move(onStopped);
+    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - StopMargin;
+    const auto open = m_state.openRequests; // a copy, because a request that ends changes the set
+    for (ForwardedRequest *it : open) {
+        it->endWithStop();
+    }
     m_state.log.write(LinePriority::Notable, "stop", {{"open_requests", m_callerServer.openExchanges()}});
     m_callerServer.closeAfterAnswers();
     m_relayLink.stop();
@@ -426,14 +432,18 @@
 void Gateway::finishStop()
 {
     const auto elapsed = monotonicNow() - m_stopAt;
-    if (elapsed < BalancerLag) {
+    if (elapsed < std::min(BalancerLag, m_options.stopGrace - StopMargin)) {
         return;
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
     m_callerServer.stopListening();
     m_callerServer.closeIdleConnections();
+    if (elapsed >= m_options.stopGrace - StopMargin) {
+        m_callerServer.refuseUnreadRequests();
+        m_relayLink.refuseUnreadRequests();
+    }
     const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0 && m_relayLink.isIdle();
-    if (!isDone && elapsed < m_options.stopGrace - StopMargin) {
+    if (!isDone && elapsed < m_options.stopGrace - ExitMargin) {
         return;
     }
     m_stopTimer.stop();
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -156,6 +156,14 @@
     }
 }
 
+void HttpServer::refuseUnreadRequests()
+{
+    const auto all = d->connections; // a copy, because closing a connection changes the map
+    for (const auto &[socket, connection] : all) {
+        connection->refuseUnreadRequest();
+    }
+}
+
 int HttpServer::connectionCount() const
 {
     return static_cast<int>(d->connections.size());
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -100,6 +100,13 @@
     }
 }
 
+void ServerConnection::refuseUnreadRequest()
+{
+    if (m_parser && !m_isHandlerCalled) {
+        reject(503, "The server stops.");
+    }
+}
+
 void ServerConnection::setReadingPaused(bool paused)
 {
     m_paused = paused;
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -26,6 +26,9 @@
     /// Closes the connection when no request is in progress.
     void closeIfIdle();
 
+    /// Refuses the request of which only a part was read; does nothing when the handler has it.
+    void refuseUnreadRequest();
+
     bool isOpen() const;
     int openExchanges() const
     {
