Test: waits of two seconds and more don't end up to 5% too early

serverlimit_test sent its caller before the time that it had been told: QTimer's default for two seconds and more is a coarse timer, which may end early.

--- a/src/auburndrum/gateway/eventloop.h
+++ b/src/auburndrum/gateway/eventloop.h
@@ -19,7 +19,8 @@
         }
     });
     poll.start(std::chrono::milliseconds(1));
-    QTimer::singleShot(timeout, &loop, &QEventLoop::quit);
+    // A coarse timer, the default from two seconds on, may end up to 5% too early.
+    QTimer::singleShot(timeout, Qt::PreciseTimer, &loop, &QEventLoop::quit);
     loop.exec();
     return isDone();
 }
