--- a/src/auburndrum/gateway/gatewayfixture.h
+++ b/src/auburndrum/gateway/gatewayfixture.h
@@ -15,10 +15,10 @@
 
 /// A gateway between a store, two backend servers and a caller, in one process.
 ///
-/// Routes by path: /once/ and /single/ (unsafe, two servers and one), /slow/ (unsafe, with a timeout of 10 s), /safe/, /stream/ (resumable) and /brief/ (not resumable, removed in configuration version
-/// 5). A request with the header Model is a prompt, whose parts the header Parts lists. The operator's key "weights" names weights of the model "m"; a server's
-/// value is its address, with the version of its weights and that of its software after blanks. The header Last names the last event that the caller has,
-/// Resumes the attempt that received the first one.
+/// Routes by path: /once/ and /single/ (unsafe, two servers and one), /slow/ (unsafe, with a timeout of 10 s), /safe/, /stream/ (resumable) and /brief/ (not
+/// resumable, removed in configuration version 5). A request with the header Model is a prompt, whose parts the header Parts lists. The operator's key
+/// "weights" names weights of the model "m"; a server's value is its address, with the version of its weights and that of its software after blanks. The header
+/// Last names the last event that the caller has, Resumes the attempt that received the first one.
 class GatewayFixture
 {
 public:
--- a/src/auburndrum/gateway/headcut_test.cpp
+++ b/src/auburndrum/gateway/headcut_test.cpp
@@ -159,7 +159,8 @@
                     // Nothing listens there: the VM reaches no server and passes requests on.
                     fixture.store.put("servers", "a", "127.0.0.1:1");
                     fixture.store.put("servers", "b", std::nullopt);
-                    fixture.store.put("entries", "other", QByteArray::fromStdString(toJson(decision::EntryVm{"other", other.address().toStdString(), "zone", 100})));
+                    fixture.store.put(
+                        "entries", "other", QByteArray::fromStdString(toJson(decision::EntryVm{"other", other.address().toStdString(), "zone", 100})));
                 });
             REQUIRE(runUntil([&it] {
                 return it.hasLogged("entry_vms");
