--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -146,28 +146,6 @@
     tryNextServer();
 }
 
-bool ForwardedRequest::authorise()
-{
-    if (!m_configuration->requiresApiKeys || m_route->isPublic) {
-        return true;
-    }
-    m_organisation = m_configuration->findOrganisation(m_metadata.apiKey);
-    if (m_organisation != nullptr) {
-        m_record.organisation = m_organisation->name;
-    }
-    return m_organisation != nullptr;
-}
-
-void ForwardedRequest::rejectUnknown(int status, const char *reason)
-{
-    if (m_record.configurationUnreadFor && *m_record.configurationUnreadFor <= m_state.changeTime) {
-        refuse(status, reason);
-        return;
-    }
-    m_hasNoPath = m_source == Source::EntryVm; // another VM may know it
-    refuse(503, "not in the configuration, which may be outdated");
-}
-
 void ForwardedRequest::chooseService()
 {
     std::uint32_t total = 0;
@@ -364,23 +342,6 @@
     }
 }
 
-bool ForwardedRequest::canEndBeforeStop() const
-{
-    if (!m_state.stopEndsAt) {
-        return true;
-    }
-    const milliseconds expected = std::min(m_state.routeDurations.longest(m_route->name).value_or(timeLeft()), timeLeft());
-    return monotonicNow() + expected < *m_state.stopEndsAt;
-}
-
-void ForwardedRequest::endWithStop()
-{
-    if (m_state.stopEndsAt && *m_state.stopEndsAt < m_deadline) {
-        m_deadline = *m_state.stopEndsAt;
-        m_deadlineTimer.start(std::max(milliseconds(0), timeLeft()));
-    }
-}
-
 void ForwardedRequest::handleTimeout()
 {
     if (m_isConcluded) {
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -13,11 +13,6 @@
 // Requests are sent only when they are expected to begin this long before the limit; those that wait longer are taken back shortly before it.
 constexpr milliseconds WeightsMargin{1000};
 constexpr milliseconds NotableLag{250}; // half of the time within which a server must hear that a caller left
-constexpr milliseconds StopCheckInterval{50};
-// The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
-constexpr milliseconds BalancerLag{2600};
-constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer
-constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
 
 decision::ServerChooserOptions chooserOptions(const GatewayOptions &options)
 {
@@ -58,11 +53,6 @@
     return it;
 }
 
-std::string_view toView(const QByteArray &bytes)
-{
-    return {bytes.constData(), static_cast<std::size_t>(bytes.size())};
-}
-
 } // namespace
 
 Gateway::Gateway(GatewayOptions options, Wire wire, RecordReaders readers, RecordStore store, EngineControl engines, QObject *parent)
@@ -196,17 +186,6 @@
                       {{"topic", topic}, {"repeats", repeats}, {"waited_ms", waited.count()}, {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
 }
 
-std::optional<milliseconds> Gateway::observeChange(const std::string &topic, const KeyedFeed &feed)
-{
-    const auto before = feed.previousReadAt();
-    if (!before) {
-        return std::nullopt;
-    }
-    const auto delay = std::chrono::floor<milliseconds>(suspendAwareNow() - *before);
-    m_state.metrics.changeDelaySeconds.with({topic}).Observe(std::chrono::duration<double>(delay).count());
-    return delay;
-}
-
 bool Gateway::start()
 {
     const net::Address callers = m_callerServer.listenOn(m_options.callerAddress);
@@ -257,39 +236,6 @@
     std::make_shared<ForwardedRequest>(m_state, exchange, ForwardedRequest::Source::EntryVm)->start();
 }
 
-void Gateway::applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
-{
-    if (!value) {
-        return;
-    }
-    std::string problem;
-    if (m_readers.isConfiguration(key)) {
-        auto configuration = m_readers.readConfiguration(toView(*value), problem);
-        if (!configuration) {
-            skipRecord(m_options.operatorTopic, key, problem);
-            return;
-        }
-        applyConfiguration(std::move(*configuration));
-        return;
-    }
-    if (!m_readers.isWeights(key)) {
-        return;
-    }
-    const auto weights = m_readers.readWeights(toView(*value), problem);
-    if (!weights) {
-        skipRecord(m_options.operatorTopic, key, problem);
-        return;
-    }
-    const auto readBefore = m_operatorFeed.previousReadAt();
-    // Weights that were named before the start may have been named at any time: their limit then passes when this VM has settled.
-    const Instant countsFrom = readBefore.value_or(suspendAwareNow() - (m_options.outdatedWeightsLimit - m_options.startSettleTime));
-    if (!m_state.weights[weights->first].addVersion(weights->second, countsFrom, !readBefore)) {
-        return;
-    }
-    m_state.metrics.stateChanges.with({"weights"}).Increment();
-    m_state.log.write(LinePriority::Notable, "weights_named", {{"model", weights->first}, {"version", weights->second}});
-}
-
 void Gateway::applyConfiguration(decision::Configuration configuration)
 {
     const std::uint64_t before = m_state.configuration ? m_state.configuration->version : 0;
@@ -315,42 +261,6 @@
                        {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
 }
 
-void Gateway::applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage)
-{
-    const Instant now = monotonicNow();
-    decision::BackendChange change = decision::BackendChange::None;
-    if (!value) {
-        change = m_state.servers.remove(id, now, duringOutage);
-    } else {
-        std::string problem;
-        const auto server = m_readers.readBackendServer(id, toView(*value), problem);
-        if (!server) {
-            skipRecord(m_options.backendTopic, id, problem);
-            return;
-        }
-        change = m_state.servers.put(*server, now);
-    }
-    if (change == decision::BackendChange::None) {
-        return;
-    }
-    if (change == decision::BackendChange::Removed || change == decision::BackendChange::Restarted) {
-        m_state.chooser.forget(id);
-        m_state.limits.forget(id);
-    }
-    m_state.metrics.stateChanges.with({"backend_server"}).Increment();
-    const auto delay = observeChange(m_options.backendTopic, m_backendFeed);
-    const auto *entry = m_state.servers.find(id);
-    m_state.log.write(LinePriority::Notable,
-                      "backend_server",
-                      {{"server", id},
-                       {"change", decision::toText(change)},
-                       {"service", entry == nullptr ? "" : entry->server.service},
-                       {"address", entry == nullptr ? "" : entry->server.address},
-                       {"software", entry == nullptr ? "" : entry->server.softwareVersion},
-                       {"delay_ms", delay ? delay->count() : -1},
-                       {"during_outage", duringOutage}});
-}
-
 void Gateway::measureLag()
 {
     const Instant now = monotonicNow();
@@ -375,12 +285,6 @@
     }
 }
 
-void Gateway::skipRecord(const std::string &topic, const std::string &key, const std::string &problem)
-{
-    m_state.metrics.recordsSkipped.with({topic}).Increment();
-    m_state.log.write(LinePriority::Notable, "record_skipped", {{"topic", topic}, {"key", key}, {"problem", problem}});
-}
-
 void Gateway::reload(const GatewayOptions &options)
 {
     m_options.retries = options.retries;
@@ -409,49 +313,4 @@
     m_state.log.write(LinePriority::Notable, "reload_failed", {{"problem", problem}});
 }
 
-void Gateway::stop(std::function<void()> onStopped)
-{
-    if (m_isStopping) {
-        return;
-    }
-    m_isStopping = true;
-    m_stopAt = monotonicNow();
-    m_onStopped = std::move(onStopped);
-    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - StopMargin;
-    const auto open = m_state.openRequests; // a copy, because a request that ends changes the set
-    for (ForwardedRequest *it : open) {
-        it->endWithStop();
-    }
-    m_state.log.write(LinePriority::Notable, "stop", {{"open_requests", m_callerServer.openExchanges()}});
-    m_callerServer.closeAfterAnswers();
-    m_relayLink.stop();
-    m_weightUpdater.beginStop();
-    m_stopTimer.start(StopCheckInterval);
-}
-
-void Gateway::finishStop()
-{
-    const auto elapsed = monotonicNow() - m_stopAt;
-    if (elapsed < std::min(BalancerLag, m_options.stopGrace - StopMargin)) {
-        return;
-    }
-    // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
-    m_callerServer.stopListening();
-    m_callerServer.closeIdleConnections();
-    if (elapsed >= m_options.stopGrace - StopMargin) {
-        m_callerServer.refuseUnreadRequests();
-        m_relayLink.refuseUnreadRequests();
-    }
-    const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0 && m_relayLink.isIdle();
-    if (!isDone && elapsed < m_options.stopGrace - ExitMargin) {
-        return;
-    }
-    m_stopTimer.stop();
-    m_weightUpdater.finishStop([this] {
-        m_state.log.write(LinePriority::Notable, "stopped", {{"open_requests", m_callerServer.openExchanges()}});
-        m_state.log.flush();
-        m_onStopped();
-    });
-}
-
 } // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -0,0 +1,66 @@
+#include "auburndrum/gateway/gateway.h"
+
+#include "forwardedrequest.h"
+
+// Planned stops.
+
+namespace auburndrum::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds StopCheckInterval{50};
+// The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
+constexpr milliseconds BalancerLag{2600};
+constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer
+constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
+
+} // namespace
+
+void Gateway::stop(std::function<void()> onStopped)
+{
+    if (m_isStopping) {
+        return;
+    }
+    m_isStopping = true;
+    m_stopAt = monotonicNow();
+    m_onStopped = std::move(onStopped);
+    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - StopMargin;
+    const auto open = m_state.openRequests; // a copy, because a request that ends changes the set
+    for (ForwardedRequest *it : open) {
+        it->endWithStop();
+    }
+    m_state.log.write(LinePriority::Notable, "stop", {{"open_requests", m_callerServer.openExchanges()}});
+    m_callerServer.closeAfterAnswers();
+    m_relayLink.stop();
+    m_weightUpdater.beginStop();
+    m_stopTimer.start(StopCheckInterval);
+}
+
+void Gateway::finishStop()
+{
+    const auto elapsed = monotonicNow() - m_stopAt;
+    if (elapsed < std::min(BalancerLag, m_options.stopGrace - StopMargin)) {
+        return;
+    }
+    // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
+    m_callerServer.stopListening();
+    m_callerServer.closeIdleConnections();
+    if (elapsed >= m_options.stopGrace - StopMargin) {
+        m_callerServer.refuseUnreadRequests();
+        m_relayLink.refuseUnreadRequests();
+    }
+    const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0 && m_relayLink.isIdle();
+    if (!isDone && elapsed < m_options.stopGrace - ExitMargin) {
+        return;
+    }
+    m_stopTimer.stop();
+    m_weightUpdater.finishStop([this] {
+        m_state.log.write(LinePriority::Notable, "stopped", {{"open_requests", m_callerServer.openExchanges()}});
+        m_state.log.flush();
+        m_onStopped();
+    });
+}
+
+} // namespace auburndrum::gateway
