--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -60,6 +60,7 @@
     });
     REQUIRE(it.sendRequest("/slow/x").head.status == 200); // shows how long such requests take
     std::vector<std::unique_ptr<SlowCaller>> callers;
+    callers.reserve(40);
     for (int n = 0; n < 40; ++n) { // the last ones are still sending when the grace of 4 s ends
         callers.push_back(std::make_unique<SlowCaller>(it.callerAddress, n));
     }
