A choice looks up what the prompt stores hold once for each zone, not once for each engine

Prompt stores have an index by part now, sources and keys are looked up once for each weight version and zone, a service's servers have an index, and outdated weights are judged without a scan for each engine. The choice itself is the same.

--- a/include/auburndrum/decision/traffic/backendlist.h
+++ b/include/auburndrum/decision/traffic/backendlist.h
@@ -31,6 +31,9 @@
     bool operator==(const BackendServer &) const = default;
 };
 
+/// Equal for two registrations that say the same.
+std::uint64_t digestOf(const BackendServer &server);
+
 /// What a registration record changed in the list, for the log.
 enum class BackendChange : std::uint8_t {
     None,
@@ -77,15 +80,30 @@
     /// Whether the server accepts new requests; a draining one doesn't.
     static bool acceptsRequests(const Entry &entry);
     /// All servers of a service, draining ones too, in the order of their ids.
-    std::vector<const Entry *> findByService(std::string_view service) const;
+    const std::vector<const Entry *> &findByService(std::string_view service) const;
     /// Whether a server of this version is listed, a draining one too.
     bool hasSoftwareVersion(std::string_view service, std::string_view version) const;
     std::size_t size() const;
+    /// Changes whenever a server comes, goes or changes.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
     std::vector<std::string> ids() const;
+    /// All servers by id.
+    const std::map<std::string, Entry, std::less<>> &entries() const
+    {
+        return m_entries;
+    }
 
 private:
+    void index(const Entry &entry);
+    void unindex(const Entry &entry);
+
     BackendListOptions m_options;
     std::map<std::string, Entry, std::less<>> m_entries;
+    std::map<std::string, std::vector<const Entry *>, std::less<>> m_byService; ///< sorted by id
+    std::uint64_t m_revision = 0;
 };
 
 const char *toText(BackendChange change);
--- a/include/auburndrum/decision/traffic/promptcacheestimate.h
+++ b/include/auburndrum/decision/traffic/promptcacheestimate.h
@@ -23,6 +23,8 @@
     void recordPrompt(std::string_view scope, const Prompt &prompt);
     /// Tokens at the start of the prompt that are probably cached.
     std::uint32_t cachedTokens(std::string_view scope, const Prompt &prompt) const;
+    /// The same for the parts' keys in a scope, in prompt order.
+    std::uint32_t cachedTokens(const std::vector<std::uint64_t> &keys, const Prompt &prompt) const;
     void clear();
 
 private:
--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -2,11 +2,13 @@
 
 #include "auburndrum/base/time.h"
 #include "auburndrum/decision/circuitbreaker.h"
+#include "auburndrum/decision/stringmap.h"
 #include "auburndrum/decision/traffic/backendlist.h"
 #include "auburndrum/decision/traffic/brittleservers.h"
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/namedweights.h"
 #include "auburndrum/decision/traffic/promptcacheestimate.h"
+#include "auburndrum/decision/traffic/promptlookup.h"
 #include "auburndrum/decision/traffic/serverlimits.h"
 #include "auburndrum/decision/traffic/serverpauses.h"
 #include "auburndrum/decision/traffic/storedprompts.h"
@@ -165,12 +167,29 @@
 
     const Load *findLoad(std::string_view id) const;
     Load &loadOf(std::string_view id);
-    ServerChoice assess(const ServerQuery &query, const BackendList::Entry &entry, bool isPreferred, Instant now) const;
+    /// What is expected of a request at one server.
+    struct Estimate
+    {
+        std::chrono::microseconds expectedWait{};
+        std::uint32_t runningRequests = 0;
+        std::uint32_t uncachedTokens = 0;
+        std::chrono::milliseconds reportAge{-1};
+        std::uint64_t weightVersion = 0;
+        const PromptLookup::Scope *scope = nullptr; ///< null for plain services
+    };
+
+    /// `lookup` is null for plain services.
+    Estimate assess(const ServerQuery &query, const BackendList::Entry &entry, bool isPreferred, PromptLookup *lookup, Instant now) const;
+    ServerChoice choiceOf(const ServerQuery &query, const BackendList::Entry &entry, const Estimate &estimate, Instant now) const;
+    /// Whether a part is fetched from its source rather than prefilled.
+    bool isFetched(const std::optional<StoredPromptSource> &source, std::uint32_t tokens) const;
     /// How long a request waits until the engine's memory has free capacity for it.
     std::chrono::microseconds memoryWait(const BackendList::Entry &entry, const Load &load, std::uint32_t others, std::uint32_t need) const;
-    /// Milliseconds that the engine needs to fetch and prefill the prompt. Sets `choice.uncachedTokens` and `choice.partSources`.
-    double prefillTime(const ServerQuery &query, const BackendList::Entry &entry, const Load &load, bool isPreferred, ServerChoice &choice) const;
-    bool areWeightsPastGrace(const ServerQuery &query, std::uint64_t version, Instant now) const;
+    /// Milliseconds that the engine needs to fetch and prefill the prompt. Sets `estimate.uncachedTokens`.
+    double prefillTime(const Prompt &prompt, const Load &load, bool isPreferred, Estimate &estimate) const;
+    /// The newest weights of the prompt's model that a server of the service has.
+    std::uint64_t newestLoadedWeights(const ServerQuery &query) const;
+    bool areWeightsPastGrace(const ServerQuery &query, std::uint64_t version, std::uint64_t newestLoaded, Instant now) const;
     std::chrono::microseconds networkCost(const std::string &zone) const;
 
     ServerChooserOptions m_options;
@@ -180,7 +199,7 @@
     const ServerPauses &m_pauses;
     const BrittleServers &m_brittle;
     std::map<std::string, EngineTraits, std::less<>> m_engines; ///< by service
-    std::map<std::string, Load, std::less<>> m_loads;
+    StringMap<Load> m_loads; ///< by server
     double m_prefillRate; ///< prompt tokens per millisecond
     double m_meanMemoryTokens = 4000; ///< moving mean of the tokens of memory that a request uses; starts at a common prompt's
     std::chrono::microseconds m_meanResidence{1000000}; ///< moving mean of the time that a request stays at an engine
--- a/include/auburndrum/decision/traffic/storedprompts.h
+++ b/include/auburndrum/decision/traffic/storedprompts.h
@@ -5,6 +5,8 @@
 #include "auburndrum/decision/traffic/configuration.h"
 #include "auburndrum/decision/traffic/prompt.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -76,6 +78,8 @@
     /// The store that transfers the part fastest to an engine of `zone`. Only stores of its region: a transfer between regions takes ten
     /// times as long and blocks the store's link for all others.
     std::optional<StoredPromptSource> findSource(std::string_view scope, const PromptPart &part, std::string_view zone, std::uint32_t tokenBytes) const;
+    /// The same for a part's partKey().
+    std::optional<StoredPromptSource> findSource(std::uint64_t key, std::uint32_t tokens, std::string_view zone, std::uint32_t tokenBytes) const;
     /// The store to send the part to once an engine of `zone` has prefilled it; empty for none. Records the part as sent.
     std::string chooseStore(std::string_view scope, const PromptPart &part, std::string_view zone, Instant now);
     /// Up to `limit` parts of a store whose scope satisfies `isStale`.
@@ -96,10 +100,14 @@
 
     const std::string &regionOf(std::string_view zone) const;
     bool isSameRegion(std::string_view a, std::string_view b) const;
-    static void applyChange(Store &store, const StoredPromptChange &change);
+    void applyChange(Store &store, const StoredPromptChange &change);
+    void addHolder(const Store &store, std::string_view scope, std::string_view part);
+    void removeHolder(const Store &store, std::string_view scope, std::string_view part);
+    void clearParts(Store &store);
 
     StoredPromptsOptions m_options;
     std::map<std::string, Store, std::less<>> m_stores; ///< by address
+    absl::flat_hash_map<std::uint64_t, std::vector<const Store *>> m_holders; ///< stores that hold a part, by partKey()
     StringMap<Instant> m_recentSends; ///< time of the last send, by scope, part and region
 };
 
--- a/src/auburndrum/decision/traffic/backendlist.cpp
+++ b/src/auburndrum/decision/traffic/backendlist.cpp
@@ -1,9 +1,29 @@
 #include "auburndrum/decision/traffic/backendlist.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace auburndrum::decision {
 
+std::uint64_t digestOf(const BackendServer &server)
+{
+    constexpr char Separator = '\0'; // in none of the fields
+    std::string text;
+    for (const std::string *it : {&server.id, &server.service, &server.address, &server.zone, &server.softwareVersion}) {
+        text += *it;
+        text += Separator;
+    }
+    text += std::to_string(server.parallelRequests) + (server.isDraining ? 'd' : 'r') + std::to_string(server.startedAt.time_since_epoch().count());
+    for (const auto &[model, version] : server.weightVersions) {
+        text += Separator;
+        text += model;
+        text += Separator;
+        text += std::to_string(version);
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
 BackendList::BackendList(const BackendListOptions &options)
     : m_options(options)
 {
@@ -13,6 +33,7 @@
 {
     const auto [it, isNew] = m_entries.try_emplace(server.id, Entry{server, now, std::nullopt});
     if (isNew) {
+        index(it->second);
         return server.isDraining ? BackendChange::Draining : BackendChange::Added;
     }
     Entry &entry = it->second;
@@ -25,8 +46,10 @@
     }
     const bool isRestart = entry.server.startedAt != server.startedAt;
     const bool beganDraining = server.isDraining && !entry.server.isDraining;
+    unindex(entry);
     entry.server = server;
     entry.changedAt = now;
+    index(entry);
     if (isRestart) {
         return BackendChange::Restarted;
     }
@@ -45,6 +68,7 @@
         }
         return BackendChange::None;
     }
+    unindex(it->second);
     m_entries.erase(it);
     return BackendChange::Removed;
 }
@@ -58,7 +82,9 @@
         }
     }
     for (const std::string &it : gone) {
-        m_entries.erase(it);
+        const auto entry = m_entries.find(it);
+        unindex(entry->second);
+        m_entries.erase(entry);
     }
     return gone;
 }
@@ -74,21 +100,38 @@
     return !entry.server.isDraining;
 }
 
-std::vector<const BackendList::Entry *> BackendList::findByService(std::string_view service) const
+void BackendList::index(const Entry &entry)
 {
-    std::vector<const Entry *> list;
-    for (const auto &[id, entry] : m_entries) {
-        if (entry.server.service == service) {
-            list.push_back(&entry);
-        }
+    ++m_revision;
+    auto &list = m_byService[entry.server.service];
+    const auto at = std::lower_bound(list.begin(), list.end(), entry.server.id, [](const Entry *a, const std::string &id) {
+        return a->server.id < id;
+    });
+    list.insert(at, &entry);
+}
+
+void BackendList::unindex(const Entry &entry)
+{
+    ++m_revision;
+    const auto list = m_byService.find(entry.server.service);
+    std::erase(list->second, &entry);
+    if (list->second.empty()) {
+        m_byService.erase(list);
     }
-    return list;
+}
+
+const std::vector<const BackendList::Entry *> &BackendList::findByService(std::string_view service) const
+{
+    static const std::vector<const Entry *> none;
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? none : it->second;
 }
 
 bool BackendList::hasSoftwareVersion(std::string_view service, std::string_view version) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
-        return it.second.server.service == service && it.second.server.softwareVersion == version;
+    const auto &list = findByService(service);
+    return std::any_of(list.begin(), list.end(), [&](const Entry *it) {
+        return it->server.softwareVersion == version;
     });
 }
 
--- a/src/auburndrum/decision/traffic/cachescope.cpp
+++ b/src/auburndrum/decision/traffic/cachescope.cpp
@@ -1,6 +1,7 @@
 #include "auburndrum/decision/traffic/cachescope.h"
 
 #include <absl/strings/numbers.h>
+#include <xxhash.h>
 
 namespace auburndrum::decision {
 
@@ -20,6 +21,21 @@
     return scope;
 }
 
+std::uint64_t partKey(std::string_view scope, std::string_view part)
+{
+    return XXH3_64bits_withSeed(part.data(), part.size(), XXH3_64bits(scope.data(), scope.size()));
+}
+
+std::vector<std::uint64_t> partKeys(std::string_view scope, const Prompt &prompt)
+{
+    std::vector<std::uint64_t> keys;
+    keys.reserve(prompt.parts.size());
+    for (const PromptPart &it : prompt.parts) {
+        keys.push_back(partKey(scope, it.id));
+    }
+    return keys;
+}
+
 std::optional<std::uint64_t> weightVersionOfScope(std::string_view scope, std::string_view model)
 {
     if (!scope.starts_with(model) || scope.size() <= model.size() || scope[model.size()] != Separator) {
--- a/src/auburndrum/decision/traffic/promptcacheestimate.cpp
+++ b/src/auburndrum/decision/traffic/promptcacheestimate.cpp
@@ -1,18 +1,9 @@
 #include "auburndrum/decision/traffic/promptcacheestimate.h"
 
-#include <xxhash.h>
+#include "auburndrum/decision/traffic/cachescope.h"
 
 namespace auburndrum::decision {
 
-namespace {
-
-std::uint64_t partKey(std::string_view scope, std::string_view id)
-{
-    return XXH3_64bits_withSeed(id.data(), id.size(), XXH3_64bits(scope.data(), scope.size()));
-}
-
-} // namespace
-
 PromptCacheEstimate::PromptCacheEstimate(std::uint64_t capacityTokens)
     : m_capacity(capacityTokens)
 {
@@ -42,13 +33,15 @@
 }
 
 std::uint32_t PromptCacheEstimate::cachedTokens(std::string_view scope, const Prompt &prompt) const
+{
+    return cachedTokens(partKeys(scope, prompt), prompt);
+}
+
+std::uint32_t PromptCacheEstimate::cachedTokens(const std::vector<std::uint64_t> &keys, const Prompt &prompt) const
 {
     std::uint32_t tokens = 0;
-    for (const PromptPart &it : prompt.parts) {
-        if (!m_index.contains(partKey(scope, it.id))) {
-            break;
-        }
-        tokens += it.tokens;
+    for (std::size_t n = 0; n < keys.size() && m_index.contains(keys[n]); ++n) {
+        tokens += prompt.parts[n].tokens;
     }
     return tokens;
 }
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -1,7 +1,5 @@
 #include "auburndrum/decision/traffic/serverchooser.h"
 
-#include "auburndrum/decision/traffic/cachescope.h"
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -15,9 +13,9 @@
 constexpr double RunningCostTokens = 150; // each running request delays others about as much as the prefill of this many tokens
 constexpr double MeanWaitingTokens = 2000; // assumed prompt size of a request that waits at an engine; load reports don't include it
 
-std::uint64_t rank(std::string_view server, std::string_view key)
+std::uint64_t rank(std::string_view server, std::uint64_t seed)
 {
-    return XXH3_64bits_withSeed(server.data(), server.size(), XXH3_64bits(key.data(), key.size()));
+    return XXH3_64bits_withSeed(server.data(), server.size(), seed);
 }
 
 } // namespace
@@ -105,52 +103,88 @@
     return isNear ? m_options.crossZoneCost : m_options.crossRegionCost;
 }
 
-ServerChoice ServerChooser::assess(const ServerQuery &query, const BackendList::Entry &entry, bool isPreferred, Instant now) const
+ServerChooser::Estimate ServerChooser::assess(
+    const ServerQuery &query, const BackendList::Entry &entry, bool isPreferred, PromptLookup *lookup, Instant now) const
 {
     static const Load unknown;
     const Load *known = findLoad(entry.server.id);
     const Load &load = known == nullptr ? unknown : *known;
 
-    ServerChoice choice;
-    choice.id = entry.server.id;
-    choice.address = entry.server.address;
-    choice.startedAt = entry.server.startedAt;
-    choice.softwareVersion = entry.server.softwareVersion;
-    choice.limitPerSecond = m_limits.find(entry.server.id, entry.server.startedAt);
-    choice.zone = entry.server.zone;
-    choice.entryAge = std::chrono::floor<std::chrono::milliseconds>(now - entry.changedAt);
+    Estimate estimate;
     std::uint32_t others = 0;
     std::uint32_t waiting = 0;
     if (load.reportedAt) {
-        choice.reportAge = std::chrono::floor<std::chrono::milliseconds>(now - *load.reportedAt);
-        if (choice.reportAge < m_options.maxReportAge) {
+        estimate.reportAge = std::chrono::floor<std::chrono::milliseconds>(now - *load.reportedAt);
+        if (estimate.reportAge < m_options.maxReportAge) {
             others = load.report.running + load.report.waiting - std::min(load.report.running + load.report.waiting, load.ownRequestsAtReport);
             waiting = load.report.waiting;
         }
     }
-    choice.runningRequests = load.ownRequests + others;
-    if (query.prompt == nullptr) {
+    estimate.runningRequests = load.ownRequests + others;
+    if (lookup == nullptr) {
         const std::uint32_t slots = std::max<std::uint32_t>(1, entry.server.parallelRequests);
-        const double utilization = static_cast<double>(choice.runningRequests) / slots;
+        const double utilization = static_cast<double>(estimate.runningRequests) / slots;
         // Utilization below 1 already costs: some servers slow down when nearly full.
-        choice.expectedWait = std::chrono::floor<microseconds>(m_meanPlainTime * (utilization < 1 ? utilization * utilization * 0.5 : utilization - 0.5));
-        return choice;
+        estimate.expectedWait = std::chrono::floor<microseconds>(m_meanPlainTime * (utilization < 1 ? utilization * utilization * 0.5 : utilization - 0.5));
+        return estimate;
     }
     const auto version = entry.server.weightVersions.find(query.prompt->model);
-    choice.weightVersion = version == entry.server.weightVersions.end() ? 0 : version->second;
-    choice.cacheScope = cacheScope(query.prompt->model, choice.weightVersion, query.organisation);
+    estimate.weightVersion = version == entry.server.weightVersions.end() ? 0 : version->second;
+    estimate.scope = &lookup->find(estimate.weightVersion, entry.server.zone);
+    const double prefillMs = prefillTime(*query.prompt, load, isPreferred, estimate);
+    const double aheadTokens = load.ownUncachedTokens + waiting * MeanWaitingTokens + estimate.runningRequests * RunningCostTokens;
+    const std::uint32_t memoryTokens = query.prompt->inputTokens + query.prompt->maxOutputTokens;
+    estimate.expectedWait
+        = microseconds(static_cast<std::int64_t>((aheadTokens / m_prefillRate + prefillMs) * 1000)) + memoryWait(entry, load, others, memoryTokens);
+    return estimate;
+}
+
+ServerChoice ServerChooser::choiceOf(const ServerQuery &query, const BackendList::Entry &entry, const Estimate &estimate, Instant now) const
+{
+    ServerChoice choice;
+    choice.id = entry.server.id;
+    choice.address = entry.server.address;
+    choice.startedAt = entry.server.startedAt;
+    choice.softwareVersion = entry.server.softwareVersion;
+    choice.limitPerSecond = m_limits.find(entry.server.id, entry.server.startedAt);
+    choice.zone = entry.server.zone;
+    choice.entryAge = std::chrono::floor<std::chrono::milliseconds>(now - entry.changedAt);
+    choice.expectedWait = estimate.expectedWait;
+    choice.runningRequests = estimate.runningRequests;
+    choice.reportAge = estimate.reportAge;
+    if (query.prompt == nullptr) {
+        return choice;
+    }
+    choice.weightVersion = estimate.weightVersion;
+    choice.uncachedTokens = estimate.uncachedTokens;
+    choice.memoryTokens = query.prompt->inputTokens + query.prompt->maxOutputTokens;
+    choice.cacheScope = estimate.scope->name;
     if (const auto since = query.namedWeights != nullptr ? query.namedWeights->replacedSince(choice.weightVersion) : std::nullopt) {
         choice.weightsReplacedFor = std::chrono::floor<std::chrono::milliseconds>(query.suspendAwareTime.value_or(now) - *since);
     }
-    const double prefillMs = prefillTime(query, entry, load, isPreferred, choice);
-    const double aheadTokens = load.ownUncachedTokens + waiting * MeanWaitingTokens + choice.runningRequests * RunningCostTokens;
-    choice.memoryTokens = query.prompt->inputTokens + query.prompt->maxOutputTokens;
-    choice.expectedWait
-        = microseconds(static_cast<std::int64_t>((aheadTokens / m_prefillRate + prefillMs) * 1000)) + memoryWait(entry, load, others, choice.memoryTokens);
+    for (std::size_t n = 0; n < query.prompt->parts.size(); ++n) {
+        const auto &source = estimate.scope->sources[n];
+        choice.partSources.push_back(isFetched(source, query.prompt->parts[n].tokens) ? source->address : std::string());
+    }
     return choice;
 }
 
-bool ServerChooser::areWeightsPastGrace(const ServerQuery &query, std::uint64_t version, Instant now) const
+bool ServerChooser::isFetched(const std::optional<StoredPromptSource> &source, std::uint32_t tokens) const
+{
+    return source && std::chrono::duration<double, std::milli>(source->fetchTime).count() < tokens / m_prefillRate;
+}
+
+std::uint64_t ServerChooser::newestLoadedWeights(const ServerQuery &query) const
+{
+    std::uint64_t newest = 0;
+    for (const BackendList::Entry *it : m_servers.findByService(query.service)) {
+        const auto has = it->server.weightVersions.find(query.prompt->model);
+        newest = has == it->server.weightVersions.end() ? newest : std::max(newest, has->second);
+    }
+    return newest;
+}
+
+bool ServerChooser::areWeightsPastGrace(const ServerQuery &query, std::uint64_t version, std::uint64_t newestLoaded, Instant now) const
 {
     const auto replacedSince = query.namedWeights->replacedSince(version);
     if (!replacedSince) {
@@ -159,17 +193,8 @@
     if (now - *replacedSince >= m_options.outdatedWeightsGrace) {
         return true;
     }
-    if (!query.namedWeights->wasReplacedBeforeStart(version)) {
-        return false;
-    }
     // The newer version was named before this process started. A server that already has newer weights shows that this was a while ago.
-    for (const BackendList::Entry *it : m_servers.findByService(query.service)) {
-        const auto has = it->server.weightVersions.find(query.prompt->model);
-        if (has != it->server.weightVersions.end() && has->second > version) {
-            return true;
-        }
-    }
-    return false;
+    return query.namedWeights->wasReplacedBeforeStart(version) && newestLoaded > version;
 }
 
 microseconds ServerChooser::memoryWait(const BackendList::Entry &entry, const Load &load, std::uint32_t others, std::uint32_t need) const
@@ -189,12 +214,10 @@
     return microseconds(static_cast<std::int64_t>(static_cast<double>(m_meanResidence.count()) * residences));
 }
 
-double ServerChooser::prefillTime(const ServerQuery &query, const BackendList::Entry &entry, const Load &load, bool isPreferred, ServerChoice &choice) const
+double ServerChooser::prefillTime(const Prompt &prompt, const Load &load, bool isPreferred, Estimate &estimate) const
 {
-    const Prompt &prompt = *query.prompt;
-    const auto engine = m_engines.find(entry.server.service);
-    const std::uint32_t tokenBytes = engine == m_engines.end() ? 0 : engine->second.bytesPerToken;
-    std::uint32_t cached = load.promptCache.cachedTokens(choice.cacheScope, prompt);
+    const PromptLookup::Scope &scope = *estimate.scope;
+    std::uint32_t cached = load.promptCache.cachedTokens(scope.partKeys, prompt);
     if (isPreferred && prompt.parts.size() > 1) {
         // Other entry VMs send requests with the same parts to the preferred server.
         cached = std::max(cached, prompt.inputTokens - std::min(prompt.inputTokens, prompt.parts.back().tokens));
@@ -202,24 +225,18 @@
     double ms = 0;
     std::uint32_t seen = 0;
     std::uint32_t uncached = prompt.inputTokens;
-    choice.partSources.resize(prompt.parts.size());
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
-        const PromptPart &part = prompt.parts[n];
-        const bool isCached = seen + part.tokens <= cached;
-        seen += part.tokens;
+        const std::uint32_t tokens = prompt.parts[n].tokens;
+        seen += tokens;
+        const bool isCached = seen <= cached;
         // The engine fetches from a source only what it does not have, so naming one costs nothing.
-        const auto source = choice.weightVersion == 0 ? std::nullopt : m_storedPrompts.findSource(choice.cacheScope, part, entry.server.zone, tokenBytes);
-        const double prefillMs = part.tokens / m_prefillRate;
-        const double fetchMs = source ? std::chrono::duration<double, std::milli>(source->fetchTime).count() : prefillMs;
-        if (source && fetchMs < prefillMs) {
-            choice.partSources[n] = source->address;
-        }
-        if (isCached || !choice.partSources[n].empty()) {
-            uncached -= std::min(uncached, part.tokens);
-            ms += isCached ? 0 : fetchMs;
+        const bool isAvailable = isFetched(scope.sources[n], tokens);
+        if (isCached || isAvailable) {
+            uncached -= std::min(uncached, tokens);
+            ms += isCached ? 0 : std::chrono::duration<double, std::milli>(scope.sources[n]->fetchTime).count();
         }
     }
-    choice.uncachedTokens = uncached;
+    estimate.uncachedTokens = uncached;
     return ms + uncached / m_prefillRate;
 }
 
@@ -282,31 +299,40 @@
     if (candidates.empty()) {
         candidates = std::move(leaving);
     }
-    const auto preferred = std::max_element(candidates.begin(), candidates.end(), [&](const auto *a, const auto *b) {
-        return rank(a->server.id, key) < rank(b->server.id, key);
+    const std::uint64_t seed = XXH3_64bits(key.data(), key.size());
+    const auto preferred = std::max_element(candidates.begin(), candidates.end(), [seed](const auto *a, const auto *b) {
+        return rank(a->server.id, seed) < rank(b->server.id, seed);
     });
-    std::optional<ServerChoice> best;
+    std::optional<PromptLookup> lookup;
+    if (query.prompt != nullptr) {
+        const auto engine = m_engines.find(query.service);
+        lookup.emplace(m_storedPrompts, *query.prompt, query.organisation, engine == m_engines.end() ? 0 : engine->second.bytesPerToken);
+    }
+    const std::uint64_t newestLoaded = query.namedWeights != nullptr ? newestLoadedWeights(query) : 0;
+    const BackendList::Entry *best = nullptr;
+    Estimate bestEstimate;
     microseconds bestCost{};
     for (const BackendList::Entry *it : candidates) {
-        const ServerChoice choice = assess(query, *it, query.prompt != nullptr && it == *preferred, now);
+        const Estimate estimate = assess(query, *it, it == *preferred, lookup ? &*lookup : nullptr, now);
         // The request would begin only after its expected wait.
-        if (query.namedWeights != nullptr && areWeightsPastGrace(query, choice.weightVersion, query.suspendAwareTime.value_or(now) + choice.expectedWait)) {
+        if (query.namedWeights != nullptr && areWeightsPastGrace(query, estimate.weightVersion, newestLoaded, suspendAwareTime + estimate.expectedWait)) {
             reason = std::max(reason, NoServerReason::OutdatedWeights);
             continue;
         }
-        microseconds cost = choice.expectedWait + networkCost(it->server.zone);
-        if (query.namedWeights != nullptr && choice.weightVersion < query.namedWeights->newestVersion()) {
+        microseconds cost = estimate.expectedWait + networkCost(it->server.zone);
+        if (query.namedWeights != nullptr && estimate.weightVersion < query.namedWeights->newestVersion()) {
             cost += m_options.outdatedWeightsCost;
         }
         if (m_limits.awaitsConfirmation(it->server.id, it->server.startedAt, suspendAwareTime)) {
             cost -= m_options.limitConfirmationGain;
         }
-        if (!best || cost < bestCost) {
-            best = choice;
+        if (best == nullptr || cost < bestCost) {
+            best = it;
+            bestEstimate = estimate;
             bestCost = cost;
         }
     }
-    return best;
+    return best == nullptr ? std::nullopt : std::optional(choiceOf(query, *best, bestEstimate, now));
 }
 
 } // namespace auburndrum::decision
--- a/src/auburndrum/decision/traffic/storedprompts.cpp
+++ b/src/auburndrum/decision/traffic/storedprompts.cpp
@@ -1,5 +1,7 @@
 #include "auburndrum/decision/traffic/storedprompts.h"
 
+#include "auburndrum/decision/traffic/cachescope.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -32,6 +34,42 @@
         next.emplace(it.address, std::move(store));
     }
     m_stores = std::move(next);
+    m_holders.clear();
+    for (const auto &[address, store] : m_stores) {
+        for (const auto &[scope, parts] : store.parts) {
+            for (const auto &[part, tokens] : parts) {
+                addHolder(store, scope, part);
+            }
+        }
+    }
+}
+
+void StoredPrompts::addHolder(const Store &store, std::string_view scope, std::string_view part)
+{
+    m_holders[partKey(scope, part)].push_back(&store);
+}
+
+void StoredPrompts::removeHolder(const Store &store, std::string_view scope, std::string_view part)
+{
+    const auto it = m_holders.find(partKey(scope, part));
+    if (it == m_holders.end()) {
+        return;
+    }
+    std::erase(it->second, &store);
+    if (it->second.empty()) {
+        m_holders.erase(it);
+    }
+}
+
+void StoredPrompts::clearParts(Store &store)
+{
+    for (const auto &[scope, parts] : store.parts) {
+        for (const auto &[part, tokens] : parts) {
+            removeHolder(store, scope, part);
+        }
+    }
+    store.parts.clear();
+    store.tokens = 0;
 }
 
 std::vector<std::string> StoredPrompts::addresses() const
@@ -50,10 +88,12 @@
     if (known != scope.end()) {
         store.tokens -= known->second;
         scope.erase(known);
+        removeHolder(store, change.scope, change.part);
     }
     if (change.isStored) {
         scope[change.part] = change.tokens;
         store.tokens += change.tokens;
+        addHolder(store, change.scope, change.part);
     }
     if (scope.empty()) {
         store.parts.erase(change.scope);
@@ -68,8 +108,7 @@
     }
     Store &store = it->second;
     if (store.incarnation != update.incarnation || update.isSnapshot) {
-        store.parts.clear();
-        store.tokens = 0;
+        clearParts(store);
         store.incarnation = update.incarnation;
     }
     store.isReachable = true;
@@ -132,21 +171,28 @@
                                                             const PromptPart &part,
                                                             std::string_view zone,
                                                             std::uint32_t tokenBytes) const
+{
+    return findSource(partKey(scope, part.id), part.tokens, zone, tokenBytes);
+}
+
+std::optional<StoredPromptSource> StoredPrompts::findSource(std::uint64_t key, std::uint32_t tokens, std::string_view zone, std::uint32_t tokenBytes) const
 {
     std::optional<StoredPromptSource> best;
-    for (const auto &[address, store] : m_stores) {
+    const auto holders = m_holders.find(key);
+    if (holders == m_holders.end()) {
+        return best;
+    }
+    for (const Store *it : holders->second) {
+        const Store &store = *it;
         if (!store.isReachable || store.traits.linkBitsPerSecond <= 0 || !isSameRegion(store.traits.zone, zone)) {
             continue;
         }
-        const auto parts = store.parts.find(scope);
-        if (parts == store.parts.end() || !parts->second.contains(part.id)) {
-            continue;
-        }
-        const double bits = 8.0 * part.tokens * tokenBytes;
+        const double bits = 8.0 * tokens * tokenBytes;
         const double seconds = bits / store.traits.linkBitsPerSecond * (store.traits.zone == zone ? 1.0 : m_options.crossZoneFactor);
         const auto time = store.traits.transferLatency + std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
-        if (!best || time < best->fetchTime) {
-            best = StoredPromptSource{address, time};
+        const bool isBetter = !best || time < best->fetchTime || (time == best->fetchTime && store.traits.address < best->address);
+        if (isBetter) {
+            best = StoredPromptSource{store.traits.address, time};
         }
     }
     return best;
@@ -159,16 +205,19 @@
     if (sent != m_recentSends.end() && now - sent->second < m_options.resendDelay) {
         return {};
     }
+    const auto holders = m_holders.find(partKey(scope, part.id));
+    const bool isHeld = holders != m_holders.end() && std::any_of(holders->second.begin(), holders->second.end(), [&](const Store *it) {
+                            return it->isReachable && isSameRegion(it->traits.zone, zone);
+                        });
+    if (isHeld) {
+        return {};
+    }
     const Store *best = nullptr;
     std::uint64_t bestRank = 0;
     for (const auto &[address, store] : m_stores) {
         if (!store.isReachable || !isSameRegion(store.traits.zone, zone)) {
             continue;
         }
-        const auto parts = store.parts.find(scope);
-        if (parts != store.parts.end() && parts->second.contains(part.id)) {
-            return {};
-        }
         const auto capacity = static_cast<std::uint64_t>(static_cast<double>(store.traits.capacityTokens) * m_options.maxFillRatio);
         if (store.tokens + part.tokens > capacity) {
             continue;
--- a/src/auburndrum/gateway/promptstorereader.cpp
+++ b/src/auburndrum/gateway/promptstorereader.cpp
@@ -162,10 +162,9 @@
             continue;
         }
         // An engine that still has the outdated weights may be reading the part.
-        for (const std::string &id : m_state.servers.ids()) {
-            const auto &versions = m_state.servers.find(id)->server.weightVersions;
-            const auto has = versions.find(model);
-            if (has != versions.end() && has->second <= *version) {
+        for (const auto &[id, entry] : m_state.servers.entries()) {
+            const auto has = entry.server.weightVersions.find(model);
+            if (has != entry.server.weightVersions.end() && has->second <= *version) {
                 return false;
             }
         }
