A request that would be late because of others is refused at once, before engines thrash

Now it is sent when it can be on time; a stream that has begun still goes on anywhere, and a prompt that takes an idle engine most of the target may wait as long again.

--- a/include/auburndrum/decision/traffic/serverchooser.h
+++ b/include/auburndrum/decision/traffic/serverchooser.h
@@ -74,6 +74,7 @@
     std::string softwareVersion;
     std::optional<double> limitPerSecond; ///< the limit that it has named; this VM has a permit for the request
     std::chrono::microseconds expectedWait{}; ///< until the prompt is prefilled, or a slot is free for a plain request
+    std::chrono::microseconds idlePrefill{}; ///< time that an idle engine would take to prefill what is not cached there
     std::uint32_t memoryTokens = 0; ///< engine memory that the request uses while it runs
     std::uint32_t uncachedTokens = 0; ///< prompt tokens that are probably not cached there
     std::uint32_t runningRequests = 0; ///< requests at the server: this process's own, and others by its load report
--- a/src/auburndrum/decision/traffic/serverchooser.cpp
+++ b/src/auburndrum/decision/traffic/serverchooser.cpp
@@ -157,6 +157,8 @@
     }
     choice.weightVersion = estimate.weightVersion;
     choice.uncachedTokens = estimate.uncachedTokens;
+    choice.idlePrefill
+        = microseconds(static_cast<std::int64_t>(estimate.uncachedTokens / m_options.initialPrefillRate * 1000)); // the learned rate includes waits
     choice.memoryTokens = query.prompt->inputTokens + query.prompt->maxOutputTokens;
     choice.cacheScope = estimate.scope->name;
     if (const auto since = query.namedWeights != nullptr ? query.namedWeights->replacedSince(choice.weightVersion) : std::nullopt) {
--- a/src/auburndrum/decision/traffic/urgency.cpp
+++ b/src/auburndrum/decision/traffic/urgency.cpp
@@ -24,6 +24,11 @@
     return expectedWait <= timeLeft;
 }
 
+bool isQueueTooLong(std::chrono::microseconds expectedWait, std::chrono::microseconds idlePrefill, std::chrono::microseconds target)
+{
+    return target.count() > 0 && expectedWait > std::max(target, 2 * idlePrefill);
+}
+
 std::chrono::milliseconds retryDelay(std::chrono::microseconds expectedWait, double random)
 {
     const auto share = std::chrono::floor<std::chrono::milliseconds>(expectedWait * WaitShare);
--- a/src/auburndrum/decision/traffic/urgency_test.cpp
+++ b/src/auburndrum/decision/traffic/urgency_test.cpp
@@ -21,6 +21,15 @@
     CHECK_FALSE(canStartInTime(3100ms, 3000ms));
 }
 
+TEST_CASE("a queue is too long when it makes the request late, unless the request itself takes most of the target")
+{
+    CHECK_FALSE(isQueueTooLong(1000ms, 100ms, 1000ms));
+    CHECK(isQueueTooLong(1001ms, 100ms, 1000ms));
+    CHECK_FALSE(isQueueTooLong(3000ms, 1500ms, 1000ms)); // the largest prompts are served too
+    CHECK(isQueueTooLong(3001ms, 1500ms, 1000ms));
+    CHECK_FALSE(isQueueTooLong(20s, 100ms, 0ms)); // the route names no target
+}
+
 TEST_CASE("the retry delay is spread at random, grows with the expected wait and is bounded")
 {
     // Guards against synchronised retries: in a burst of three times the usual requests, a fixed delay made all callers retry at once.
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -216,7 +216,7 @@
         concludeWithoutAnswer();
         return;
     }
-    if (m_metadata.prompt && !decision::canStartInTime(choice->expectedWait, std::chrono::floor<std::chrono::microseconds>(m_deadline - monotonicNow()))) {
+    if (m_metadata.prompt && isTooBusy(*choice)) {
         m_record.noServerReason = "all servers too busy";
         m_retryAfter = decision::retryDelay(choice->expectedWait, absl::Uniform<double>(m_state.random, 0, 1));
         concludeWithoutAnswer();
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -84,6 +84,8 @@
     void tryNextServer();
     /// @{ The software that began the stream, in forwardedorigin.cpp.
     bool isTakeUp() const;
+    /// Whether so many requests wait at the best server that this one should be refused.
+    bool isTooBusy(const decision::ServerChoice &choice) const;
     /// Finds out who began the stream that the caller takes up, then sends the request there or refuses it.
     void seekOrigin();
     void handleOrigin(const OriginFinding &finding);
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -1,3 +1,4 @@
+#include "auburndrum/decision/traffic/urgency.h"
 #include "forwardedrequest.h"
 
 // What is watched while a request waits at a server, and what its connection shows.
@@ -92,4 +93,13 @@
     retryOrConclude(true, Delivery::Delivered);
 }
 
+bool ForwardedRequest::isTooBusy(const decision::ServerChoice &choice) const
+{
+    // A stream that has begun goes on also where it waits. Repeats are refused like first attempts: when servers fail, they are what fills the queues.
+    if (lastEventId().empty() && decision::isQueueTooLong(choice.expectedWait, choice.idlePrefill, m_route->targetLatency)) {
+        return true;
+    }
+    return !decision::canStartInTime(choice.expectedWait, std::chrono::floor<std::chrono::microseconds>(m_deadline - monotonicNow()));
+}
+
 } // namespace auburndrum::gateway
