Relays: polls may take a second, and prompt stores are polled in proportion to their number

A relay there polled 49 prompt stores ten times a second each; now about a hundred polls a second go to all together. A poll may take 1 s: what it is late with is read from the store when it is due, so changes stay in time (the tests of lost answers and silent relays pass).

--- a/include/auburndrum/gateway/promptstorereader.h
+++ b/include/auburndrum/gateway/promptstorereader.h
@@ -22,6 +22,7 @@
     std::chrono::milliseconds busyRetryDelay{5000};
     std::chrono::milliseconds maxBusyRetryDelay{300000};
     std::chrono::milliseconds pollInterval{100}; ///< least time between two polls of a store, so that changes arrive in batches
+    std::chrono::milliseconds pollIntervalPerStore{10}; ///< grows the interval with the number of stores, so that calls a second stay bounded
     std::chrono::milliseconds freeCheckInterval{1000}; ///< between checks for parts of outdated weights
     std::chrono::milliseconds freeDelay{1500}; ///< time for which a scope must have been out of use before its parts are freed
     std::size_t maxPartsPerFree = 500; ///< most parts freed in one call
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -36,7 +36,9 @@
     std::chrono::milliseconds directoryDelay{0};
     ReadBudget budget; ///< of the time in which a change must be in force
     std::chrono::milliseconds connectTimeout{250}; ///< many times the round trip within a zone
-    std::chrono::milliseconds answerTimeout{400}; ///< many times the round trip within a zone, and a scheduling pause of a busy relay
+    std::chrono::milliseconds answerTimeout{400}; ///< of calls between entry VMs: many times the round trip within a zone, and a scheduling pause
+    /// Of polls: a relay of a crowded zone has queues. A change is in time all the same, as reads that become due go to the store meanwhile.
+    std::chrono::milliseconds pollTimeout{1000};
     /// A VM that another one polls is a relay for this time. A VM that lost its relay polls the next one, whose own relay may still answer.
     std::chrono::milliseconds serveTime{5000};
     std::size_t defaultAllowedReaders = 12; ///< readers that each prompt store allows, when the configuration names no number
@@ -161,6 +163,7 @@
     PromptStoreLog m_promptStoreLog;
     entry::PeerCuts m_noCuts;
     entry::PeerClient m_peers;
+    entry::PeerClient m_relayClient; ///< for polls
     entry::PeerServer m_peerServer;
     net::HttpServer m_server;
     std::function<void(const std::shared_ptr<net::Exchange> &)> m_requestHandler;
--- a/src/auburndrum/gateway/promptstorereader.cpp
+++ b/src/auburndrum/gateway/promptstorereader.cpp
@@ -123,7 +123,9 @@
         m_hooks.onUpdate(address, *update);
     }
     const auto sincePoll = std::chrono::floor<std::chrono::milliseconds>(monotonicNow() - followed.polledAt);
-    schedulePoll(address, std::max(m_options.pollInterval - sincePoll, std::chrono::milliseconds(0)));
+    const auto interval
+        = std::max<std::chrono::milliseconds>(m_options.pollInterval, m_options.pollIntervalPerStore * static_cast<std::int64_t>(m_stores.size()));
+    schedulePoll(address, std::max(interval - sincePoll, std::chrono::milliseconds(0)));
 }
 
 void PromptStoreReader::schedulePoll(const std::string &address, std::chrono::milliseconds delay)
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -41,6 +41,9 @@
     , m_peers(state.client,
               m_noCuts,
               {.name = m_options.self.name, .fleetSecret = {}, .connectTimeout = m_options.connectTimeout, .answerTimeout = m_options.answerTimeout})
+    , m_relayClient(state.client,
+                    m_noCuts,
+                    {.name = m_options.self.name, .fleetSecret = {}, .connectTimeout = m_options.connectTimeout, .answerTimeout = m_options.pollTimeout})
     , m_peerServer({}, m_noCuts)
     , m_server(peerOptions(), [this](const std::shared_ptr<net::Exchange> &exchange) {
         if (m_peerServer.handle(exchange)) {
@@ -295,22 +298,23 @@
     request.promptStoreLogFrom = m_relayLogNext;
     m_isPolling = true;
     const Instant polledAt = suspendAwareNow();
-    m_peers.call({relay.name, relay.address, RelayMethod, toJson(request)}, [this, relay, request, polledAt](const entry::EntryResult<std::string> &result) {
-        m_isPolling = false;
-        const bool isUnanswered = !result && result.error() == entry::EntryError::Unanswered;
-        if (isUnanswered && m_relay == relay.name && ++m_unansweredPolls < MaxUnansweredPolls) {
-            // A busy relay may be late once; reads that become due meanwhile go to the store.
-        } else if (!result) {
-            handleRelayFailure(relay, entry::toText(result.error()));
-        } else if (const auto response = relayResponseFrom(result.value()); !response) {
-            handleRelayFailure(relay, response.error());
-        } else if (!response.value().followsStores) {
-            handleRelayFailure(relay, "does not follow the stores itself");
-        } else {
-            handleResponse(relay, request, response.value(), polledAt);
-        }
-        m_pollTimer.start(m_options.budget.pollInterval);
-    });
+    m_relayClient.call({relay.name, relay.address, RelayMethod, toJson(request)},
+                       [this, relay, request, polledAt](const entry::EntryResult<std::string> &result) {
+                           m_isPolling = false;
+                           const bool isUnanswered = !result && result.error() == entry::EntryError::Unanswered;
+                           if (isUnanswered && m_relay == relay.name && ++m_unansweredPolls < MaxUnansweredPolls) {
+                               // A busy relay may be late once; reads that become due meanwhile go to the store.
+                           } else if (!result) {
+                               handleRelayFailure(relay, entry::toText(result.error()));
+                           } else if (const auto response = relayResponseFrom(result.value()); !response) {
+                               handleRelayFailure(relay, response.error());
+                           } else if (!response.value().followsStores) {
+                               handleRelayFailure(relay, "does not follow the stores itself");
+                           } else {
+                               handleResponse(relay, request, response.value(), polledAt);
+                           }
+                           m_pollTimer.start(m_options.budget.pollInterval);
+                       });
 }
 
 void RelayLink::handleResponse(const EntryVm &relay, const RelayRequest &request, const RelayResponse &response, Instant polledAt)
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -54,6 +54,7 @@
         it.directoryTopic = "entries";
         it.directoryDelay = 50ms;
         it.budget = budget;
+        it.pollTimeout = 400ms;
         it.defaultAllowedReaders = 4;
         return it;
     }
