--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -25,8 +25,6 @@
     std::chrono::milliseconds readInterval{150};
     std::chrono::milliseconds intervalPerKey{5};
     std::chrono::milliseconds maxInterval{500};
-    /// Whether changes are wanted sooner than half of the budget's refresh interval, or reads cost nothing. Empty: always.
-    std::function<bool()> isUrgent;
     std::chrono::milliseconds minRetryDelay{50}; ///< before a failed call is repeated; doubles up to maxRetryDelay
     std::chrono::milliseconds maxRetryDelay{800}; ///< short against the limits for configurations and drains, which count from the store's recovery
     std::chrono::milliseconds outageThreshold{1500}; ///< time without a successful response after which the store counts as unavailable
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -60,11 +60,6 @@
     WeightUpdater(WeightUpdaterOptions options, GatewayState &state, const RecordStore &store, const EngineControl &engines, QObject *parent = nullptr);
 
     void start();
-    /// Whether some engine lacks the newest weights, as of the last tick.
-    bool isRollingOut() const
-    {
-        return m_outdatedServers > 0;
-    }
     /// From now on other VMs request a lease that ended first.
     void beginStop();
     /// Gives up the lease and sends no more orders. `done` is called when other VMs can know it, or after a short time.
@@ -124,7 +119,6 @@
     const EngineControl &m_engines;
     std::string m_incarnation;
     decision::LeaseTable m_leaseTable;
-    std::size_t m_outdatedServers = 0; ///< engines that lack the newest weights, at the last tick
     decision::LeaseHolder m_leaseHolder;
     std::map<std::string, decision::OrderPlanner> m_planners; ///< by model
     std::map<std::string, OrderedLoad> m_loads; ///< loads that this process ordered, by server
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -95,8 +95,8 @@
 
 bool ForwardedRequest::isTooBusy(const decision::ServerChoice &choice) const
 {
-    // A stream that has begun goes on also where it waits. Repeats are refused like first attempts: when servers fail, they are what fills the queues.
-    if (lastEventId().empty() && decision::isQueueTooLong(choice.expectedWait, choice.idlePrefill, m_route->targetLatency)) {
+    // What may have run, and a stream that has begun, goes on also where it waits: its caller couldn't be told that it has not run.
+    if (!m_mayHaveRun && lastEventId().empty() && decision::isQueueTooLong(choice.expectedWait, choice.idlePrefill, m_route->targetLatency)) {
         return true;
     }
     return !decision::canStartInTime(choice.expectedWait, std::chrono::floor<std::chrono::microseconds>(m_deadline - monotonicNow()));
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -154,10 +154,6 @@
 {
     KeyedFeedOptions it;
     it.topic = topic;
-    // While weights are rolled out, engines that have them should get requests soon; reads through a relay are no calls to the store.
-    it.isUrgent = [this] {
-        return m_weightUpdater.isRollingOut() || m_relayLink.isRelayed();
-    };
     it.budget = ReadBudget::of(m_options.changeTime);
     it.longestRead = [this] {
         return m_relayLink.longestRead();
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -212,12 +212,7 @@
 milliseconds KeyedFeed::currentReadInterval() const
 {
     const auto grown = std::min(m_options.intervalPerKey * static_cast<std::int64_t>(m_presentKeys.size()), m_options.maxInterval);
-    const milliseconds urgent = std::max(m_options.readInterval, grown);
-    if (!m_options.isUrgent || m_options.isUrgent()) {
-        return urgent;
-    }
-    // The topic of a fleet that sends heartbeats always has records, so the interval alone decides how many calls are made.
-    return std::max(urgent, m_options.budget.refreshInterval / 2);
+    return std::max(m_options.readInterval, grown);
 }
 
 milliseconds KeyedFeed::currentWait() const
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -92,9 +92,9 @@
 
 void WeightUpdater::tick()
 {
-    m_outdatedServers = countOutdatedServers();
-    m_state.metrics.outdatedServers.with().Set(static_cast<double>(m_outdatedServers));
-    if (m_outdatedServers == 0) {
+    const std::size_t outdatedServers = countOutdatedServers();
+    m_state.metrics.outdatedServers.with().Set(static_cast<double>(outdatedServers));
+    if (outdatedServers == 0) {
         m_isCaughtUp = false;
         m_loads.clear();
         m_heldOrders.clear();
