--- a/src/auburndrum/gateway/promptstorereader_test.cpp
+++ b/src/auburndrum/gateway/promptstorereader_test.cpp
@@ -21,6 +21,7 @@
                        Wire{},
                        {});
     std::vector<decision::PromptStoreTraits> traits;
+    traits.reserve(static_cast<std::size_t>(stores));
     for (int n = 0; n < stores; ++n) {
         traits.push_back({"10.0.0." + std::to_string(n) + ":1", "zone", 1000, 8e9, {}, true});
     }
