A silent server's call is ended only once another server takes over

Callers saw a stream cut midway, or a 502, though their server was sound: it had fallen silent for about a second and went on.

Cause: a silence (no byte of a stream for four event gaps; no answer for two target latencies from a server that answers nobody) cancelled the call first and asked for a retry afterwards. With the retry allowance used up, no delivery left, no other server that may take the request, or too little time, nothing was left to answer with. Class: a take-back gives up what it holds before it holds something better.

The HTTP client's idle timeout is the request's own deadline now. A server that keeps its request gets no failure in its circuit breaker. Attempts log `kept_despite`.

Take-backs that must happen whatever comes next stay as they were: outdated weights (a run may not begin on them), a response that is too large, events out of order.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -8,9 +8,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds MinAttemptTime{50}; // with less time left a further attempt can't complete
-constexpr std::uint32_t MaxAttempts = 4; // attempts of one request, including those that reached no server
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -41,6 +38,7 @@
 void ForwardedRequest::handleHead(const net::HttpHead &head)
 {
     m_attempt->head = head;
+    m_attempt->lastBytesAt = monotonicNow();
     m_weightsTimer.stop();
     recordReached();
     if (m_attempt->isPassedOn()) {
@@ -69,6 +67,7 @@
     if (m_isConcluded || !m_attempt || !m_attempt->head) {
         return;
     }
+    m_attempt->lastBytesAt = monotonicNow();
     if (isEventStream()) {
         handleEvents(part);
         return;
@@ -196,7 +195,8 @@
                                  std::chrono::floor<milliseconds>(m_attempt->sentAt - m_record.arrivedAt),
                                  m_attempt->unacknowledgedBytes,
                                  m_attempt->foreignAnswers,
-                                 m_attempt->isPassedOn()});
+                                 m_attempt->isPassedOn(),
+                                 m_attempt->keptDespite});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
     if (m_attempt->isPassedOn()) {
         m_state.peerRoutes.onFinished(m_attempt->vm);
@@ -206,12 +206,14 @@
     m_attempt.reset();
 }
 
+bool ForwardedRequest::canBeSentAgain(std::uint32_t deliveries) const
+{
+    return m_attemptCount < MaxAttempts && m_isBodyRepeatable && timeLeft() >= MinAttemptTime && deliveries < m_route->maxServers;
+}
+
 bool ForwardedRequest::acquireRetry(Delivery delivery)
 {
-    if (m_attemptCount >= MaxAttempts || !m_isBodyRepeatable || timeLeft() < MinAttemptTime) {
-        return false;
-    }
-    if (m_deliveries >= m_route->maxServers) {
+    if (!canBeSentAgain(m_deliveries)) {
         return false;
     }
     // An attempt that reached no server adds no load, so it needs no retry permit.
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -39,15 +39,20 @@
     return passOn();
 }
 
-bool ForwardedRequest::passOn()
+std::optional<decision::EntryVm> ForwardedRequest::chooseVm() const
 {
     if (m_source == Source::EntryVm || m_triedVms.size() >= MaxPeers || !m_state.otherVms) {
-        return false;
+        return std::nullopt;
     }
+    return m_state.peerRoutes.choose(m_service, m_state.otherVms(), m_triedVms, suspendAwareNow(), m_state.random);
+}
+
+bool ForwardedRequest::passOn()
+{
     if (endIfCallerGone()) {
         return true;
     }
-    const auto vm = m_state.peerRoutes.choose(m_service, m_state.otherVms(), m_triedVms, suspendAwareNow(), m_state.random);
+    const auto vm = chooseVm();
     if (!vm) {
         return false;
     }
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -21,7 +21,6 @@
 constexpr milliseconds ShortestRoomDelay{250};
 constexpr milliseconds LongestRoomDelay{1000};
 constexpr qint64 MaxResponseBytes = 64 * 1024 * 1024; // passed on in parts; what is held meanwhile has a limit of its own
-constexpr int MaxSilenceInEventGaps = 4; // a stream counts as broken after a silence of this many times the route's longest event gap
 } // namespace
 
 ForwardedRequest::ForwardedRequest(GatewayState &state, std::shared_ptr<net::Exchange> exchange, Source source)
@@ -103,7 +102,7 @@
     });
     m_exchange->setOnBytesSent([self] {
         if (self->m_attempt && self->m_exchange->unsentBytes() <= PauseAboveBytes / 2) {
-            self->m_attempt->call.setReadingPaused(false);
+            self->setReadingPaused(false);
         }
     });
     m_deadlineTimer.setSingleShot(true);
@@ -176,22 +175,8 @@
     if (passOnIfCut()) {
         return;
     }
-    decision::ServerQuery query;
-    query.service = m_service;
-    query.prompt = m_metadata.prompt ? &*m_metadata.prompt : nullptr;
-    query.organisation = m_organisation != nullptr && m_organisation->hasPrivateCache ? std::string_view(m_organisation->name) : std::string_view();
-    query.spreadKey = m_metadata.id;
-    query.softwareVersion = m_origin ? std::string_view(m_origin->softwareVersion) : std::string_view();
-    query.triedServers = m_triedServers;
-    query.suspendAwareTime = suspendAwareNow();
-    if (m_metadata.prompt) {
-        const auto weights = m_state.weights.find(m_metadata.prompt->model);
-        if (weights != m_state.weights.end()) {
-            query.namedWeights = &weights->second;
-        }
-    }
     decision::NoServerReason reason = decision::NoServerReason::NoneListed;
-    const auto choice = m_state.chooser.choose(query, monotonicNow(), reason);
+    const auto choice = m_state.chooser.choose(makeQuery(), monotonicNow(), reason);
     m_record.noServerReason = choice ? "" : decision::toText(reason);
     m_record.serversKnown = m_state.servers.findByService(m_service).size();
     if (!choice) {
@@ -225,6 +210,25 @@
     send(*choice);
 }
 
+decision::ServerQuery ForwardedRequest::makeQuery() const
+{
+    decision::ServerQuery query;
+    query.service = m_service;
+    query.prompt = m_metadata.prompt ? &*m_metadata.prompt : nullptr;
+    query.organisation = m_organisation != nullptr && m_organisation->hasPrivateCache ? std::string_view(m_organisation->name) : std::string_view();
+    query.spreadKey = m_metadata.id;
+    query.softwareVersion = m_origin ? std::string_view(m_origin->softwareVersion) : std::string_view();
+    query.triedServers = m_triedServers;
+    query.suspendAwareTime = suspendAwareNow();
+    if (m_metadata.prompt) {
+        const auto weights = m_state.weights.find(m_metadata.prompt->model);
+        if (weights != m_state.weights.end()) {
+            query.namedWeights = &weights->second;
+        }
+    }
+    return query;
+}
+
 net::HttpCall ForwardedRequest::makeCall(const decision::ServerChoice &choice) const
 {
     ForwardMetadata metadata;
@@ -265,10 +269,7 @@
     call.bodyFollows = !m_heldBody && !m_exchange->isBodyComplete();
     call.bodyLength = m_exchange->head().bodyLength;
     call.firstByteTimeout = timeLeft + CallTimeoutMargin;
-    call.idleTimeout = timeLeft + CallTimeoutMargin;
-    if (m_route->isResumable && m_deliveries + 1 < m_route->maxServers) {
-        call.idleTimeout = std::min(timeLeft, m_route->maxEventGap * MaxSilenceInEventGaps);
-    }
+    call.idleTimeout = timeLeft + CallTimeoutMargin; // silence is checkSilence()'s
     return call;
 }
 
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -23,6 +23,9 @@
     Instant sentAtSuspendAware{};
     std::uint32_t ownRequests = 0; ///< of this VM at the server, this one included
     std::optional<Instant> firstEventAt;
+    Instant lastBytesAt{}; ///< when a part of the response's body last arrived, or reading went on after a pause
+    bool isReadingPaused = false; ///< while the caller takes the bytes slowly
+    std::string keptDespite; ///< the silence for which the attempt would have ended if another server could have taken over
     bool hasResponded = false; ///< whether the first event was reported to the chooser
     std::optional<net::HttpHead> head;
     AnswerMetadata metadata;
@@ -66,6 +69,9 @@
 private:
     static constexpr qint64 PauseAboveBytes = 64 * 1024; ///< above this number of unsent bytes to a slow caller or server, reading from the sender pauses
 
+    static constexpr std::chrono::milliseconds MinAttemptTime{50}; ///< with less time left a further attempt can't complete
+    static constexpr std::uint32_t MaxAttempts = 4; ///< attempts of one request, including those that reached no server
+
     /// How far an attempt got.
     enum class Delivery {
         NotSent, ///< no byte was sent
@@ -82,10 +88,13 @@
     void chooseService();
     void sendFirst();
     void tryNextServer();
+    decision::ServerQuery makeQuery() const;
     /// @{ The software that began the stream, in forwardedorigin.cpp.
     bool isTakeUp() const;
     /// Whether so many requests wait at the best server that this one should be refused.
     bool isTooBusy(const decision::ServerChoice &choice) const;
+    /// Whether the request would begin there before its deadline.
+    bool canStartInTime(const decision::ServerChoice &choice) const;
     /// Finds out who began the stream that the caller takes up, then sends the request there or refuses it.
     void seekOrigin();
     void handleOrigin(const OriginFinding &finding);
@@ -145,6 +154,8 @@
     /// While this VM is cut off from all servers, passes the request on, or refuses one that was passed on to it. False: it is to be sent to a server.
     bool passOnIfCut();
     bool passOn();
+    /// Another entry VM that this request may be passed on to.
+    std::optional<decision::EntryVm> chooseVm() const;
     void sendToVm(const decision::EntryVm &vm);
     net::HttpCall makeCallTo(const decision::EntryVm &vm) const;
     /// Handles what the other VM itself answers; false for the answer of a backend server.
@@ -158,6 +169,8 @@
     std::string lastEventId() const;
     /// @}
     void retryOrConclude(bool mayHaveRun, Delivery delivery);
+    /// Whether limits other than the service's retry allowance let the request be sent once more after it has reached this many servers.
+    bool canBeSentAgain(std::uint32_t deliveries) const;
     bool acquireRetry(Delivery delivery);
     void concludeWithoutAnswer();
     void endAttempt(const char *result);
@@ -169,13 +182,28 @@
     void startSilenceTimer();
     void checkSilence();
     void checkWeights();
-    /// Closes the connection on which the server has not responded, and sends the request to another server where that is allowed.
+    /// Why the attempt counts as silent: the result that it ends with if it is moved. Null while it doesn't.
+    const char *silence(Instant now) const;
+    void setReadingPaused(bool paused);
+    /// Ends the attempt without a replacement at hand, because it must not go on, and sends the request to another server where that is allowed.
     void takeBack(const char *result);
     /// @{ What the connection shows of this VM's path to the servers.
     void recordReached();
     void recordUnreachable();
     /// @}
     /// @}
+    /// @{ Moving a request whose server is silent, in forwardedmove.cpp.
+    /// A server, or an entry VM with a path to the servers, that can take over a request at once.
+    struct Replacement
+    {
+        std::optional<decision::ServerChoice> server;
+        std::optional<decision::EntryVm> vm;
+    };
+    /// Moves the request to another server. Without one the attempt goes on, as its server may be sound and answer yet.
+    void moveIfReplaceable(const char *result);
+    bool mayBeMoved() const;
+    std::optional<Replacement> findReplacement() const;
+    /// @}
     void handleTimeout();
     void handleCallerGone();
     /// Ends the request when its caller has closed the connection, whether that was read or not. Asked before each attempt.
--- a/src/auburndrum/gateway/forwardedstream.cpp
+++ b/src/auburndrum/gateway/forwardedstream.cpp
@@ -73,7 +73,7 @@
     }
     m_exchange->writeChunk(bytes);
     if (m_exchange->unsentBytes() > PauseAboveBytes) {
-        m_attempt->call.setReadingPaused(true);
+        setReadingPaused(true);
     }
 }
 
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -9,12 +9,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds SilenceCheckInterval{400};
-// also in which requests at servers are taken back once this VM is cut off from them
+constexpr milliseconds SilenceCheckInterval{400}; // also in which requests at servers are moved once this VM is cut off from them
 // Target latencies without a response after which the gateway checks whether the server is silent rather than busy.
 constexpr int SilenceCheckInTargetLatencies = 2;
 // Target latencies without any response to this VM after which a server counts as silent; a busy one may respond rarely.
 constexpr int MaxSilenceInTargetLatencies = 4;
+// A stream counts as silent after this many times its route's longest event gap without a byte.
+constexpr int MaxSilenceInEventGaps = 4;
 // Longest time between checks of the weights at which a request waits; short against the limit for outdated weights.
 constexpr milliseconds WeightsCheckInterval{250};
 // Reserve before that limit: the closed connection must reach the server, from another region too, before it begins the request.
@@ -29,24 +30,49 @@
 
 void ForwardedRequest::checkSilence()
 {
-    if (m_isConcluded || !m_attempt || m_attempt->head || m_deliveries + 1 >= m_route->maxServers) {
+    if (m_isConcluded || !m_attempt || m_deliveries + 1 >= m_route->maxServers) {
         return;
     }
+    if (m_attempt->head && (!m_route->isResumable || m_route->maxEventGap.count() == 0)) {
+        return; // what has begun to arrive can't go on elsewhere, or may pause for any time
+    }
     const Instant now = monotonicNow();
-    const bool isCutOff = m_state.serverPath.isCut() && !m_attempt->isPassedOn();
+    if (const char *result = silence(now)) {
+        moveIfReplaceable(result);
+        return;
+    }
+    if (m_attempt->head && !m_attempt->isReadingPaused) {
+        const auto left = std::chrono::ceil<milliseconds>(m_attempt->lastBytesAt + m_route->maxEventGap * MaxSilenceInEventGaps - now);
+        m_silenceTimer.start(std::min(left, SilenceCheckInterval));
+        return;
+    }
+    startSilenceTimer();
+}
+
+const char *ForwardedRequest::silence(Instant now) const
+{
+    if (m_attempt->head) {
+        const bool isSilent = !m_attempt->isReadingPaused && now - m_attempt->lastBytesAt >= m_route->maxEventGap * MaxSilenceInEventGaps;
+        return isSilent ? net::toText(net::HttpFailure::IdleTimeout) : nullptr;
+    }
+    if (m_state.serverPath.isCut() && !m_attempt->isPassedOn()) {
+        return "cut_off";
+    }
     // A server that responds to other requests is busy; sending the request to another one as well would only add load.
     const auto lastAnswerAt = m_state.chooser.lastAnswerAt(m_attempt->choice.id);
     const bool isBusy = lastAnswerAt && now - *lastAnswerAt < m_route->targetLatency * MaxSilenceInTargetLatencies;
     const bool isEarly = now - m_attempt->sentAt < m_route->targetLatency * SilenceCheckInTargetLatencies;
-    if (!isCutOff && (isBusy || isEarly)) {
-        startSilenceTimer();
+    return isBusy || isEarly ? nullptr : "silent";
+}
+
+void ForwardedRequest::setReadingPaused(bool paused)
+{
+    if (m_attempt->isReadingPaused == paused) {
         return;
     }
-    if (m_attempt->isPassedOn()) {
-        m_state.peerRoutes.onSilent(m_attempt->vm, suspendAwareNow());
-    }
-    m_state.chooser.recordFailure(m_attempt->choice.id, now, m_state.random);
-    takeBack(isCutOff ? "cut_off" : "silent");
+    m_attempt->isReadingPaused = paused;
+    m_attempt->lastBytesAt = monotonicNow();
+    m_attempt->call.setReadingPaused(paused);
 }
 
 void ForwardedRequest::checkWeights()
@@ -99,7 +125,12 @@
     if (!m_mayHaveRun && lastEventId().empty() && decision::isQueueTooLong(choice.expectedWait, choice.idlePrefill, m_route->targetLatency)) {
         return true;
     }
-    return !decision::canStartInTime(choice.expectedWait, std::chrono::floor<std::chrono::microseconds>(m_deadline - monotonicNow()));
+    return !canStartInTime(choice);
+}
+
+bool ForwardedRequest::canStartInTime(const decision::ServerChoice &choice) const
+{
+    return decision::canStartInTime(choice.expectedWait, std::chrono::floor<std::chrono::microseconds>(m_deadline - monotonicNow()));
 }
 
 } // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -44,6 +44,9 @@
     if (it.isPassedOn) {
         object["passed_on"] = true;
     }
+    if (!it.keptDespite.empty()) {
+        object["kept_despite"] = it.keptDespite;
+    }
     if (it.choice.limitPerSecond) {
         object["limit"] = *it.choice.limitPerSecond;
     }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -36,6 +36,7 @@
     std::int64_t unacknowledgedBytes = 0; ///< of the request, when its caller left
     std::uint32_t foreignAnswers = 0; ///< answers on its connection that were not the request's
     bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
+    std::string keptDespite; ///< the silence after which it would have been moved if another server could have taken over; empty without one
 };
 
 /// What the log states of one request.
--- /dev/null
+++ b/src/auburndrum/gateway/silentanswer_test.cpp
@@ -0,0 +1,150 @@
+#include "gatewayfixture.h"
+
+#include "eventloop.h"
+#include "rawserver.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The fixture's routes end after 1 s. A stream is silent after four event gaps of 100 ms, a plain server after two target latencies of 300 ms.
+constexpr auto StreamSilence = 650ms;
+constexpr auto PlainSilence = 900ms;
+
+const QByteArray StreamHead = "HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const QByteArray PlainAnswer = "HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone";
+const QByteArray FirstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const QByteArray LastEvent = "id: 3\ndata: c\n\n";
+
+QByteArray asChunk(const QByteArray &body)
+{
+    return QByteArray::number(body.size(), 16) + "\r\n" + body + "\r\n";
+}
+
+void writeLater(QTcpSocket *socket, std::chrono::milliseconds delay, const QByteArray &bytes)
+{
+    QTimer::singleShot(delay, socket, [socket, bytes] {
+        socket->write(bytes);
+    });
+}
+
+/// Why another server can't, or may not, take the request over.
+struct Obstacle
+{
+    std::string name;
+    double retryRatio;
+    bool hasOther; ///< whether a second server is listed
+    std::vector<net::Header> headers;
+};
+
+const std::vector<Obstacle> Obstacles = {{"no retry left", 0, true, {}},
+                                         {"no other server", 2, false, {}},
+                                         {"the software version that began the stream has no other server", 2, true, {{"Model", "m"}}}};
+
+/// A gateway before a sound server that falls silent, and maybe another one that answers at once.
+class SilentServer
+{
+public:
+    /// @param isStream whether the first server sends a stream that pauses in the middle, rather than a plain answer that comes late
+    SilentServer(bool isStream, const Obstacle &obstacle)
+        : first([this, isStream](QTcpSocket *socket, const QByteArray &request) {
+            if (request.contains("After: 2\r\n")) {
+                socket->write(StreamHead + asChunk(LastEvent) + "0\r\n\r\n");
+                return;
+            }
+            QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] {
+                ++closed;
+            });
+            if (!isStream) {
+                writeLater(socket, PlainSilence, PlainAnswer);
+                return;
+            }
+            socket->write(StreamHead + asChunk(FirstEvents));
+            writeLater(socket, StreamSilence, asChunk(LastEvent) + "0\r\n\r\n");
+        })
+        , other([isStream](QTcpSocket *socket, const QByteArray &request) {
+            const QByteArray events = request.contains("After: 2\r\n") ? LastEvent : FirstEvents + LastEvent;
+            socket->write(isStream ? StreamHead + asChunk(events) + "0\r\n\r\n" : PlainAnswer);
+        })
+        , gateway(
+              [](const std::shared_ptr<net::Exchange> &, int) {
+              },
+              true,
+              [&](GatewayFixture &it, GatewayOptions &options) {
+                  options.retries = {.ratio = obstacle.retryRatio, .window = 10s};
+                  it.store.put("servers", "a", first.address() + " 1 x");
+                  it.store.put("servers", "b", std::nullopt);
+              })
+    {
+        gateway.extraHeaders = obstacle.headers;
+        otherSoftware = obstacle.headers.empty() ? "x" : "y";
+        if (obstacle.hasOther) {
+            listOther(200ms);
+        }
+    }
+
+    /// Lists the other server after a time in which the request has reached the first one.
+    void listOther(std::chrono::milliseconds delay)
+    {
+        QTimer::singleShot(delay, &m_context, [this] {
+            gateway.store.put("servers", "b", other.address() + " 1 " + otherSoftware);
+        });
+    }
+
+    int closed = 0; ///< connections to the first server that ended
+    QByteArray otherSoftware;
+    RawServer first;
+    RawServer other;
+    GatewayFixture gateway;
+
+private:
+    QObject m_context;
+};
+
+} // namespace
+
+// Guards against a stream that is cut for its caller though its server is sound: a silence ended the call before it was known whether another server may go on
+// with the stream (LOST).
+TEST_CASE("a stream whose sound server falls silent goes on there when no other server may take it up")
+{
+    for (const Obstacle &obstacle : Obstacles) {
+        CAPTURE(obstacle.name);
+        SilentServer it(true, obstacle);
+        const auto result = it.gateway.sendRequest("/stream/x");
+        CHECK(result.failure == net::HttpFailure::None);
+        CHECK(result.body == FirstEvents + LastEvent);
+        CHECK(it.gateway.lastLine("request")["outcome"] == "served");
+        CHECK(it.first.requests() == 1);
+        CHECK(it.other.requests() == 0);
+    }
+}
+
+// Guards against a 502 for a request whose server is about to answer: a silence ended the call before it was known whether another server may run it.
+TEST_CASE("a plain request whose sound server falls silent is answered by it when no other server may run it")
+{
+    for (const Obstacle &obstacle : {Obstacles[0], Obstacles[1]}) {
+        CAPTURE(obstacle.name);
+        SilentServer it(false, obstacle);
+        const auto result = it.gateway.sendRequest("/safe/x");
+        CHECK(result.head.status == 200);
+        CHECK(result.body == "done");
+        CHECK(it.first.requests() == 1);
+        CHECK(it.other.requests() == 0);
+    }
+}
+
+// Guards against a stream that stays with a server that is gone: the one that may take it up is listed only after the silence was noticed.
+TEST_CASE("a silent stream is taken up as soon as another server may go on with it")
+{
+    SilentServer it(true, Obstacle{"listed late", 2, false, {}});
+    it.listOther(500ms);
+    const auto result = it.gateway.sendRequest("/stream/x");
+    CHECK(result.failure == net::HttpFailure::None);
+    CHECK(result.body == FirstEvents + LastEvent);
+    CHECK(it.other.requests() == 1);
+    CHECK(it.closed == 1);
+}
