A connection that is closed with a request unanswered leaves a log line and counts in a metric

Change: `connection_closed` with the reason, the bytes that lay unread or were half read, and the time since the last byte arrived; `auburndrum_gateway_unfinished_closes_total`. No change of behaviour.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -88,6 +88,8 @@
     void applyConfiguration(decision::Configuration configuration);
     void applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage);
     void expireServers();
+    /// Options of the server for callers, or for requests that other entry VMs pass on, as `peers` says in the log.
+    net::HttpServerOptions serverOptions(const decision::CallerLimits &limits, const char *peers, int maxConnections);
     /// Measures how late the event loop runs.
     void measureLag();
     void skipRecord(const std::string &topic, const std::string &key, const std::string &problem);
--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -22,6 +22,7 @@
     Counters &readsRepeated; ///< by topic: reads whose answers were overdue
     Counters &recordsSkipped; ///< by topic: records that can't be used
     Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
+    Counters &unfinishedCloses; ///< by reason: connections that this VM closed while a request, or a part of one, lay on them unanswered
     Gauges &outdatedServers; ///< listed backend servers that don't have the newest named weights
 };
 
--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -13,6 +13,16 @@
 
 namespace auburndrum::net {
 
+/// A connection that the server closed while a request, or a part of one, lay on it without a response.
+struct UnfinishedClose
+{
+    const char *reason = ""; ///< why it was closed
+    qint64 unreadBytes = 0; ///< that had arrived and were not read
+    qint64 partialBytes = 0; ///< that were read of a request that had not arrived completely
+    qint64 unsentBytes = 0; ///< of responses
+    std::optional<std::chrono::milliseconds> sinceLastReceived; ///< empty where the system doesn't tell
+};
+
 /// Limits of one server. Each is enforced before the memory is allocated.
 struct HttpServerOptions
 {
@@ -24,6 +34,7 @@
     std::chrono::milliseconds idleTimeout{75000}; ///< closes a connection that has waited this long for a request or for more of a streamed body
     qint64 bodyStreamingThreshold = std::numeric_limits<qint64>::max(); ///< bytes; the handler receives a longer body in parts, before it is complete
     std::function<QByteArray(int status, const QByteArray &message)> errorBody; ///< returns the JSON body of a request error that the server itself reports
+    std::function<void(const UnfinishedClose &)> onUnfinishedClose;
 };
 
 /// HTTP/1.1 server that passes each request to one handler as an Exchange.
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -70,7 +70,7 @@
               std::move(wire),
               m_options.retries,
               responseMemoryOptions(m_options.memoryBytes))
-    , m_callerServer(callerOptions({}, m_options.maxConnections),
+    , m_callerServer(serverOptions({}, "callers", m_options.maxConnections),
                      [this](const std::shared_ptr<net::Exchange> &exchange) {
                          std::make_shared<ForwardedRequest>(m_state, exchange, ForwardedRequest::Source::Caller)->start();
                      })
@@ -253,8 +253,8 @@
     m_state.storedPrompts.configure(m_state.configuration->promptStores);
     m_promptStoreReader.configure();
     m_relayLink.configure();
-    m_callerServer.setOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections));
-    m_relayLink.setRequestOptions(callerOptions(m_state.configuration->limits, m_options.maxConnections / 2));
+    m_callerServer.setOptions(serverOptions(m_state.configuration->limits, "callers", m_options.maxConnections));
+    m_relayLink.setRequestOptions(serverOptions(m_state.configuration->limits, "entry_vms", m_options.maxConnections / 2));
     m_state.metrics.stateChanges.with({"configuration"}).Increment();
     const auto delay = observeChange(m_options.operatorTopic, m_operatorFeed);
     m_state.log.write(LinePriority::Notable,
@@ -266,6 +266,23 @@
                        {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
 }
 
+net::HttpServerOptions Gateway::serverOptions(const decision::CallerLimits &limits, const char *peers, int maxConnections)
+{
+    net::HttpServerOptions it = callerOptions(limits, maxConnections);
+    it.onUnfinishedClose = [this, peers](const net::UnfinishedClose &close) {
+        m_state.metrics.unfinishedCloses.with({close.reason}).Increment();
+        m_state.log.write(LinePriority::Notable,
+                          "connection_closed",
+                          {{"reason", close.reason},
+                           {"peers", peers},
+                           {"unread_bytes", close.unreadBytes},
+                           {"partial_bytes", close.partialBytes},
+                           {"unsent_bytes", close.unsentBytes},
+                           {"received_ms", close.sinceLastReceived ? close.sinceLastReceived->count() : -1}});
+    };
+    return it;
+}
+
 void Gateway::measureLag()
 {
     const Instant now = monotonicNow();
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -45,6 +45,9 @@
     , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
                                       .help = "Streams that callers take up, by whether the software that began them is known.",
                                       .labels = {"result"}}))
+    , unfinishedCloses(metrics.counters({.name = "auburndrum_gateway_unfinished_closes_total",
+                                         .help = "Connections that were closed while a request, or a part of one, lay on them unanswered.",
+                                         .labels = {"reason"}}))
     , outdatedServers(metrics.gauges({.name = "auburndrum_gateway_outdated_servers", .help = "Backend servers without the newest named weights."}))
 {
 }
--- /dev/null
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -0,0 +1,62 @@
+#include "auburndrum/net/httpserver.h"
+#include "eventloop.h"
+#include "rawcaller.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const net::Address AnyPort{QHostAddress(QStringLiteral("127.0.0.1")), 0};
+const QByteArray Request = requestText("/x", "body");
+
+/// A server that answers each request at once, and what it reported.
+struct AnsweringServer
+{
+    explicit AnsweringServer(net::HttpServerOptions options = {}, bool answers = true)
+        : server(withReport(std::move(options)),
+                 [this, answers](const std::shared_ptr<net::Exchange> &exchange) {
+                     ++requests;
+                     if (answers) {
+                         exchange->respond(200, {}, "done");
+                     }
+                 })
+        , address(server.listenOn(AnyPort))
+    {
+    }
+
+    net::HttpServerOptions withReport(net::HttpServerOptions options)
+    {
+        options.onUnfinishedClose = [this](const net::UnfinishedClose &close) {
+            closes.push_back(close);
+        };
+        return options;
+    }
+
+    std::vector<net::UnfinishedClose> closes;
+    int requests = 0;
+    net::HttpServer server;
+    net::Address address;
+};
+
+} // namespace
+
+// Guards against requests that vanish without a trace: their connection was closed before they were read, and no line told so.
+TEST_CASE("a connection that is closed in the middle of a request is reported with the bytes that lay on it")
+{
+    net::HttpServerOptions options;
+    options.bodyTimeout = 50ms;
+    options.idleTimeout = 50ms;
+    options.bodyStreamingThreshold = 2;
+    AnsweringServer it(options, false);
+    RawCaller caller(it.address);
+    caller.send(Request.left(Request.size() - 1));
+    REQUIRE(runUntil([&] {
+        return !it.closes.empty();
+    }));
+    CHECK(std::string(it.closes[0].reason) == "body time");
+    CHECK(it.closes[0].partialBytes == Request.size() - 1);
+}
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "responsehead.h"
 #include "serverconnection.h"
+#include "socketstate.h"
 
 #include <QTcpServer>
 
@@ -82,6 +83,11 @@
     if (connections.size() >= static_cast<std::size_t>(options.maxConnections)) {
         const QByteArray body = options.errorBody ? options.errorBody(503, "Too many connections.") : QByteArray();
         socket->write(responseHead(503, {{"Content-Type", "application/json"}, {"Retry-After", "1"}, {"Connection", "close"}}, body.size()) + body);
+        if (options.onUnfinishedClose) {
+            const auto descriptor = static_cast<int>(socket->socketDescriptor());
+            options.onUnfinishedClose(
+                {.reason = "connection limit", .unreadBytes = unreadBytes(descriptor), .sinceLastReceived = sinceLastReceived(descriptor)});
+        }
         socket->disconnectFromHost();
         return;
     }
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -96,10 +96,30 @@
 void ServerConnection::closeIfIdle()
 {
     if (isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0) {
-        m_socket->disconnectFromHost();
+        close("stop");
     }
 }
 
+void ServerConnection::close(const char *reason)
+{
+    reportClose(reason);
+    m_socket->disconnectFromHost();
+}
+
+void ServerConnection::reportClose(const char *reason) const
+{
+    const qint64 unread = net::unreadBytes(descriptor()) + m_socket->bytesAvailable() + m_input.size();
+    const bool isInRequest = m_parser || unread > 0;
+    if (!isInRequest || m_rejected || !m_options.onUnfinishedClose) {
+        return;
+    }
+    m_options.onUnfinishedClose({.reason = reason,
+                                 .unreadBytes = unread,
+                                 .partialBytes = m_parser ? m_partialBytes : 0,
+                                 .unsentBytes = m_socket->bytesToWrite(),
+                                 .sinceLastReceived = sinceLastReceived(descriptor())});
+}
+
 void ServerConnection::refuseUnreadRequest()
 {
     if (m_parser && !m_isHandlerCalled) {
@@ -151,6 +171,7 @@
 void ServerConnection::feedParser()
 {
     if (!m_parser) {
+        m_partialBytes = 0;
         m_firstByteAt = std::chrono::steady_clock::now();
         m_unreadFor = sinceLastReceived(descriptor());
         m_isHeadAccepted = false;
@@ -162,6 +183,7 @@
     RequestParser::Error error = RequestParser::Error::None;
     const qsizetype used = m_parser->feed(m_input, error);
     m_input.remove(0, used);
+    m_partialBytes += used;
     if (error == RequestParser::Error::Malformed) {
         reject(400, "The request is not well-formed HTTP.");
         return;
@@ -256,7 +278,7 @@
 void ServerConnection::becomeIdle()
 {
     if (m_closeAfterAnswer || !m_keepsAlive) {
-        m_socket->disconnectFromHost();
+        close("last response");
         return;
     }
     m_timer.start(m_options.idleTimeout);
@@ -319,6 +341,7 @@
         return;
     }
     if (m_isHandlerCalled) {
+        reportClose("body time");
         abort(); // the caller stopped sending in the middle of a body
         return;
     }
@@ -326,7 +349,7 @@
         reject(408, "The request did not arrive in time.");
         return;
     }
-    m_socket->disconnectFromHost();
+    close("idle time");
 }
 
 void ServerConnection::handleDisconnected()
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -54,6 +54,9 @@
     void startExchange(bool isComplete);
     void finishRequest();
     void becomeIdle();
+    /// Closes the connection after the responses' last bytes, and reports what lies on it unanswered.
+    void close(const char *reason);
+    void reportClose(const char *reason) const;
     /// Looks for the peer's close while the socket's buffer is full, since the socket reports no close then.
     void watchForClose();
     bool isReadBufferFull() const;
@@ -68,6 +71,7 @@
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
     std::optional<std::chrono::milliseconds> m_unreadFor; ///< time for which the bytes that were read then had waited
+    qint64 m_partialBytes = 0; ///< read of the request that is being read
     bool m_isHeadAccepted = false;
     bool m_isHandlerCalled = false; ///< the request being read was passed to the handler
     bool m_keepsAlive = true;
--- a/src/auburndrum/net/socketstate.cpp
+++ b/src/auburndrum/net/socketstate.cpp
@@ -35,6 +35,12 @@
     return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+std::int64_t unreadBytes(int descriptor)
+{
+    int n = 0;
+    return ::ioctl(descriptor, FIONREAD, &n) == 0 ? n : 0;
+}
+
 std::optional<std::int64_t> unacknowledgedBytes(int descriptor)
 {
     int n = 0;
