A caller's long body goes on after its server has read slowly for a while

Callers saw a request whose body was being sent to a server end with a closed connection, without an answer.

Cause: the gateway stops reading a caller's body while more than 64 KB wait for the server, and only the next part of the body could let it go on; with reading stopped none came. Once a server had read slowly for a moment, the request stood still until the idle time closed its connection. Class: a pause that nothing ends.

Change: an outgoing socket tells when the system has accepted bytes that had to wait, and the gateway reads on below half of the limit, as it does towards slow callers.

Not shown: that the users' callers send bodies above the 256 KB from which they are passed on in parts.

--- a/include/auburndrum/net/httpclient.h
+++ b/include/auburndrum/net/httpclient.h
@@ -68,6 +68,7 @@
     std::function<bool(const HttpHead &)> isForCall; ///< optional; returns false for a response to another call, which is skipped
     std::function<void(const HttpHead &)> onHead; ///< optional
     std::function<void(const QByteArray &)> onBody; ///< optional; receives each part of the body, at most once per iteration of the event loop
+    std::function<void()> onBytesSent; ///< optional; called when the operating system has accepted bytes of the request that had to wait
     std::function<void(const HttpResult &)> onDone; ///< called exactly once
 };
 
--- a/include/auburndrum/net/tcpsocket.h
+++ b/include/auburndrum/net/tcpsocket.h
@@ -22,6 +22,7 @@
 {
     std::function<void()> onConnected;
     std::function<void(const QByteArray &)> onData;
+    std::function<void()> onWritten; ///< optional; called when the operating system has accepted bytes that had to wait
     std::function<void(TcpEnd)> onEnd; ///< called at most once, and never after abort()
 };
 
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -97,7 +97,7 @@
         self->m_isBodyRepeatable = false;
         if (self->m_attempt) {
             self->m_attempt->call.writeBody(part, last);
-            self->m_exchange->setBodyPaused(self->m_attempt->call.unsentBytes() > PauseAboveBytes);
+            self->setBodyPaused(self->m_attempt->call.unsentBytes() > PauseAboveBytes);
         }
     });
     m_exchange->setOnBytesSent([self] {
@@ -334,6 +334,11 @@
     hooks.onBody = [self](const QByteArray &part) {
         self->handleBody(part);
     };
+    hooks.onBytesSent = [self] {
+        if (self->m_attempt && self->m_attempt->call.unsentBytes() <= PauseAboveBytes / 2) {
+            self->setBodyPaused(false);
+        }
+    };
     hooks.onDone = [self](const net::HttpResult &result) {
         self->handleDone(result);
     };
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -184,7 +184,10 @@
     void checkWeights();
     /// Why the attempt counts as silent: the result that it ends with if it is moved. Null while it doesn't.
     const char *silence(Instant now) const;
+    /// Pauses reading from the server while its caller takes the bytes slowly.
     void setReadingPaused(bool paused);
+    /// Pauses reading the caller's body while its server takes the bytes slowly.
+    void setBodyPaused(bool paused);
     /// Ends the attempt without a replacement at hand, because it must not go on, and sends the request to another server where that is allowed.
     void takeBack(const char *result);
     /// @{ What the connection shows of this VM's path to the servers.
@@ -240,6 +243,7 @@
     bool m_wasLost = false; ///< the last attempt's connection ended before the response
     bool m_mayHaveRun = false;
     bool m_isBodyRepeatable = true;
+    bool m_isBodyPaused = false; ///< for the server's sake
     bool m_isStreaming = false; ///< whether the response head, and maybe parts of the body, were sent to the caller
     bool m_isConcluded = false;
     /// Retry delay for a refused caller, long enough for a restart or a refusal to pass; empty when coming back is of no use.
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -75,6 +75,14 @@
     m_attempt->call.setReadingPaused(paused);
 }
 
+void ForwardedRequest::setBodyPaused(bool paused)
+{
+    if (m_isBodyPaused != paused) {
+        m_isBodyPaused = paused;
+        m_exchange->setBodyPaused(paused);
+    }
+}
+
 void ForwardedRequest::checkWeights()
 {
     if (m_isConcluded || !m_metadata.prompt || !m_attempt || m_attempt->head) {
--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -105,7 +105,7 @@
     return it;
 }
 
-RecordReaders readers()
+RecordReaders readers(const decision::CallerLimits &limits)
 {
     RecordReaders it;
     it.isConfiguration = [](std::string_view key) {
@@ -114,7 +114,7 @@
     it.isWeights = [](std::string_view key) {
         return key == "weights";
     };
-    it.readConfiguration = [](std::string_view value, std::string &problem) -> std::optional<decision::Configuration> {
+    it.readConfiguration = [limits](std::string_view value, std::string &problem) -> std::optional<decision::Configuration> {
         if (value == "broken") {
             problem = "is broken";
             return std::nullopt;
@@ -130,6 +130,7 @@
         if (configuration.version >= 5) {
             configuration.routes.pop_back();
         }
+        configuration.limits = limits;
         configuration.requiresApiKeys = true;
         configuration.organisations = {{"kattila", {}, false}, {"poyta", {}, false}};
         configuration.organisationByKey["key"] = 0;
@@ -209,7 +210,7 @@
 std::unique_ptr<Gateway> GatewayFixture::makeGateway(const std::string &vm)
 {
     m_options.vm = vm;
-    auto it = std::make_unique<Gateway>(m_options, plainWire(), readers(), store.hooks(), silentEngines());
+    auto it = std::make_unique<Gateway>(m_options, plainWire(), readers(limits), store.hooks(), silentEngines());
     REQUIRE(it->start());
     ++m_gateways;
     runUntil([&] {
--- a/src/auburndrum/gateway/gatewayfixture.h
+++ b/src/auburndrum/gateway/gatewayfixture.h
@@ -51,6 +51,7 @@
     std::vector<nlohmann::json> logLines;
     std::vector<std::shared_ptr<net::Exchange>> receivedRequests; ///< requests that reached a backend server
     std::vector<QByteArray> serverAddresses;
+    decision::CallerLimits limits; ///< of the configuration; set them in a Preparation
     QByteArray requestBody = "body";
     QByteArray requestId = "request-1";
     std::vector<net::Header> extraHeaders; ///< added to each request of the caller
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -64,6 +64,12 @@
                     [this](const QByteArray &bytes) {
                         handleData(bytes);
                     },
+                .onWritten =
+                    [this] {
+                        if (m_call && m_hooks.onBytesSent) {
+                            m_hooks.onBytesSent();
+                        }
+                    },
                 .onEnd =
                     [this](TcpEnd how) {
                         handleEnd(how);
--- a/src/auburndrum/net/tcpsocket.cpp
+++ b/src/auburndrum/net/tcpsocket.cpp
@@ -98,6 +98,9 @@
 {
     if (connected) {
         flush();
+        if (hooks.onWritten) {
+            hooks.onWritten();
+        }
         return;
     }
     int error = 0;
