Time in which a body is not read doesn't count as the caller's silence

Cause: while reading a body was paused (a slow server, or the search for a stream's origin), the body timer ran on and reset the connection as if the caller had stopped sending; a configuration with a shorter idle time makes that come sooner.

Change: the timer stands still while reading is paused.

Evidence: "time in which the server doesn't read a body is not the caller's" in unansweredclose_test failed on the code before (2 of 2 checks), passes now.

--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -60,3 +60,31 @@
     CHECK(std::string(it.closes[0].reason) == "body time");
     CHECK(it.closes[0].partialBytes == Request.size() - 1);
 }
+
+// Guards against a caller who is cut off in the middle of a body because the server itself had paused reading it for longer than the idle time.
+TEST_CASE("time in which the server doesn't read a body is not the caller's")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 100ms;
+    options.bodyStreamingThreshold = 0;
+    bool isWhole = false;
+    net::HttpServer server(options, [&](const std::shared_ptr<net::Exchange> &exchange) {
+        exchange->setOnBodyPart([exchange, &isWhole](const QByteArray & /*part*/, bool last) {
+            isWhole = last;
+            if (last) {
+                exchange->respond(200, {}, "done");
+            }
+        });
+        exchange->setBodyPaused(true);
+        QTimer::singleShot(300ms, [exchange] {
+            exchange->setBodyPaused(false);
+        });
+    });
+    RawCaller caller(server.listenOn(AnyPort));
+    caller.send(Request.left(Request.size() - 1));
+    runFor(50ms);
+    caller.send(Request.right(1));
+    runFor(500ms);
+    CHECK(isWhole);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+}
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -130,6 +130,9 @@
 void ServerConnection::setReadingPaused(bool paused)
 {
     m_paused = paused;
+    if (m_isHandlerCalled) { // time in which nothing is read is not the caller's
+        paused ? m_timer.stop() : m_timer.start(m_options.idleTimeout);
+    }
     if (!paused) {
         QMetaObject::invokeMethod(
             this,
