A request that has arrived on a connection which is about to be closed as idle is read and answered

Cause: whether a connection is idle was asked of the program's buffer only. Bytes that the system held, of a request that had come since the last round of the event loop, were unread when a planned stop or the idle time closed the connection, which resets it: neither an answer nor a refusal, the longer the rounds (a busy VM, a new configuration) the more often.

Change: the system is asked too, and what has arrived is read first. A request that is still on its way crosses the close as before.

--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -61,6 +61,21 @@
     CHECK(it.closes[0].partialBytes == Request.size() - 1);
 }
 
+// Guards against a request that is lost in a planned stop, or when its connection has been idle for long: only what the event loop had read counted as a
+// request, and closing a connection whose bytes are unread resets it.
+TEST_CASE("a request that has arrived before its idle connection is closed is answered")
+{
+    AnsweringServer it;
+    RawCaller caller(it.address);
+    runFor(20ms);
+    it.server.closeAfterAnswers();
+    caller.send(Request);
+    it.server.closeIdleConnections();
+    runFor(100ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+    CHECK(it.closes.empty());
+}
+
 // Guards against a caller who is cut off in the middle of a body because the server itself had paused reading it for longer than the idle time.
 TEST_CASE("time in which the server doesn't read a body is not the caller's")
 {
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -93,9 +93,14 @@
     m_closeAfterAnswer = true;
 }
 
+bool ServerConnection::isIdle() const
+{
+    return isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0 && net::unreadBytes(descriptor()) == 0;
+}
+
 void ServerConnection::closeIfIdle()
 {
-    if (isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0) {
+    if (isIdle()) {
         close("stop");
     }
 }
@@ -352,6 +357,10 @@
         reject(408, "The request did not arrive in time.");
         return;
     }
+    if (!m_rejected && !isIdle()) {
+        m_timer.start(m_options.idleTimeout); // the next request has arrived; its bytes are read next
+        return;
+    }
     close("idle time");
 }
 
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -23,7 +23,7 @@
     void reject(int status, const QByteArray &message);
     /// Sends "Connection: close" with the next response and closes the connection after it.
     void closeAfterAnswer();
-    /// Closes the connection when no request is in progress.
+    /// Closes the connection when no request is in progress, and none has arrived unread.
     void closeIfIdle();
 
     /// Refuses the request of which only a part was read; does nothing when the handler has it.
@@ -60,6 +60,8 @@
     /// Looks for the peer's close while the socket's buffer is full, since the socket reports no close then.
     void watchForClose();
     bool isReadBufferFull() const;
+    /// Whether the connection waits for a request of which nothing has arrived yet.
+    bool isIdle() const;
     int descriptor() const;
 
     QPointer<QTcpSocket> m_socket;
