In a planned stop, connections that are established are accepted, and new ones have time for a request

Cause: the listener was closed while connections, with whole requests, waited to be accepted: the system resets them. A connection that had just been accepted counted as idle at once and was closed at the next check, up to 50 ms later, while its first request was on its way.

Change: the server accepts what is established before it stops to listen, and in a stop a connection is closed as idle 250 ms after its accept at the earliest, except at the end of the grace.

--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -50,15 +50,15 @@
 
     /// Listens on `address` (port 0: any free port). Returns the address in use, with port 0 when listening failed.
     Address listenOn(const Address &address);
-    /// Stops accepting connections; open connections continue.
+    /// Stops accepting connections, after those that have been established already; open connections continue.
     void stopListening();
     /// Replaces the limits; each connection applies them from its next request on.
     void setOptions(HttpServerOptions options);
     const HttpServerOptions &options() const;
     /// From now on each response carries "Connection: close", and the connection closes after it.
     void closeAfterAnswers();
-    /// Closes the connections that have no request in progress.
-    void closeIdleConnections();
+    /// Closes the connections that have been without a request for `minIdle`, except where one has arrived unread.
+    void closeIdleConnections(std::chrono::milliseconds minIdle = {});
     /// Answers requests that were not read completely, and so not passed to the handler, with 503, and closes their connections.
     void refuseUnreadRequests();
     int connectionCount() const;
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds StopCheckInterval{50};
 // The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
 constexpr milliseconds BalancerLag{2600};
+constexpr milliseconds FirstRequestTime{250}; // from the accept of a connection until its first request has arrived, from another region too
 constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer
 constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
 
@@ -46,7 +47,7 @@
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
     m_callerServer.stopListening();
-    m_callerServer.closeIdleConnections();
+    m_callerServer.closeIdleConnections(elapsed < m_options.stopGrace - StopMargin ? FirstRequestTime : milliseconds(0));
     if (elapsed >= m_options.stopGrace - StopMargin) {
         m_callerServer.refuseUnreadRequests();
         m_relayLink.refuseUnreadRequests();
--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -76,6 +76,43 @@
     CHECK(it.closes.empty());
 }
 
+// Guards against connections that are reset in a planned stop though the system had accepted them, with whole requests, before the server stopped to listen.
+TEST_CASE("connections that wait to be accepted when the server stops to listen are served")
+{
+    AnsweringServer it;
+    it.server.closeAfterAnswers();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int n = 0; n < 20; ++n) {
+        callers.push_back(std::make_unique<RawCaller>(it.address));
+        callers.back()->send(Request);
+    }
+    it.server.stopListening();
+    it.server.closeIdleConnections();
+    runFor(200ms);
+    for (const auto &caller : callers) {
+        CHECK(caller->readAll().startsWith("HTTP/1.1 200"));
+    }
+}
+
+// Guards against a connection that is closed in a planned stop between its accept and its first request, which is on its way.
+TEST_CASE("a new connection has a moment for its first request before it counts as idle")
+{
+    AnsweringServer it;
+    it.server.closeAfterAnswers();
+    RawCaller caller(it.address);
+    RawCaller silent(it.address);
+    runFor(20ms);
+    it.server.closeIdleConnections(100ms);
+    caller.send(Request);
+    runFor(20ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+    CHECK(it.server.connectionCount() == 1);
+    runFor(100ms);
+    it.server.closeIdleConnections(100ms);
+    runFor(20ms);
+    CHECK(it.server.connectionCount() == 0);
+}
+
 // Guards against a caller who is cut off in the middle of a body because the server itself had paused reading it for longer than the idle time.
 TEST_CASE("time in which the server doesn't read a body is not the caller's")
 {
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -41,6 +41,16 @@
         setListenBacklogSize(ListenBacklog);
     }
 
+    /// Accepts the connections that the system has established; closing the listener would reset them.
+    void acceptEstablished()
+    {
+        const auto listener = static_cast<int>(socketDescriptor());
+        for (int it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); it >= 0;
+             it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) {
+            incomingConnection(it);
+        }
+    }
+
 protected:
     void incomingConnection(qintptr descriptor) override
     {
@@ -131,7 +141,8 @@
 
 void HttpServer::stopListening()
 {
-    if (d->server != nullptr) {
+    if (d->server != nullptr && d->server->isListening()) {
+        d->server->acceptEstablished();
         d->server->close();
     }
 }
@@ -154,11 +165,11 @@
     }
 }
 
-void HttpServer::closeIdleConnections()
+void HttpServer::closeIdleConnections(std::chrono::milliseconds minIdle)
 {
     const auto all = d->connections; // a copy, because closing a connection changes the map
     for (const auto &[socket, connection] : all) {
-        connection->closeIfIdle();
+        connection->closeIfIdle(minIdle);
     }
 }
 
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -28,7 +28,7 @@
             m_exchange->m_onBytesSent();
         }
     });
-    m_timer.start(m_options.idleTimeout);
+    startIdleTime();
 }
 
 bool ServerConnection::isOpen() const
@@ -98,9 +98,15 @@
     return isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0 && net::unreadBytes(descriptor()) == 0;
 }
 
-void ServerConnection::closeIfIdle()
+void ServerConnection::startIdleTime()
+{
+    m_idleSince = std::chrono::steady_clock::now();
+    m_timer.start(m_options.idleTimeout);
+}
+
+void ServerConnection::closeIfIdle(std::chrono::milliseconds minIdle)
 {
-    if (isIdle()) {
+    if (isIdle() && std::chrono::steady_clock::now() - m_idleSince >= minIdle) {
         close("stop");
     }
 }
@@ -289,7 +295,7 @@
         close("last response");
         return;
     }
-    m_timer.start(m_options.idleTimeout);
+    startIdleTime();
     // The next request may already be in m_input or unread in the socket.
     QMetaObject::invokeMethod(
         this,
@@ -358,7 +364,7 @@
         return;
     }
     if (!m_rejected && !isIdle()) {
-        m_timer.start(m_options.idleTimeout); // the next request has arrived; its bytes are read next
+        startIdleTime(); // the next request has arrived; its bytes are read next
         return;
     }
     close("idle time");
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -23,8 +23,8 @@
     void reject(int status, const QByteArray &message);
     /// Sends "Connection: close" with the next response and closes the connection after it.
     void closeAfterAnswer();
-    /// Closes the connection when no request is in progress, and none has arrived unread.
-    void closeIfIdle();
+    /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread.
+    void closeIfIdle(std::chrono::milliseconds minIdle);
 
     /// Refuses the request of which only a part was read; does nothing when the handler has it.
     void refuseUnreadRequest();
@@ -62,6 +62,7 @@
     bool isReadBufferFull() const;
     /// Whether the connection waits for a request of which nothing has arrived yet.
     bool isIdle() const;
+    void startIdleTime();
     int descriptor() const;
 
     QPointer<QTcpSocket> m_socket;
@@ -72,6 +73,7 @@
     QByteArray m_body; ///< part of the body that is parsed and not yet passed to the handler
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
+    std::chrono::steady_clock::time_point m_idleSince; ///< when the connection was accepted, or its last response completed
     std::optional<std::chrono::milliseconds> m_unreadFor; ///< time for which the bytes that were read then had waited
     qint64 m_partialBytes = 0; ///< read of the request that is being read
     bool m_isHeadAccepted = false;
