A refusal for want of connections reaches its caller

Cause: a connection over the limit got 503 and was closed at once with its request unread. That resets the connection, and the 503 may be lost with it.

Change: what the caller sends is read and discarded for half a second, as after other rejections, on 64 such connections at once; further ones are reset.

Evidence: "a request over the limit of connections is refused ..." failed on the code before (20 of 20 connections were reset when the caller wrote again), passes now.

--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -113,6 +113,32 @@
     CHECK(it.server.connectionCount() == 0);
 }
 
+// Guards against a refusal that is lost: the connection over the limit was closed with its request unread, which resets it.
+TEST_CASE("a request over the limit of connections is refused, and its caller can read that")
+{
+    net::HttpServerOptions options;
+    options.maxConnections = 1;
+    AnsweringServer it(options);
+    RawCaller first(it.address);
+    runFor(20ms);
+    std::vector<std::unique_ptr<RawCaller>> others;
+    for (int n = 0; n < 20; ++n) {
+        others.push_back(std::make_unique<RawCaller>(it.address));
+        others.back()->send(Request);
+    }
+    runFor(100ms);
+    for (const auto &caller : others) {
+        CHECK(caller->readAll().startsWith("HTTP/1.1 503"));
+        CHECK(caller->send(Request) == Request.size());
+    }
+    CHECK(it.requests == 0);
+    first.send(Request);
+    runFor(20ms);
+    CHECK(first.readAll().startsWith("HTTP/1.1 200"));
+    runFor(700ms);
+    CHECK(it.server.connectionCount() == 1);
+}
+
 // Guards against a caller who is cut off in the middle of a body because the server itself had paused reading it for longer than the idle time.
 TEST_CASE("time in which the server doesn't read a body is not the caller's")
 {
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TcpUserTimeout{20000}; // a connection whose sent bytes stay unacknowledged this long is closed
+constexpr std::size_t MaxRefusedConnections = 64; // that are open at once
 constexpr int ListenBacklog = 512; // connections that wait for accept(); when the queue is full, a caller waits seconds for its SYN to be sent again
 
 void setTcpOptions(qintptr descriptor)
@@ -80,10 +81,13 @@
     }
 
     void accept(QTcpSocket *socket);
+    /// Answers 503 and discards what the caller sends, so that it can read that; above MaxRefusedConnections of these at once, resets the connection.
+    void refuse(QTcpSocket *socket);
 
     HttpServerOptions options;
     Handler handler;
     std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> connections;
+    std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> refused; ///< connections over the limit
     TcpListener *server = nullptr;
     bool closesAfterAnswers = false;
 };
@@ -91,14 +95,7 @@
 void HttpServer::Private::accept(QTcpSocket *socket)
 {
     if (connections.size() >= static_cast<std::size_t>(options.maxConnections)) {
-        const QByteArray body = options.errorBody ? options.errorBody(503, "Too many connections.") : QByteArray();
-        socket->write(responseHead(503, {{"Content-Type", "application/json"}, {"Retry-After", "1"}, {"Connection", "close"}}, body.size()) + body);
-        if (options.onUnfinishedClose) {
-            const auto descriptor = static_cast<int>(socket->socketDescriptor());
-            options.onUnfinishedClose(
-                {.reason = "connection limit", .unreadBytes = unreadBytes(descriptor), .sinceLastReceived = sinceLastReceived(descriptor)});
-        }
-        socket->disconnectFromHost();
+        refuse(socket);
         return;
     }
     const auto connection = std::make_shared<ServerConnection>(socket, options, handler);
@@ -111,6 +108,25 @@
     });
 }
 
+void HttpServer::Private::refuse(QTcpSocket *socket)
+{
+    if (refused.size() >= MaxRefusedConnections) {
+        if (options.onUnfinishedClose) {
+            const auto descriptor = static_cast<int>(socket->socketDescriptor());
+            options.onUnfinishedClose(
+                {.reason = "connection limit", .unreadBytes = unreadBytes(descriptor), .sinceLastReceived = sinceLastReceived(descriptor)});
+        }
+        socket->abort();
+        return;
+    }
+    const auto connection = std::make_shared<ServerConnection>(socket, options, handler);
+    refused[socket] = connection;
+    QObject::connect(socket, &QObject::destroyed, socket, [this, socket] {
+        refused.erase(socket);
+    });
+    connection->reject(503, "Too many connections.", {{"Retry-After", "1"}});
+}
+
 HttpServer::HttpServer(HttpServerOptions options, Handler handler, QObject *parent)
     : QObject(parent)
     , d(std::make_unique<Private>(std::move(options), std::move(handler)))
@@ -122,7 +138,11 @@
     for (const auto &[socket, connection] : d->connections) {
         socket->disconnect();
     }
+    for (const auto &[socket, connection] : d->refused) {
+        socket->disconnect();
+    }
     d->connections.clear();
+    d->refused.clear();
 }
 
 Address HttpServer::listenOn(const Address &address)
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -323,7 +323,7 @@
     setReadingPaused(false);
 }
 
-void ServerConnection::reject(int status, const QByteArray &message)
+void ServerConnection::reject(int status, const QByteArray &message, const std::vector<Header> &headers)
 {
     if (!isOpen()) {
         return;
@@ -333,7 +333,9 @@
         return;
     }
     const QByteArray body = m_options.errorBody ? m_options.errorBody(status, message) : message;
-    m_socket->write(responseHead(status, {{"Content-Type", "application/json"}, {"Connection", "close"}}, body.size()) + body);
+    std::vector<Header> all = {{"Content-Type", "application/json"}, {"Connection", "close"}};
+    all.insert(all.end(), headers.begin(), headers.end());
+    m_socket->write(responseHead(status, all, body.size()) + body);
     m_rejected = true;
     // Further input is discarded; the connection stays open for RejectLinger so that the caller can read the error response.
     m_parser.reset();
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -20,7 +20,7 @@
     ServerConnection(QTcpSocket *socket, const HttpServerOptions &options, const HttpServer::Handler &handler);
 
     /// Sends an error response and closes the connection shortly afterwards.
-    void reject(int status, const QByteArray &message);
+    void reject(int status, const QByteArray &message, const std::vector<Header> &headers = {});
     /// Sends "Connection: close" with the next response and closes the connection after it.
     void closeAfterAnswer();
     /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread.
