A longer idle time holds for connections that are idle when it comes into force

Cause: a connection that was idle when a configuration raised the idle time was closed at the end of the earlier, shorter one, also under a request that its caller had just sent.

Change: idle connections follow a longer limit at once; a shorter one holds from the next wait on.

--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -52,7 +52,7 @@
     Address listenOn(const Address &address);
     /// Stops accepting connections, after those that have been established already; open connections continue.
     void stopListening();
-    /// Replaces the limits; each connection applies them from its next request on.
+    /// Replaces the limits; each connection applies them from its next request on, a longer idle timeout at once.
     void setOptions(HttpServerOptions options);
     const HttpServerOptions &options() const;
     /// From now on each response carries "Connection: close", and the connection closes after it.
--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -166,3 +166,26 @@
     CHECK(isWhole);
     CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
 }
+
+// Guards against callers whose connection closes under them after the configuration allowed longer pauses: its timer ran on from the shorter time.
+TEST_CASE("a longer idle time holds for connections that are idle when it comes into force")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 200ms;
+    AnsweringServer it(options);
+    RawCaller caller(it.address);
+    runFor(100ms);
+    options.idleTimeout = 600ms;
+    it.server.setOptions(options);
+    runFor(300ms);
+    CHECK(it.server.connectionCount() == 1);
+    caller.send(Request);
+    runFor(20ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+    options.idleTimeout = 100ms;
+    it.server.setOptions(options); // the caller doesn't know it yet
+    runFor(300ms);
+    CHECK(it.server.connectionCount() == 1);
+    runFor(500ms);
+    CHECK(it.server.connectionCount() == 0);
+}
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -170,6 +170,9 @@
 void HttpServer::setOptions(HttpServerOptions options)
 {
     d->options = std::move(options);
+    for (const auto &[socket, connection] : d->connections) {
+        connection->extendIdleTime();
+    }
 }
 
 const HttpServerOptions &HttpServer::options() const
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -111,6 +111,15 @@
     }
 }
 
+void ServerConnection::extendIdleTime()
+{
+    const auto end = m_idleSince + m_options.idleTimeout;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    if (isIdle() && left > m_timer.remainingTimeAsDuration()) {
+        m_timer.start(left);
+    }
+}
+
 void ServerConnection::close(const char *reason)
 {
     reportClose(reason);
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -25,6 +25,8 @@
     void closeAfterAnswer();
     /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread.
     void closeIfIdle(std::chrono::milliseconds minIdle);
+    /// Lets a connection that waits for a request follow a longer idle timeout. A shorter one holds from its next wait on, as its caller may not know it yet.
+    void extendIdleTime();
 
     /// Refuses the request of which only a part was read; does nothing when the handler has it.
     void refuseUnreadRequest();
