A connection on which reading was paused is read again in its next call

Callers got 504, 502 or a cut stream though their server had answered at once.

Cause: a stream's last events, arriving together with its end, pause reading when its caller is slow. The call then ends, the connection waits for its next request, and only the call's own flag was cleared: the socket stayed paused for good, and the next request's answer was never read.

Change: the end of a call ends its pause.

Evidence: "a connection on which reading was paused ..." in connectionreuse_test failed on the code before ("no answer in time"), passes now.

--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -356,6 +356,10 @@
     m_timer.stop();
     m_call.reset();
     m_result.failure = failure;
+    if (m_paused) {
+        m_paused = false;
+        m_socket.setReadingPaused(false);
+    }
     const bool reusable = failure == HttpFailure::None && !m_hasTrailingBytes && m_parser->keepsAlive() && m_socket.isConnected();
     if (!reusable) {
         // A connection is never reused after a failure or when bytes followed the response.
