A connection is not reused while a part of its request's body is missing

Cause: a server may answer a long request early and keep its connection. The rest of the body was dropped, and the connection used for the next request, whose bytes the server then took for that rest.

Change: a connection is kept only when its request was passed on to the end.

Evidence: "a connection is not reused when its request's body was not sent to the end" in connectionreuse_test failed on the code before (one connection instead of two, with and without a length), passes now.

--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -119,6 +119,7 @@
     m_lastProgress = std::chrono::steady_clock::now();
     m_result.reused = m_connected;
     m_paused = false;
+    m_isBodySent = !call.bodyFollows;
     makeParser();
     m_timer.start(currentTimeout());
     if (m_connected) {
@@ -165,6 +166,7 @@
     if (!m_call || callNumber != m_callNumber) {
         return;
     }
+    m_isBodySent = last;
     if (!m_connected) {
         m_call->body += part;
         m_call->bodyFollows = !last;
@@ -360,7 +362,7 @@
         m_paused = false;
         m_socket.setReadingPaused(false);
     }
-    const bool reusable = failure == HttpFailure::None && !m_hasTrailingBytes && m_parser->keepsAlive() && m_socket.isConnected();
+    const bool reusable = failure == HttpFailure::None && m_isBodySent && !m_hasTrailingBytes && m_parser->keepsAlive() && m_socket.isConnected();
     if (!reusable) {
         // A connection is never reused after a failure or when bytes followed the response.
         m_socket.abort();
--- a/src/auburndrum/net/clientconnection.h
+++ b/src/auburndrum/net/clientconnection.h
@@ -68,6 +68,7 @@
     std::uint64_t m_callNumber = 0;
     std::set<std::size_t> m_identities; ///< digests of those of the calls so far
     bool m_connected = false;
+    bool m_isBodySent = false; ///< whether the request was passed to the socket to its end
     bool m_paused = false;
     int m_skippedResponses = 0;
     qint64 m_skippedBytes = 0;
--- a/src/auburndrum/net/connectionreuse_test.cpp
+++ b/src/auburndrum/net/connectionreuse_test.cpp
@@ -84,3 +84,21 @@
     CHECK(second.reused);
     CHECK(second.body == "done");
 }
+
+// Guards against a server that takes the next request for the rest of a body which was never sent, because it had answered early.
+TEST_CASE("a connection is not reused when its request's body was not sent to the end")
+{
+    for (const std::optional<qint64> length : {std::optional<qint64>(1000), std::optional<qint64>()}) {
+        EarlyServer server;
+        HttpClient client;
+        HttpCall call;
+        call.peer = server.address();
+        call.method = "POST";
+        call.body = "a part";
+        call.bodyFollows = true;
+        call.bodyLength = length;
+        CHECK(run(client, call).failure == HttpFailure::None);
+        CHECK(run(client, {.peer = server.address()}).failure == HttpFailure::None);
+        CHECK(server.connections == 2);
+    }
+}
