Bytes that have arrived are read before a request's time counts as over

Cause: as for idle connections, the timers of a head or a body looked at what the program had read, not at what had arrived: after a long round of the event loop a caller that had sent all in time got 408 or a reset. The loop that accepts established connections in a stop also ended at a connection that its caller had given up.

--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <map>
 
 namespace auburndrum::net {
@@ -46,9 +47,15 @@
     void acceptEstablished()
     {
         const auto listener = static_cast<int>(socketDescriptor());
-        for (int it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); it >= 0;
-             it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) {
-            incomingConnection(it);
+        while (true) {
+            const int it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (it >= 0) {
+                incomingConnection(it);
+                continue;
+            }
+            if (errno != EINTR && errno != ECONNABORTED) {
+                return;
+            }
         }
     }
 
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -365,6 +365,10 @@
     if (!m_socket) {
         return;
     }
+    if (m_parser && !m_rejected && net::unreadBytes(descriptor()) + m_socket->bytesAvailable() > 0) {
+        m_timer.start(CloseCheckInterval); // what has arrived is read next
+        return;
+    }
     if (m_isHandlerCalled) {
         reportClose("body time");
         abort(); // the caller stopped sending in the middle of a body
