--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -25,6 +25,7 @@
     std::optional<Instant> firstEventAt;
     Instant lastBytesAt{}; ///< when a part of the response's body last arrived, or reading went on after a pause
     bool isReadingPaused = false; ///< while the caller takes the bytes slowly
+    bool isSilenceRecorded = false; ///< whether the silence was counted as the server's failure
     std::string keptDespite; ///< the silence for which the attempt would have ended if another server could have taken over
     bool hasResponded = false; ///< whether the first event was reported to the chooser
     std::optional<net::HttpHead> head;
@@ -205,6 +206,8 @@
     /// Moves the request to another server. Without one the attempt goes on, as its server may be sound and answer yet.
     void moveIfReplaceable(const char *result);
     bool mayBeMoved() const;
+    /// Counts the silence as the server's failure, once for each attempt.
+    void recordSilence();
     std::optional<Replacement> findReplacement() const;
     /// @}
     void handleTimeout();
