A request's chunk extension or trailers without end are refused

The header limit covers only the request's header. Behind it, the parser waited for the end of a chunk's header or of the trailers, and the connection kept all bytes until then, as many as the caller sent; where the body is passed on in parts, each arrival started the idle time again. The same limit now covers the unparsed bytes of these, too.

--- a/include/auburndrum/net/requestparser.h
+++ b/include/auburndrum/net/requestparser.h
@@ -33,6 +33,7 @@
 
     using BodyHook = std::function<void(const char *, std::size_t)>;
 
+    /// `maxHeaderBytes` limits the header, each chunk's header and the trailers.
     RequestParser(qint64 maxHeaderBytes, qint64 maxBodyBytes, BodyHook onBody);
     ~RequestParser();
 
--- a/src/auburndrum/net/requestparser.cpp
+++ b/src/auburndrum/net/requestparser.cpp
@@ -33,7 +33,8 @@
 {
 public:
     Private(qint64 maxHeaderBytes, qint64 maxBodyBytes, BodyHook onBody)
-        : m_onBody(std::move(onBody))
+        : m_maxHeaderBytes(maxHeaderBytes)
+        , m_onBody(std::move(onBody))
     {
         header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
         body_limit(static_cast<std::uint64_t>(maxBodyBytes));
@@ -44,6 +45,11 @@
         return m_head;
     }
 
+    qint64 maxHeaderBytes() const
+    {
+        return m_maxHeaderBytes;
+    }
+
 protected:
     void on_request_impl(http::verb /*method*/, beast::string_view method, beast::string_view target, int /*version*/, beast::error_code & /*ec*/) override
     {
@@ -92,6 +98,7 @@
     }
 
 private:
+    qint64 m_maxHeaderBytes;
     BodyHook m_onBody;
     RequestHead m_head;
 };
@@ -114,6 +121,9 @@
         const std::size_t n = d->put(boost::asio::buffer(bytes.data() + used, static_cast<std::size_t>(bytes.size() - used)), ec);
         used += static_cast<qsizetype>(n);
         error = toError(ec);
+        if (ec == http::error::need_more && hadHead && bytes.size() - used > d->maxHeaderBytes()) {
+            error = Error::HeaderTooLarge; // of a chunk's header or the trailers, which header_limit() leaves out
+        }
         if (ec == http::error::need_more || (n == 0 && !ec) || hadHead != d->is_header_done()) {
             break;
         }
