A request that left a silent server is not given up because the next one refuses it

Cause: a refusal counted as one of the servers on which the request may run, so that with two allowed nobody was asked after the first refusal. A server that refuses has not run the request, and its caller can't be told "not run" any more.

Change: for a request that may have run elsewhere, a refusal doesn't use up the route's number of servers. The number of attempts and the retry allowance limit it as before. A request that has not run keeps its limit, since its caller may come back.

Test: the last case of silentanswer_test.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -116,7 +116,8 @@
     if (metadata.hasNotRun) {
         m_state.chooser.onRefused(server, monotonicNow());
         endAttempt("not_run");
-        retryOrConclude(false, head.status == 421 ? Delivery::WrongServer : Delivery::Delivered);
+        // A request that may have run elsewhere can't be refused to its caller any more, and a server that refused it has not run it.
+        retryOrConclude(false, head.status == 421 || m_mayHaveRun ? Delivery::WrongServer : Delivery::Delivered);
         return;
     }
     const bool isNoStream = m_attempt->goesOn && m_route->kind == decision::RequestKind::Streaming && isSuccess(head.status) && !isEventStream();
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -76,7 +76,7 @@
     /// How far an attempt got.
     enum class Delivery {
         NotSent, ///< no byte was sent
-        WrongServer, ///< reached a server that refused it as meant for another one
+        WrongServer, ///< reached a server that refused it, and that doesn't count as one it was sent to
         Delivered,
     };
 
--- a/src/auburndrum/gateway/silentanswer_test.cpp
+++ b/src/auburndrum/gateway/silentanswer_test.cpp
@@ -66,7 +66,12 @@
             socket->write(StreamHead + asChunk(FirstEvents));
             writeLater(socket, StreamSilence, asChunk(LastEvent) + "0\r\n\r\n");
         })
-        , other([isStream](QTcpSocket *socket, const QByteArray &request) {
+        , other([this, isStream](QTcpSocket *socket, const QByteArray &request) {
+            if (refusals > 0) {
+                --refusals;
+                socket->write("HTTP/1.1 503 Service Unavailable\r\nId: request-1\r\nSeal: s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
             const QByteArray events = request.contains("After: 2\r\n") ? LastEvent : FirstEvents + LastEvent;
             socket->write(isStream ? StreamHead + asChunk(events) + "0\r\n\r\n" : PlainAnswer);
         })
@@ -96,6 +101,7 @@
     }
 
     int closed = 0; ///< connections to the first server that ended
+    int refusals = 0; ///< requests that the other server refuses before it answers
     QByteArray otherSoftware;
     RawServer first;
     RawServer other;
@@ -148,3 +154,23 @@
     CHECK(it.other.requests() == 1);
     CHECK(it.closed == 1);
 }
+
+// Guards against a stream that is cut, or a 502, though servers are free: the one that was to take over refused, and that counted as one of the servers on
+// which the request may run.
+TEST_CASE("a request that left a silent server and is refused by the next one goes on to a third")
+{
+    for (const bool isStream : {true, false}) {
+        CAPTURE(isStream);
+        SilentServer it(isStream, Obstacle{"refused once", 4, true, {}});
+        it.refusals = 1;
+        QTimer::singleShot(200ms, &it.gateway.client, [&it] {
+            it.gateway.store.put("servers", "c", it.other.address() + " 1 x");
+        });
+        const auto result = it.gateway.sendRequest(isStream ? "/stream/x" : "/safe/x");
+        CHECK(result.head.status == 200);
+        CHECK(result.failure == net::HttpFailure::None);
+        CHECK(result.body == (isStream ? FirstEvents + LastEvent : QByteArray("done")));
+        CHECK(it.first.requests() == 1);
+        CHECK(it.other.requests() == 2);
+    }
+}
