--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -13,6 +13,16 @@
 
 namespace auburndrum::net {
 
+/// A connection that the server closed while a request, or a part of one, lay on it without a response.
+struct UnfinishedClose
+{
+    const char *reason = ""; ///< why it was closed
+    qint64 unreadBytes = 0; ///< that had arrived and were not read
+    qint64 partialBytes = 0; ///< that were read of a request that had not arrived completely
+    qint64 unsentBytes = 0; ///< of responses
+    std::optional<std::chrono::milliseconds> sinceLastReceived; ///< empty where the system doesn't tell
+};
+
 /// Limits of one server. Each is enforced before the memory is allocated.
 struct HttpServerOptions
 {
@@ -24,6 +34,7 @@
     std::chrono::milliseconds idleTimeout{75000}; ///< closes a connection that has waited this long for a request or for more of a streamed body
     qint64 bodyStreamingThreshold = std::numeric_limits<qint64>::max(); ///< bytes; the handler receives a longer body in parts, before it is complete
     std::function<QByteArray(int status, const QByteArray &message)> errorBody; ///< returns the JSON body of a request error that the server itself reports
+    std::function<void(const UnfinishedClose &)> onUnfinishedClose;
 };
 
 /// HTTP/1.1 server that passes each request to one handler as an Exchange.
@@ -39,15 +50,15 @@
 
     /// Listens on `address` (port 0: any free port). Returns the address in use, with port 0 when listening failed.
     Address listenOn(const Address &address);
-    /// Stops accepting connections; open connections continue.
+    /// Stops accepting connections, after those that have been established already; open connections continue.
     void stopListening();
-    /// Replaces the limits; each connection applies them from its next request on.
+    /// Replaces the limits; each connection applies them from its next request on, a longer idle timeout at once.
     void setOptions(HttpServerOptions options);
     const HttpServerOptions &options() const;
     /// From now on each response carries "Connection: close", and the connection closes after it.
     void closeAfterAnswers();
-    /// Closes the connections that have no request in progress.
-    void closeIdleConnections();
+    /// Closes the connections that have been without a request for `minIdle`, except where one has arrived unread.
+    void closeIdleConnections(std::chrono::milliseconds minIdle = {});
     /// Answers requests that were not read completely, and so not passed to the handler, with 503, and closes their connections.
     void refuseUnreadRequests();
     int connectionCount() const;
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -64,6 +64,12 @@
                     [this](const QByteArray &bytes) {
                         handleData(bytes);
                     },
+                .onWritten =
+                    [this] {
+                        if (m_call && m_hooks.onBytesSent) {
+                            m_hooks.onBytesSent();
+                        }
+                    },
                 .onEnd =
                     [this](TcpEnd how) {
                         handleEnd(how);
@@ -71,6 +77,10 @@
 {
     m_timer.setSingleShot(true);
     connect(&m_timer, &QTimer::timeout, this, &ClientConnection::handleTimer);
+    m_wholeTimer.setSingleShot(true);
+    connect(&m_wholeTimer, &QTimer::timeout, this, [this] {
+        finish(m_responseStarted ? HttpFailure::IdleTimeout : HttpFailure::FirstByteTimeout);
+    });
 }
 
 ClientConnection::~ClientConnection()
@@ -113,8 +123,12 @@
     m_lastProgress = std::chrono::steady_clock::now();
     m_result.reused = m_connected;
     m_paused = false;
+    m_isBodySent = !call.bodyFollows;
     makeParser();
     m_timer.start(currentTimeout());
+    if (call.wholeTimeout) {
+        m_wholeTimer.start(*call.wholeTimeout);
+    }
     if (m_connected) {
         sendRequest();
         return m_callNumber;
@@ -159,6 +173,7 @@
     if (!m_call || callNumber != m_callNumber) {
         return;
     }
+    m_isBodySent = last;
     if (!m_connected) {
         m_call->body += part;
         m_call->bodyFollows = !last;
@@ -348,9 +363,14 @@
 void ClientConnection::finish(HttpFailure failure)
 {
     m_timer.stop();
+    m_wholeTimer.stop();
     m_call.reset();
     m_result.failure = failure;
-    const bool reusable = failure == HttpFailure::None && !m_hasTrailingBytes && m_parser->keepsAlive() && m_socket.isConnected();
+    if (m_paused) {
+        m_paused = false;
+        m_socket.setReadingPaused(false);
+    }
+    const bool reusable = failure == HttpFailure::None && m_isBodySent && !m_hasTrailingBytes && m_parser->keepsAlive() && m_socket.isConnected();
     if (!reusable) {
         // A connection is never reused after a failure or when bytes followed the response.
         m_socket.abort();
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "responsehead.h"
 #include "serverconnection.h"
+#include "socketstate.h"
 
 #include <QTcpServer>
 
@@ -10,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <map>
 
 namespace auburndrum::net {
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TcpUserTimeout{20000}; // a connection whose sent bytes stay unacknowledged this long is closed
+constexpr std::size_t MaxRefusedConnections = 64; // that are open at once
 constexpr int ListenBacklog = 512; // connections that wait for accept(); when the queue is full, a caller waits seconds for its SYN to be sent again
 
 void setTcpOptions(qintptr descriptor)
@@ -40,6 +43,22 @@
         setListenBacklogSize(ListenBacklog);
     }
 
+    /// Accepts the connections that the system has established; closing the listener would reset them.
+    void acceptEstablished()
+    {
+        const auto listener = static_cast<int>(socketDescriptor());
+        while (true) {
+            const int it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (it >= 0) {
+                incomingConnection(it);
+                continue;
+            }
+            if (errno != EINTR && errno != ECONNABORTED) {
+                return;
+            }
+        }
+    }
+
 protected:
     void incomingConnection(qintptr descriptor) override
     {
@@ -69,10 +88,13 @@
     }
 
     void accept(QTcpSocket *socket);
+    /// Answers 503 and discards what the caller sends, so that it can read that; above MaxRefusedConnections of these at once, resets the connection.
+    void refuse(QTcpSocket *socket);
 
     HttpServerOptions options;
     Handler handler;
     std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> connections;
+    std::map<QTcpSocket *, std::shared_ptr<ServerConnection>> refused; ///< connections over the limit
     TcpListener *server = nullptr;
     bool closesAfterAnswers = false;
 };
@@ -80,9 +102,7 @@
 void HttpServer::Private::accept(QTcpSocket *socket)
 {
     if (connections.size() >= static_cast<std::size_t>(options.maxConnections)) {
-        const QByteArray body = options.errorBody ? options.errorBody(503, "Too many connections.") : QByteArray();
-        socket->write(responseHead(503, {{"Content-Type", "application/json"}, {"Retry-After", "1"}, {"Connection", "close"}}, body.size()) + body);
-        socket->disconnectFromHost();
+        refuse(socket);
         return;
     }
     const auto connection = std::make_shared<ServerConnection>(socket, options, handler);
@@ -95,6 +115,25 @@
     });
 }
 
+void HttpServer::Private::refuse(QTcpSocket *socket)
+{
+    if (refused.size() >= MaxRefusedConnections) {
+        if (options.onUnfinishedClose) {
+            const auto descriptor = static_cast<int>(socket->socketDescriptor());
+            options.onUnfinishedClose(
+                {.reason = "connection limit", .unreadBytes = unreadBytes(descriptor), .sinceLastReceived = sinceLastReceived(descriptor)});
+        }
+        socket->abort();
+        return;
+    }
+    const auto connection = std::make_shared<ServerConnection>(socket, options, handler);
+    refused[socket] = connection;
+    QObject::connect(socket, &QObject::destroyed, socket, [this, socket] {
+        refused.erase(socket);
+    });
+    connection->reject(503, "Too many connections.", {{"Retry-After", "1"}});
+}
+
 HttpServer::HttpServer(HttpServerOptions options, Handler handler, QObject *parent)
     : QObject(parent)
     , d(std::make_unique<Private>(std::move(options), std::move(handler)))
@@ -106,7 +145,11 @@
     for (const auto &[socket, connection] : d->connections) {
         socket->disconnect();
     }
+    for (const auto &[socket, connection] : d->refused) {
+        socket->disconnect();
+    }
     d->connections.clear();
+    d->refused.clear();
 }
 
 Address HttpServer::listenOn(const Address &address)
@@ -125,7 +168,8 @@
 
 void HttpServer::stopListening()
 {
-    if (d->server != nullptr) {
+    if (d->server != nullptr && d->server->isListening()) {
+        d->server->acceptEstablished();
         d->server->close();
     }
 }
@@ -133,6 +177,9 @@
 void HttpServer::setOptions(HttpServerOptions options)
 {
     d->options = std::move(options);
+    for (const auto &[socket, connection] : d->connections) {
+        connection->extendIdleTime();
+    }
 }
 
 const HttpServerOptions &HttpServer::options() const
@@ -148,11 +195,11 @@
     }
 }
 
-void HttpServer::closeIdleConnections()
+void HttpServer::closeIdleConnections(std::chrono::milliseconds minIdle)
 {
     const auto all = d->connections; // a copy, because closing a connection changes the map
     for (const auto &[socket, connection] : all) {
-        connection->closeIfIdle();
+        connection->closeIfIdle(minIdle);
     }
 }
 
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -28,7 +28,7 @@
             m_exchange->m_onBytesSent();
         }
     });
-    m_timer.start(m_options.idleTimeout);
+    startIdleTime();
 }
 
 bool ServerConnection::isOpen() const
@@ -93,11 +93,51 @@
     m_closeAfterAnswer = true;
 }
 
-void ServerConnection::closeIfIdle()
+bool ServerConnection::isIdle() const
+{
+    return isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0 && net::unreadBytes(descriptor()) == 0;
+}
+
+void ServerConnection::startIdleTime()
+{
+    m_idleSince = std::chrono::steady_clock::now();
+    m_timer.start(m_options.idleTimeout);
+}
+
+void ServerConnection::closeIfIdle(std::chrono::milliseconds minIdle)
+{
+    if (isIdle() && std::chrono::steady_clock::now() - m_idleSince >= minIdle) {
+        close("stop");
+    }
+}
+
+void ServerConnection::extendIdleTime()
+{
+    const auto end = m_idleSince + m_options.idleTimeout;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    if (isIdle() && left > m_timer.remainingTimeAsDuration()) {
+        m_timer.start(left);
+    }
+}
+
+void ServerConnection::close(const char *reason)
 {
-    if (isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0) {
-        m_socket->disconnectFromHost();
+    reportClose(reason);
+    m_socket->disconnectFromHost();
+}
+
+void ServerConnection::reportClose(const char *reason) const
+{
+    const qint64 unread = net::unreadBytes(descriptor()) + m_socket->bytesAvailable() + m_input.size();
+    const bool isInRequest = m_parser || unread > 0;
+    if (!isInRequest || m_rejected || !m_options.onUnfinishedClose) {
+        return;
     }
+    m_options.onUnfinishedClose({.reason = reason,
+                                 .unreadBytes = unread,
+                                 .partialBytes = m_parser ? m_partialBytes : 0,
+                                 .unsentBytes = m_socket->bytesToWrite(),
+                                 .sinceLastReceived = sinceLastReceived(descriptor())});
 }
 
 void ServerConnection::refuseUnreadRequest()
@@ -110,6 +150,9 @@
 void ServerConnection::setReadingPaused(bool paused)
 {
     m_paused = paused;
+    if (m_isHandlerCalled) { // time in which nothing is read is not the caller's
+        paused ? m_timer.stop() : m_timer.start(m_options.idleTimeout);
+    }
     if (!paused) {
         QMetaObject::invokeMethod(
             this,
@@ -151,6 +194,7 @@
 void ServerConnection::feedParser()
 {
     if (!m_parser) {
+        m_partialBytes = 0;
         m_firstByteAt = std::chrono::steady_clock::now();
         m_unreadFor = sinceLastReceived(descriptor());
         m_isHeadAccepted = false;
@@ -162,6 +206,7 @@
     RequestParser::Error error = RequestParser::Error::None;
     const qsizetype used = m_parser->feed(m_input, error);
     m_input.remove(0, used);
+    m_partialBytes += used;
     if (error == RequestParser::Error::Malformed) {
         reject(400, "The request is not well-formed HTTP.");
         return;
@@ -256,10 +301,10 @@
 void ServerConnection::becomeIdle()
 {
     if (m_closeAfterAnswer || !m_keepsAlive) {
-        m_socket->disconnectFromHost();
+        close("last response");
         return;
     }
-    m_timer.start(m_options.idleTimeout);
+    startIdleTime();
     // The next request may already be in m_input or unread in the socket.
     QMetaObject::invokeMethod(
         this,
@@ -287,7 +332,7 @@
     setReadingPaused(false);
 }
 
-void ServerConnection::reject(int status, const QByteArray &message)
+void ServerConnection::reject(int status, const QByteArray &message, const std::vector<Header> &headers)
 {
     if (!isOpen()) {
         return;
@@ -297,7 +342,9 @@
         return;
     }
     const QByteArray body = m_options.errorBody ? m_options.errorBody(status, message) : message;
-    m_socket->write(responseHead(status, {{"Content-Type", "application/json"}, {"Connection", "close"}}, body.size()) + body);
+    std::vector<Header> all = {{"Content-Type", "application/json"}, {"Connection", "close"}};
+    all.insert(all.end(), headers.begin(), headers.end());
+    m_socket->write(responseHead(status, all, body.size()) + body);
     m_rejected = true;
     // Further input is discarded; the connection stays open for RejectLinger so that the caller can read the error response.
     m_parser.reset();
@@ -318,7 +365,12 @@
     if (!m_socket) {
         return;
     }
+    if (m_parser && !m_rejected && net::unreadBytes(descriptor()) + m_socket->bytesAvailable() > 0) {
+        m_timer.start(CloseCheckInterval); // what has arrived is read next
+        return;
+    }
     if (m_isHandlerCalled) {
+        reportClose("body time");
         abort(); // the caller stopped sending in the middle of a body
         return;
     }
@@ -326,7 +378,11 @@
         reject(408, "The request did not arrive in time.");
         return;
     }
-    m_socket->disconnectFromHost();
+    if (!m_rejected && !isIdle()) {
+        startIdleTime(); // the next request has arrived; its bytes are read next
+        return;
+    }
+    close("idle time");
 }
 
 void ServerConnection::handleDisconnected()
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -20,11 +20,13 @@
     ServerConnection(QTcpSocket *socket, const HttpServerOptions &options, const HttpServer::Handler &handler);
 
     /// Sends an error response and closes the connection shortly afterwards.
-    void reject(int status, const QByteArray &message);
+    void reject(int status, const QByteArray &message, const std::vector<Header> &headers = {});
     /// Sends "Connection: close" with the next response and closes the connection after it.
     void closeAfterAnswer();
-    /// Closes the connection when no request is in progress.
-    void closeIfIdle();
+    /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread.
+    void closeIfIdle(std::chrono::milliseconds minIdle);
+    /// Lets a connection that waits for a request follow a longer idle timeout. A shorter one holds from its next wait on, as its caller may not know it yet.
+    void extendIdleTime();
 
     /// Refuses the request of which only a part was read; does nothing when the handler has it.
     void refuseUnreadRequest();
@@ -54,9 +56,15 @@
     void startExchange(bool isComplete);
     void finishRequest();
     void becomeIdle();
+    /// Closes the connection after the responses' last bytes, and reports what lies on it unanswered.
+    void close(const char *reason);
+    void reportClose(const char *reason) const;
     /// Looks for the peer's close while the socket's buffer is full, since the socket reports no close then.
     void watchForClose();
     bool isReadBufferFull() const;
+    /// Whether the connection waits for a request of which nothing has arrived yet.
+    bool isIdle() const;
+    void startIdleTime();
     int descriptor() const;
 
     QPointer<QTcpSocket> m_socket;
@@ -67,7 +75,9 @@
     QByteArray m_body; ///< part of the body that is parsed and not yet passed to the handler
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
+    std::chrono::steady_clock::time_point m_idleSince; ///< when the connection was accepted, or its last response completed
     std::optional<std::chrono::milliseconds> m_unreadFor; ///< time for which the bytes that were read then had waited
+    qint64 m_partialBytes = 0; ///< read of the request that is being read
     bool m_isHeadAccepted = false;
     bool m_isHandlerCalled = false; ///< the request being read was passed to the handler
     bool m_keepsAlive = true;
