Late answers of the store and of engines are dropped once their reader is gone

Cause: the store client outlives the gateway, and the callbacks of RelayLink's calls held a plain pointer to it. A long read that was open when the gateway was deleted was answered within the test's last 50 ms, and its answer was written into freed memory (memcheck: invalid reads and writes from readDirectly's callback, block freed by gateway.reset(); 2 of 12 runs beside 8 busy processes).

--- a/src/auburndrum/gateway/promptstorereader.cpp
+++ b/src/auburndrum/gateway/promptstorereader.cpp
@@ -1,6 +1,7 @@
 #include "auburndrum/gateway/promptstorereader.h"
 
 #include "auburndrum/decision/traffic/cachescope.h"
+#include "guarded.h"
 
 #include <algorithm>
 
@@ -76,17 +77,18 @@
     }
     const std::uint64_t generation = followed->second.generation;
     followed->second.polledAt = monotonicNow();
-    m_engines.readStoreChanges(address, followed->second.nextChange, m_options.longPollTimeout, [this, address, generation](const PromptStoreResult &result) {
-        handleResult(address, generation, result);
-    });
+    m_engines.readStoreChanges(
+        address, followed->second.nextChange, m_options.longPollTimeout, guarded(this, [this, address, generation](const PromptStoreResult &result) {
+            handleResult(address, generation, result);
+        }));
 }
 
 void PromptStoreReader::readContents(const std::string &address)
 {
     const std::uint64_t generation = m_stores.at(address).generation;
-    m_engines.readStoreContents(address, [this, address, generation](const PromptStoreResult &result) {
-        handleResult(address, generation, result);
-    });
+    m_engines.readStoreContents(address, guarded(this, [this, address, generation](const PromptStoreResult &result) {
+                                    handleResult(address, generation, result);
+                                }));
 }
 
 void PromptStoreReader::handleResult(const std::string &address, std::uint64_t generation, const PromptStoreResult &result)
@@ -193,18 +195,19 @@
         if (parts.empty() || followed.isUnreachable) {
             continue;
         }
-        m_engines.freeStoredParts(address, followed.incarnation, parts, [this, address = address, parts, incarnation = followed.incarnation](bool isDone) {
-            m_state.log.write(LinePriority::Notable, "old_prompts_freed", {{"address", address}, {"parts", parts.size()}, {"done", isDone}});
-            if (!isDone) {
-                return;
-            }
-            // Some changes are never reported; without this, parts whose removal was missed would be freed repeatedly.
-            m_state.storedPrompts.removeFreed(address, incarnation, parts);
-            const auto it = m_stores.find(address);
-            if (m_hooks.onUpdate && it != m_stores.end() && it->second.incarnation == incarnation) {
-                m_hooks.onUpdate(address, {.incarnation = incarnation, .nextChange = it->second.nextChange, .changes = parts});
-            }
-        });
+        m_engines.freeStoredParts(
+            address, followed.incarnation, parts, guarded(this, [this, address = address, parts, incarnation = followed.incarnation](bool isDone) {
+                m_state.log.write(LinePriority::Notable, "old_prompts_freed", {{"address", address}, {"parts", parts.size()}, {"done", isDone}});
+                if (!isDone) {
+                    return;
+                }
+                // Some changes are never reported; without this, parts whose removal was missed would be freed repeatedly.
+                m_state.storedPrompts.removeFreed(address, incarnation, parts);
+                const auto it = m_stores.find(address);
+                if (m_hooks.onUpdate && it != m_stores.end() && it->second.incarnation == incarnation) {
+                    m_hooks.onUpdate(address, {.incarnation = incarnation, .nextChange = it->second.nextChange, .changes = parts});
+                }
+            }));
     }
 }
 
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -1,6 +1,7 @@
 #include "auburndrum/gateway/relaylink.h"
 
 #include "auburndrum/base/randomid.h"
+#include "guarded.h"
 
 #include <algorithm>
 
@@ -77,24 +78,20 @@
     return listening;
 }
 
-void RelayLink::stop()
-{
-    m_isStopped = true;
-}
-
 void RelayLink::registerSelf()
 {
     const QByteArray value = QByteArray::fromStdString(toJson(m_options.self));
-    m_store.put(m_options.directoryTopic, m_options.self.name, value, [this](const StoreResult<std::uint64_t> &result) {
-        if (!result) {
-            m_state.log.write(LinePriority::Notable, "registration_failed", {{"topic", m_options.directoryTopic}, {"error", toText(result.error())}});
-            QTimer::singleShot(RetryDelay, this, &RelayLink::registerSelf);
-            return;
-        }
-        QTimer::singleShot(m_options.directoryDelay, this, [this] {
-            readDirectory({});
-        });
-    });
+    m_store.put(
+        m_options.directoryTopic, m_options.self.name, value, guarded(this, [this](const StoreResult<std::uint64_t> &result) {
+            if (!result) {
+                m_state.log.write(LinePriority::Notable, "registration_failed", {{"topic", m_options.directoryTopic}, {"error", toText(result.error())}});
+                QTimer::singleShot(RetryDelay, this, &RelayLink::registerSelf);
+                return;
+            }
+            QTimer::singleShot(m_options.directoryDelay, this, [this] {
+                readDirectory({});
+            });
+        }));
 }
 
 void RelayLink::refreshDirectory()
@@ -107,9 +104,9 @@
 void RelayLink::readDirectory(const std::string &afterKey)
 {
     m_isReadingDirectory = true;
-    m_store.readNewest(m_options.directoryTopic, afterKey, [this](const StoreResult<NewestPage> &page) {
-        handleDirectory(page);
-    });
+    m_store.readNewest(m_options.directoryTopic, afterKey, guarded(this, [this](const StoreResult<NewestPage> &page) {
+                           handleDirectory(page);
+                       }));
 }
 
 void RelayLink::handleDirectory(const StoreResult<NewestPage> &page)
@@ -146,10 +143,10 @@
 {
     RecordStore it = m_store;
     it.readNewest = [this](const std::string &topic, const std::string &afterKey, auto done) {
-        m_store.readNewest(topic, afterKey, [this, done = std::move(done)](const StoreResult<NewestPage> &page) {
-            handleEra(page ? page.value().era : 0);
-            done(page);
-        });
+        m_store.readNewest(topic, afterKey, guarded(this, [this, done = std::move(done)](const StoreResult<NewestPage> &page) {
+                               handleEra(page ? page.value().era : 0);
+                               done(page);
+                           }));
     };
     it.read = [this](const std::string &topic, std::uint64_t from, milliseconds wait, auto done) {
         read(topic, from, wait, std::move(done));
@@ -188,17 +185,18 @@
     if (m_failedTopics.contains(topic)) {
         longest = milliseconds(0); // a lost read is noticed sooner, so its reader learns early that the store is back
     }
-    m_store.read(topic, from, longest, [this, topic, from, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
-        if (result) {
-            handleEra(result.value().era);
-            m_failedTopics.erase(topic);
-            m_topicCache.addBatch(topic, from, result.value(), m_pauses.earliestAnswerTime(sentAt));
-        } else {
-            m_failedTopics.insert(topic);
-            m_topicCache.recordFailure(topic, suspendAwareNow());
-        }
-        done(result);
-    });
+    m_store.read(
+        topic, from, longest, guarded(this, [this, topic, from, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
+            if (result) {
+                handleEra(result.value().era);
+                m_failedTopics.erase(topic);
+                m_topicCache.addBatch(topic, from, result.value(), m_pauses.earliestAnswerTime(sentAt));
+            } else {
+                m_failedTopics.insert(topic);
+                m_topicCache.recordFailure(topic, suspendAwareNow());
+            }
+            done(result);
+        }));
 }
 
 void RelayLink::handleEra(std::uint64_t era)
--- a/src/auburndrum/gateway/relayserving.cpp
+++ b/src/auburndrum/gateway/relayserving.cpp
@@ -30,6 +30,11 @@
     }
 }
 
+void RelayLink::stop()
+{
+    m_isStopped = true;
+}
+
 entry::RpcResult RelayLink::handlePoll(const std::string &text)
 {
     if (m_isStopped) {
