A refusing address in lostpath_test keeps its port

DeadAddress closed its socket, so that the port of the dead server was free for the next program that asked for any port. In failed runs whose log was read, the dead server gave answers that were taken for foreign ones ("foreign_answers":1), and requests ended with 504.

Change: the socket stays bound and does not listen, so connections are refused and nobody else can listen there. All checks of the case stay as they are. A new case holds that nobody can listen on such an address and that it refuses: it failed before in all three checks.

--- a/src/auburndrum/gateway/lostpath_test.cpp
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -38,8 +38,7 @@
         : m_listener(listenSocket())
     {
         if (kind == Kind::Refusing) {
-            ::close(std::exchange(m_listener, -1));
-            return;
+            return; // the port stays taken, so that no other program listens there
         }
         REQUIRE(::listen(m_listener, kind == Kind::Hanging ? 0 : 100) == 0);
         if (kind == Kind::Hanging) {
@@ -184,6 +183,19 @@
 
 } // namespace
 
+// Guards against tests whose dead server is alive: the port of an address that refuses was free for any other program to listen on.
+TEST_CASE("nobody else can listen on an address that refuses connections")
+{
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    const net::Address address = *net::parseAddress(dead.text().toStdString());
+    QTcpServer other;
+    CHECK_FALSE(other.listen(address.host, address.port));
+    QTcpSocket caller;
+    caller.connectToHost(address.host, address.port);
+    CHECK_FALSE(caller.waitForConnected(1000));
+    CHECK(caller.error() == QAbstractSocket::ConnectionRefusedError);
+}
+
 TEST_CASE("a VM without a path to any server serves its callers through a VM that has one")
 {
     // Guards against callers of a cut-off VM who are refused although all servers are well (RECOVER).
