--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -61,8 +61,8 @@
     CHECK(it.closes[0].partialBytes == Request.size() - 1);
 }
 
-// Guards against a request that is lost in a planned stop, or when its connection has been idle for long: only what the event loop had read counted as a
-// request, and closing a connection whose bytes are unread resets it.
+// Guards against a request that is lost in a planned stop: only what the event loop had read counted as a request, and closing a connection whose bytes are
+// unread resets it.
 TEST_CASE("a request that has arrived before its idle connection is closed is answered")
 {
     AnsweringServer it;
