--- a/review/standins/backend.cpp
+++ b/review/standins/backend.cpp
@@ -75,9 +75,7 @@
 
 std::string orderConfiguration()
 {
-    const json it = {{"version", 1},
-                     {"routes",
-                      {{{"name", "order"},
+    const json order = {{"name", "order"},
                         {"host", "lunch.example"},
                         {"path_prefix", "/order/"},
                         {"service", Service},
@@ -85,9 +83,15 @@
                         {"timeout_ms", 2000},
                         {"target_latency_ms", 300},
                         {"priority", 2},
-                        {"max_attempts", 1}}}},
-                     {"services", {{{"name", Service}, {"health_path", "/health"}, {"max_conns", 100}}}},
-                     {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 5000}, {"idle_timeout_ms", 10000}}}};
+                        {"max_attempts", 1}};
+    json status = order;
+    status["name"] = "status";
+    status["path_prefix"] = "/status/";
+    status["kind"] = "safe";
+    status["max_attempts"] = 2;
+    const json service = {{"name", Service}, {"health_path", "/health"}, {"max_conns", 100}};
+    const json limits = {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 5000}, {"idle_timeout_ms", 10000}};
+    const json it = {{"version", 1}, {"routes", json::array({order, status})}, {"services", json::array({service})}, {"limits", limits}};
     return it.dump();
 }
 
--- a/review/standins/backend.h
+++ b/review/standins/backend.h
@@ -33,7 +33,7 @@
     std::vector<std::unique_ptr<Server>> m_listeners;
 };
 
-/// A configuration with one route of unsafe requests, for orders at /order/.
+/// A configuration with two routes: /order/ for unsafe requests and /status/ for safe ones.
 std::string orderConfiguration();
 
 /// Starts entry VMs, the first ones in zone-a and the rest in zone-b, each with a view of its own of the store.
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -46,7 +46,12 @@
 {
     while (const auto request = connection.read()) {
         const auto answer = handler(*request);
-        if (!answer || !connection.send(textOf(*answer))) {
+        if (!answer) {
+            return;
+        }
+        const std::string text = textOf(*answer);
+        const bool hasNoBody = request->method() == "HEAD"; // its length is that of the answer to GET
+        if (!connection.send(hasNoBody ? text.substr(0, text.size() - answer->body.size()) : text)) {
             return;
         }
     }
@@ -183,7 +188,7 @@
     return false;
 }
 
-std::optional<Message> Connection::read()
+std::optional<Message> Connection::readHead()
 {
     Message it;
     if (!readLine(it.startLine)) {
@@ -199,9 +204,16 @@
         const auto begin = line.find_first_not_of(' ', colon + 1);
         it.headers[name] = begin == std::string::npos ? std::string() : line.substr(begin);
     }
-    if (!line.empty()) {
+    return line.empty() ? std::optional(it) : std::nullopt;
+}
+
+std::optional<Message> Connection::read()
+{
+    const auto head = readHead();
+    if (!head) {
         return std::nullopt;
     }
+    Message it = *head;
     if (it.header("transfer-encoding") == "chunked") {
         return readChunks(it.body) ? std::optional(it) : std::nullopt;
     }
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -44,6 +44,8 @@
     bool send(const std::string &bytes) const;
     /// Reads one message. Nothing when the connection ended before it was complete.
     std::optional<Message> read();
+    /// Reads a message without its body, such as the answer to a HEAD request.
+    std::optional<Message> readHead();
     void setReadTimeout(int milliseconds) const;
 
 private:
