--- a/review/standins/backend.h
+++ b/review/standins/backend.h
@@ -19,7 +19,7 @@
     /// @p onRun is called for each request that it runs.
     Backend(int number, int views, Store &store, std::function<void(const std::string &server, const Message &request)> onRun);
 
-    /// Ends the connections of an entry VM and refuses its new ones.
+    /// Resets the connections of an entry VM and refuses its new ones.
     void cutFrom(int view);
 
 private:
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <memory>
 #include <mutex>
@@ -42,11 +43,20 @@
     return it;
 }
 
-void serve(Connection &connection, const Handler &handler)
+} // namespace
+
+struct Server::State
+{
+    std::mutex mutex;
+    std::set<int> open;
+    std::atomic<bool> isClosed{false};
+};
+
+void Server::serve(Connection &connection, const Handler &handler, const State &state)
 {
     while (const auto request = connection.read()) {
         const auto answer = handler(*request);
-        if (!answer) {
+        if (!answer || state.isClosed) {
             return;
         }
         const std::string text = textOf(*answer);
@@ -57,14 +67,6 @@
     }
 }
 
-} // namespace
-
-struct Server::State
-{
-    std::mutex mutex;
-    std::set<int> open;
-};
-
 std::string toText(const Address &address)
 {
     return address.host + ":" + std::to_string(address.port);
@@ -248,7 +250,7 @@
                     state->open.insert(it);
                 }
                 Connection connection(it);
-                serve(connection, handler);
+                serve(connection, handler, *state);
                 const std::lock_guard lock(state->mutex);
                 state->open.erase(it);
             }).detach();
@@ -263,9 +265,12 @@
         ::close(m_listener);
         m_listener = -1;
     }
+    m_state->isClosed = true;
     const std::lock_guard lock(m_state->mutex);
     for (const int it : m_state->open) {
-        ::shutdown(it, SHUT_RDWR);
+        const linger reset{1, 0};
+        setsockopt(it, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        ::shutdown(it, SHUT_RD); // wakes its reader, which closes it
     }
 }
 
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -73,11 +73,13 @@
 {
 public:
     Server(const Address &address, Handler handler);
-    /// Stops listening, so that new connections are refused, and ends those that are open.
+    /// Stops listening, so that new connections are refused, and resets those that are open.
     void close();
 
 private:
     struct State;
+    static void serve(Connection &connection, const Handler &handler, const State &state);
+
     int m_listener = -1;
     std::shared_ptr<State> m_state;
 };
