--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -348,49 +348,6 @@
     }
 }
 
-void ForwardedRequest::handleTimeout()
-{
-    if (m_isConcluded) {
-        return;
-    }
-    const auto self = shared_from_this();
-    if (m_attempt) {
-        m_mayHaveRun = true;
-        net::HttpCallHandle call = m_attempt->call;
-        endAttempt("out_of_time");
-        call.cancel();
-    }
-    if (m_isStreaming) {
-        abortStream("out of time");
-        return;
-    }
-    refuse(m_mayHaveRun ? 504 : 503, "out of time");
-}
-
-void ForwardedRequest::handleCallerGone()
-{
-    if (m_isConcluded) {
-        return;
-    }
-    if (m_attempt) {
-        net::HttpCallHandle call = m_attempt->call;
-        m_attempt->unacknowledgedBytes = call.unacknowledgedBytes();
-        endAttempt("caller_gone");
-        call.cancel();
-    }
-    conclude(Outcome::CallerGone, 0, "the caller closed its connection");
-    m_exchange->abort();
-}
-
-bool ForwardedRequest::endIfCallerGone()
-{
-    if (!m_exchange->hasCallerClosed()) {
-        return false;
-    }
-    handleCallerGone();
-    return true;
-}
-
 milliseconds ForwardedRequest::timeLeft() const
 {
     return std::chrono::floor<milliseconds>(m_deadline - monotonicNow());
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -173,12 +173,21 @@
     /// Whether limits other than the service's retry allowance let the request be sent once more after it has reached this many servers.
     bool canBeSentAgain(std::uint32_t deliveries) const;
     bool acquireRetry(Delivery delivery);
-    void concludeWithoutAnswer();
     void endAttempt(const char *result);
 
+    /// @{ How the request ends for its caller, in forwardedend.cpp.
+    /// Whether a status states to the caller that its request has not run.
+    static bool meansNotRun(int status);
+    void concludeWithoutAnswer();
     void refuse(int status, const char *reason);
     void respond(const net::HttpHead &head, const QByteArray &body);
     void abortStream(const char *reason);
+    void handleTimeout();
+    void handleCallerGone();
+    /// Ends the request when its caller has closed the connection, whether that was read or not. Asked before each attempt.
+    bool endIfCallerGone();
+    void conclude(Outcome outcome, int status, const char *reason);
+    /// @}
     /// @{ Waiting for the response, in forwardedwait.cpp.
     void startSilenceTimer();
     void checkSilence();
@@ -210,11 +219,6 @@
     void recordSilence();
     std::optional<Replacement> findReplacement() const;
     /// @}
-    void handleTimeout();
-    void handleCallerGone();
-    /// Ends the request when its caller has closed the connection, whether that was read or not. Asked before each attempt.
-    bool endIfCallerGone();
-    void conclude(Outcome outcome, int status, const char *reason);
     std::chrono::milliseconds timeLeft() const;
     bool isEventStream() const;
 
--- a/src/auburndrum/gateway/forwardedstream.cpp
+++ b/src/auburndrum/gateway/forwardedstream.cpp
@@ -108,10 +108,4 @@
     conclude(Outcome::Served, status, "");
 }
 
-void ForwardedRequest::abortStream(const char *reason)
-{
-    m_exchange->abort();
-    conclude(Outcome::Cut, 0, reason);
-}
-
 } // namespace auburndrum::gateway
