A long request goes on whole after a connection that could not be opened

What callers saw: 503 for a request with a body above 256 KiB although another server or VM could have taken it.

Cause: such a body is passed on as it arrives. What arrived while a connection was being opened counted as sent and went with the attempt, so the request could not be sent again although no byte of it had left.

Change: the caller's body is not read until the request is written to an open connection. TCP flow control holds the rest back for at most the time to connect.

--- a/include/auburndrum/net/httpclient.h
+++ b/include/auburndrum/net/httpclient.h
@@ -86,6 +86,8 @@
     void cancel();
     /// Sends a further part of the body of a call with `bodyFollows`; `last` marks the end of the body. Dropped when the call has ended.
     void writeBody(const QByteArray &part, bool last);
+    /// Whether the connection is open and the call's request was written to it.
+    bool isSent() const;
     /// Number of bytes of the request that the operating system has not accepted yet.
     qint64 unsentBytes() const;
     /// Number of bytes of the request that the peer has not acknowledged yet.
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -323,7 +323,11 @@
     const auto self = shared_from_this();
     net::HttpHooks hooks;
     hooks.isWanted = [self] {
-        return !self->m_exchange->hasCallerClosed();
+        if (self->m_exchange->hasCallerClosed()) {
+            return false;
+        }
+        self->setBodyPaused(false);
+        return true;
     };
     hooks.isForCall = [self](const net::HttpHead &head) {
         return self->isOwnAnswer(head);
@@ -342,7 +346,11 @@
     hooks.onDone = [self](const net::HttpResult &result) {
         self->handleDone(result);
     };
+    setBodyPaused(call.bodyFollows); // until the request is sent: what has not been read can still go elsewhere
     m_attempt->call = m_state.client.start(call, std::move(hooks));
+    if (m_attempt->call.isSent()) {
+        setBodyPaused(false);
+    }
     if (m_route->isRepeatable() && m_route->maxServers > 1) {
         startSilenceTimer();
     }
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -194,6 +194,11 @@
     }
 }
 
+bool ClientConnection::isSent(std::uint64_t callNumber) const
+{
+    return m_call && callNumber == m_callNumber && m_result.sent;
+}
+
 qint64 ClientConnection::unsentBytes() const
 {
     return m_socket.bytesToWrite();
--- a/src/auburndrum/net/clientconnection.h
+++ b/src/auburndrum/net/clientconnection.h
@@ -32,6 +32,7 @@
     std::uint64_t start(const HttpCall &call, HttpHooks hooks);
     void cancel(std::uint64_t callNumber);
     void writeBody(std::uint64_t callNumber, const QByteArray &part, bool last);
+    bool isSent(std::uint64_t callNumber) const;
     qint64 unsentBytes() const;
     qint64 unacknowledgedBytes(std::uint64_t callNumber) const;
     void setReadingPaused(std::uint64_t callNumber, bool paused);
--- a/src/auburndrum/net/httpclient.cpp
+++ b/src/auburndrum/net/httpclient.cpp
@@ -66,6 +66,12 @@
     }
 }
 
+bool HttpCallHandle::isSent() const
+{
+    const auto it = m_connection.lock();
+    return it && it->isSent(m_callNumber);
+}
+
 qint64 HttpCallHandle::unsentBytes() const
 {
     const auto it = m_connection.lock();
