A request of whose body a part was passed on is not sent to a further VM or server

What callers saw: while all VMs of a zone are cut off from the servers, an order with a body of 1 MiB is run with a third of it and answered 200 (UNASKED); others get 504 although no server got them whole.

Cause: a body above 256 KiB is passed on as it arrives and isn't kept. A VM without a path passes a request on to another VM; where that one answers that it has no path, doesn't know the call, or can't be reached, the request went to a further VM or server without the question whether its body can be sent again, which all other ways to a second attempt ask. That one got the first part, with the length of that part or the rest behind it.

Change: tryNextServer(), which all further attempts but moves go through, asks it, and refuses with 503: no server was reached. Moves ask it in canBeSentAgain() as before.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -168,6 +168,11 @@
     if (endIfCallerGone()) {
         return;
     }
+    if (!m_isBodyRepeatable) {
+        m_record.noServerReason = "a part of the body was passed on and not kept";
+        concludeWithoutAnswer();
+        return;
+    }
     if (isKeptAway()) {
         concludeWithoutAnswer();
         return;
--- a/src/auburndrum/gateway/partialbody_test.cpp
+++ b/src/auburndrum/gateway/partialbody_test.cpp
@@ -14,11 +14,15 @@
 using namespace auburndrum::gateway;
 using namespace std::chrono_literals;
 
+// Guards against a server that runs a request with a part of its body: a long body is passed on as it arrives and isn't kept, and a further VM or server was
+// sent what was left of it (UNASKED).
+
 namespace {
 
 constexpr qsizetype FirstPart = 256 * 1024 + 1; // passed on once all of it has arrived
 constexpr qsizetype WholeBody = 1024 * 1024;
 const QByteArray NoPath = "HTTP/1.1 503 Service Unavailable\r\nRelayed-Vm: near\r\nRelayed-No-Path: 1\r\nContent-Length: 0\r\n\r\n";
+const QByteArray Unknown = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
 const QByteArray Served = "HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\nRelayed-Server: a\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
 
 /// Another entry VM that keeps what it receives of a request, and answers when it is told to.
@@ -152,8 +156,44 @@
     }
 }
 
+void checkRefusal(CutVm &cut)
+{
+    const QByteArray answer = cut.readAnswer();
+    CHECK(answer.startsWith("HTTP/1.1 503 "));
+    CHECK(answer.contains("Retry-After: "));
+    CHECK(cut.gateway.lastLine("request")["outcome"] == "refused");
+    CHECK(cut.gateway.lastLine("request")["body_repeatable"] == false);
+}
+
 } // namespace
 
+TEST_CASE("a request of whose body a part went to a VM without a path is refused, and no further VM gets the rest of it")
+{
+    for (const QByteArray &nearAnswer : {NoPath, Unknown}) {
+        for (const qsizetype bytes : {FirstPart + 1, WholeBody}) { // received before the near VM answers
+            CAPTURE(nearAnswer.toStdString());
+            CAPTURE(bytes);
+            forEachKind([&](const LongRequest &request) {
+                OtherVm near;
+                OtherVm far;
+                CutVm it(near.address(), far.address());
+                it.send(request.first);
+                REQUIRE(runUntil([&near] {
+                    return near.isAsked();
+                }));
+                const auto sent = bytes == WholeBody ? request.rest : request.rest.left(request.rest.size() / 2);
+                it.send(sent);
+                REQUIRE(runUntil([&] {
+                    return near.bodyBytes() >= bytes;
+                }));
+                near.answer(nearAnswer);
+                checkRefusal(it);
+                CHECK_FALSE(far.isAsked());
+            });
+        }
+    }
+}
+
 TEST_CASE("a request goes on with its whole body although more of it arrived while a VM could not be reached")
 {
     // Guards against a long request that is refused because a connection could not be opened: what arrived meanwhile counted as sent, and was dropped.
@@ -173,6 +213,31 @@
     }
 }
 
+TEST_CASE("a request of whose body a part went to a VM without a path is not sent to a server that can be reached again")
+{
+    for (const bool isChunked : {false, true}) {
+        CAPTURE(isChunked);
+        OtherVm near;
+        OtherVm far;
+        CutVm it(near.address(), far.address());
+        const LongRequest request = longRequest("/slow/x", isChunked);
+        it.send(request.first);
+        REQUIRE(runUntil([&near] {
+            return near.isAsked();
+        }));
+        it.send(request.rest);
+        REQUIRE(runUntil([&near] {
+            return near.bodyBytes() >= WholeBody;
+        }));
+        it.gateway.store.put("servers", "a", it.gateway.serverAddresses[0]);
+        runFor(1500ms); // until the path to the servers is tried with a request
+        near.answer(NoPath);
+        checkRefusal(it);
+        CHECK(it.gateway.receivedRequests.empty());
+        CHECK_FALSE(far.isAsked());
+    }
+}
+
 TEST_CASE("a request goes on to a further VM with its whole body while no part of it was passed on unkept")
 {
     forEachKind([](const LongRequest &request) {
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -140,6 +140,9 @@
         line["no_server"] = record.noServerReason;
         line["servers_known"] = record.serversKnown;
         line["retries_left"] = record.retriesLeft;
+        if (!record.isBodyRepeatable) {
+            line["body_repeatable"] = false;
+        }
     }
     state.log.write(outcome == Outcome::Served ? LinePriority::Routine : LinePriority::Notable, "request", line, now);
 }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -65,6 +65,7 @@
     std::vector<std::string> parts; ///< shared parts of the prompt
     std::string requestMark; ///< the same for each repetition of the request; empty until its body was read
     std::size_t serversKnown = 0; ///< servers of the service at the last choice
+    bool isBodyRepeatable = true; ///< false: a part of the body was passed on without being kept, so no further attempt could be made
 };
 
 /// Logs the request and updates the metrics.
