A request whose time ends before it was sent is refused

What callers saw: 504, which says that the request may have run, although no server got a byte of it; in a planned stop, which ends requests early, an order could then not be sent again.

Cause: a request with an attempt counted as sent when its time was over, also while the attempt's connection was still being opened.

Change: the attempt is asked whether the request was written to its connection.

Result: the new case of lostpath_test fails without the change (504 for 503) and passes with it, arm64.

--- a/src/auburndrum/gateway/forwardedend.cpp
+++ b/src/auburndrum/gateway/forwardedend.cpp
@@ -18,8 +18,8 @@
     }
     const auto self = shared_from_this();
     if (m_attempt) {
-        m_mayHaveRun = true;
         net::HttpCallHandle call = m_attempt->call;
+        m_mayHaveRun = m_mayHaveRun || call.isSent();
         endAttempt("out_of_time");
         call.cancel();
     }
--- a/src/auburndrum/gateway/lostpath_test.cpp
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -131,6 +131,18 @@
     }
 }
 
+TEST_CASE("a request whose time ends before it was sent is refused")
+{
+    // Guards against a caller who is told that its request may have run although no server got a byte of it.
+    DeadAddress dead(DeadAddress::Kind::Hanging);
+    SplitFleet fleet(respondOk);
+    GatewayFixture &alone = fleet.addVm("alone", {dead.text()});
+    alone.extraHeaders = {{"Patience", "200"}};
+    const auto result = alone.sendRequest("/once/");
+    CHECK(result.head.status == 503);
+    CHECK_FALSE(result.head.header("Retry-After").isEmpty());
+}
+
 TEST_CASE("requests to a cut-off VM are served within the first second of the cut")
 {
     // Guards against a VM that learns of its cut from one request after the other, each of which waits for its own time limit (RECOVER).
