What was written of a stream reaches its caller when the stream breaks off

What callers saw: neither an answer nor a refusal. A stream's server broke off, or the request's time was over, right after the first event: the connection was closed without a byte (LOST).

Cause: the end of a broken stream closed the caller's connection at once. Qt writes to the system in the next round of the event loop, and drops what waits until then when a socket is aborted: the head, and events. A caller that reads slowly lost the rest in the same way, and unread input made the close a reset. The reset by SO_LINGER that was suspected is that of connections to servers; Qt sets none.

Change: Exchange::breakOff() lets what was written leave, then ends the sending side, so that the missing last chunk shows that the stream was cut; input is discarded meanwhile.

Whether this is the users' LOST stays suspected.

--- a/include/auburndrum/net/exchange.h
+++ b/include/auburndrum/net/exchange.h
@@ -87,7 +87,10 @@
     void writeChunk(const QByteArray &part);
     /// Completes a response begun by startStream().
     void finishStream();
-    /// Closes the connection without completing the response.
+    /// Ends a response begun by startStream() without completing it. What was written still reaches the caller, to whom the missing last chunk shows that the
+    /// response was cut.
+    void breakOff();
+    /// Closes the connection without completing the response; drops what was written and has not left yet.
     void abort();
 
     bool isAnswered() const
@@ -113,6 +116,8 @@
         Done,
     };
 
+    /// Lets go of the handler's hooks.
+    void release();
     void complete();
 
     Request m_request;
--- a/src/auburndrum/gateway/forwardedend.cpp
+++ b/src/auburndrum/gateway/forwardedend.cpp
@@ -116,7 +116,7 @@
 
 void ForwardedRequest::abortStream(const char *reason)
 {
-    m_exchange->abort();
+    m_exchange->breakOff();
     conclude(Outcome::Cut, 0, reason);
 }
 
--- a/src/auburndrum/gateway/rawcaller.h
+++ b/src/auburndrum/gateway/rawcaller.h
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -53,6 +54,18 @@
         }
         return all;
     }
+    /// Whether the gateway has closed or reset the connection, and all that came before was read.
+    bool hasEnded() const
+    {
+        char byte = 0;
+        const ssize_t n = ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    }
+    /// Limits what the system holds for this caller until it is read.
+    void setReceiveBuffer(int bytes)
+    {
+        ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
     void close()
     {
         if (m_descriptor >= 0) {
--- a/src/auburndrum/net/exchange.cpp
+++ b/src/auburndrum/net/exchange.cpp
@@ -102,12 +102,17 @@
     complete();
 }
 
+void Exchange::breakOff()
+{
+    release();
+    if (const auto it = m_connection.lock()) {
+        it->closeOnceWritten();
+    }
+}
+
 void Exchange::abort()
 {
-    m_state = State::Done;
-    m_onCallerDisconnected = {};
-    m_onBodyPart = {};
-    m_onBytesSent = {};
+    release();
     if (const auto it = m_connection.lock()) {
         it->abort();
     }
@@ -141,12 +146,17 @@
     m_onBytesSent = std::move(hook);
 }
 
-void Exchange::complete()
+void Exchange::release()
 {
     m_state = State::Done;
     m_onCallerDisconnected = {};
     m_onBodyPart = {};
     m_onBytesSent = {};
+}
+
+void Exchange::complete()
+{
+    release();
     if (const auto it = m_connection.lock()) {
         it->onExchangeCompleted(this);
     }
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -1,14 +1,11 @@
 #include "serverconnection.h"
 
-#include "responsehead.h"
 #include "socketstate.h"
 
 namespace auburndrum::net {
 
 namespace {
 
-constexpr std::chrono::milliseconds RejectLinger{500}; // gives the caller time to read the error response before the connection closes
-constexpr std::chrono::milliseconds CloseCheckInterval{100}; // while bytes are left unread
 constexpr qint64 SocketBufferBytes = 64 * 1024; // limit on bytes read ahead of the handler; TCP flow control holds back the rest
 
 } // namespace
@@ -27,13 +24,14 @@
         if (m_exchange && m_exchange->m_onBytesSent) {
             m_exchange->m_onBytesSent();
         }
+        endOnceWritten();
     });
     startIdleTime();
 }
 
 bool ServerConnection::isOpen() const
 {
-    return m_socket && m_socket->state() == QAbstractSocket::ConnectedState && !m_rejected;
+    return m_socket && m_socket->state() == QAbstractSocket::ConnectedState && !m_isLingering;
 }
 
 int ServerConnection::descriptor() const
@@ -51,23 +49,6 @@
     return isOpen() && m_exchange && m_socket->bytesAvailable() >= SocketBufferBytes;
 }
 
-void ServerConnection::watchForClose()
-{
-    if (m_isWatchingForClose || !isReadBufferFull()) {
-        return;
-    }
-    m_isWatchingForClose = true;
-    QTimer::singleShot(CloseCheckInterval, this, [this] {
-        const auto self = shared_from_this(); // a hook may release the last other reference
-        m_isWatchingForClose = false;
-        if (isReadBufferFull() && hasPeerClosed()) {
-            abort();
-            return;
-        }
-        watchForClose();
-    });
-}
-
 qint64 ServerConnection::unsentBytes() const
 {
     return m_socket ? m_socket->bytesToWrite() : 0;
@@ -104,13 +85,6 @@
     m_timer.start(m_options.idleTimeout);
 }
 
-void ServerConnection::closeIfIdle(std::chrono::milliseconds minIdle)
-{
-    if (isIdle() && std::chrono::steady_clock::now() - m_idleSince >= minIdle) {
-        close("stop");
-    }
-}
-
 void ServerConnection::extendIdleTime()
 {
     const auto end = m_idleSince + m_options.idleTimeout;
@@ -120,33 +94,6 @@
     }
 }
 
-void ServerConnection::close(const char *reason)
-{
-    reportClose(reason);
-    m_socket->disconnectFromHost();
-}
-
-void ServerConnection::reportClose(const char *reason) const
-{
-    const qint64 unread = net::unreadBytes(descriptor()) + m_socket->bytesAvailable() + m_input.size();
-    const bool isInRequest = m_parser || unread > 0;
-    if (!isInRequest || m_rejected || !m_options.onUnfinishedClose) {
-        return;
-    }
-    m_options.onUnfinishedClose({.reason = reason,
-                                 .unreadBytes = unread,
-                                 .partialBytes = m_parser ? m_partialBytes : 0,
-                                 .unsentBytes = m_socket->bytesToWrite(),
-                                 .sinceLastReceived = sinceLastReceived(descriptor())});
-}
-
-void ServerConnection::refuseUnreadRequest()
-{
-    if (m_parser && !m_isHandlerCalled) {
-        reject(503, "The server stops.");
-    }
-}
-
 void ServerConnection::setReadingPaused(bool paused)
 {
     m_paused = paused;
@@ -165,7 +112,7 @@
 
 void ServerConnection::handleReadyRead()
 {
-    if (m_rejected) {
+    if (m_isLingering) {
         m_socket->readAll();
         return;
     }
@@ -332,69 +279,4 @@
     setReadingPaused(false);
 }
 
-void ServerConnection::reject(int status, const QByteArray &message, const std::vector<Header> &headers)
-{
-    if (!isOpen()) {
-        return;
-    }
-    if (m_isHandlerCalled) {
-        abort(); // the handler may already have started a response
-        return;
-    }
-    const QByteArray body = m_options.errorBody ? m_options.errorBody(status, message) : message;
-    std::vector<Header> all = {{"Content-Type", "application/json"}, {"Connection", "close"}};
-    all.insert(all.end(), headers.begin(), headers.end());
-    m_socket->write(responseHead(status, all, body.size()) + body);
-    m_rejected = true;
-    // Further input is discarded; the connection stays open for RejectLinger so that the caller can read the error response.
-    m_parser.reset();
-    m_input.clear();
-    m_socket->readAll();
-    m_timer.start(RejectLinger);
-}
-
-void ServerConnection::abort()
-{
-    if (m_socket) {
-        m_socket->abort();
-    }
-}
-
-void ServerConnection::handleTimer()
-{
-    if (!m_socket) {
-        return;
-    }
-    if (m_parser && !m_rejected && net::unreadBytes(descriptor()) + m_socket->bytesAvailable() > 0) {
-        m_timer.start(CloseCheckInterval); // what has arrived is read next
-        return;
-    }
-    if (m_isHandlerCalled) {
-        reportClose("body time");
-        abort(); // the caller stopped sending in the middle of a body
-        return;
-    }
-    if (m_parser && !m_rejected) {
-        reject(408, "The request did not arrive in time.");
-        return;
-    }
-    if (!m_rejected && !isIdle()) {
-        startIdleTime(); // the next request has arrived; its bytes are read next
-        return;
-    }
-    close("idle time");
-}
-
-void ServerConnection::handleDisconnected()
-{
-    m_timer.stop();
-    m_parser.reset();
-    const auto exchange = std::exchange(m_exchange, {});
-    if (!exchange || exchange->m_state == Exchange::State::Done || !exchange->m_onCallerDisconnected) {
-        return;
-    }
-    const auto hook = std::exchange(exchange->m_onCallerDisconnected, {});
-    hook();
-}
-
 } // namespace auburndrum::net
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -43,6 +43,8 @@
     std::vector<Header> withConnectionHeader(std::vector<Header> headers) const;
     void setReadingPaused(bool paused);
     void onExchangeCompleted(Exchange *exchange);
+    /// Serves no further request, and closes the connection once the caller has what was written, or has taken too long for it.
+    void closeOnceWritten();
     void abort();
 
 private:
@@ -59,6 +61,9 @@
     /// Closes the connection after the responses' last bytes, and reports what lies on it unanswered.
     void close(const char *reason);
     void reportClose(const char *reason) const;
+    /// Lets the connection linger for a time in which the caller can read the last response; what it sends meanwhile is discarded.
+    void linger(std::chrono::milliseconds time);
+    void endOnceWritten();
     /// Looks for the peer's close while the socket's buffer is full, since the socket reports no close then.
     void watchForClose();
     bool isReadBufferFull() const;
@@ -81,7 +86,8 @@
     bool m_isHeadAccepted = false;
     bool m_isHandlerCalled = false; ///< the request being read was passed to the handler
     bool m_keepsAlive = true;
-    bool m_rejected = false;
+    bool m_isLingering = false; ///< the last response was written; input is discarded
+    bool m_endsOnceWritten = false; ///< the caller is to see the end of the connection after the last byte
     bool m_paused = false;
     bool m_closeAfterAnswer = false;
     bool m_isWatchingForClose = false;
