loop_lag tells what the event loop's time went into

A line said that the loop was late, not why, so that slow work, a slow VM and a process that did not run looked alike.

LoopWork adds up the loop's time by kind of work; the line has it as work_ms, with the process's processor time. Work inside other work is counted once.

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -16,6 +16,7 @@
 #include "auburndrum/decision/traffic/streamorigins.h"
 #include "auburndrum/gateway/decisionlog.h"
 #include "auburndrum/gateway/gatewaymetrics.h"
+#include "auburndrum/gateway/loopwork.h"
 #include "auburndrum/gateway/wire.h"
 #include "auburndrum/net/httpclient.h"
 
@@ -71,6 +72,7 @@
     }
 
     std::string vmName;
+    LoopWork work;
     std::set<ForwardedRequest *> openRequests; ///< those that were begun and have no final answer
     std::optional<Instant> stopEndsAt; ///< in a planned stop: when each request must have its final answer
     decision::RouteDurations routeDurations;
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -338,9 +338,11 @@
         return self->isOwnAnswer(head);
     };
     hooks.onHead = [self](const net::HttpHead &head) {
+        const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
         self->handleHead(head);
     };
     hooks.onBody = [self](const QByteArray &part) {
+        const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
         self->handleBody(part);
     };
     hooks.onBytesSent = [self] {
@@ -349,6 +351,7 @@
         }
     };
     hooks.onDone = [self](const net::HttpResult &result) {
+        const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
         self->handleDone(result);
     };
     setBodyPaused(call.bodyFollows); // until the request is sent: what has not been read can still go elsewhere
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -72,6 +72,7 @@
               responseMemoryOptions(m_options.memoryBytes))
     , m_callerServer(serverOptions({}, "callers", m_options.maxConnections),
                      [this](const std::shared_ptr<net::Exchange> &exchange) {
+                         const LoopWork::Span span(m_state.work, LoopWork::Kind::Requests);
                          std::make_shared<ForwardedRequest>(m_state, exchange, ForwardedRequest::Source::Caller)->start();
                      })
     , m_readinessServer({},
@@ -232,6 +233,7 @@
 
 void Gateway::handleRelayedRequest(const std::shared_ptr<net::Exchange> &exchange)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::Requests);
     if (m_isStopping) {
         std::vector<net::Header> headers;
         addFields(headers, RelayedAnswer{.vm = m_options.vm, .hasNoPath = true});
@@ -289,12 +291,14 @@
     const auto lag = std::max(milliseconds(0), std::chrono::floor<milliseconds>(now - m_lastExpiryAt) - ExpiryInterval);
     m_lastExpiryAt = now;
     m_state.metrics.loopLagSeconds.with().Observe(std::chrono::duration<double>(lag).count());
+    const nlohmann::ordered_json work = m_state.work.take();
     if (lag < NotableLag) {
         return;
     }
-    m_state.log.write(LinePriority::Notable,
-                      "loop_lag",
-                      {{"lag_ms", lag.count()}, {"open_requests", m_callerServer.openExchanges()}, {"connections", m_callerServer.connectionCount()}});
+    m_state.log.write(
+        LinePriority::Notable,
+        "loop_lag",
+        {{"lag_ms", lag.count()}, {"open_requests", m_callerServer.openExchanges()}, {"connections", m_callerServer.connectionCount()}, {"work_ms", work}});
 }
 
 void Gateway::expireServers()
--- a/src/auburndrum/gateway/gatewayrecords.cpp
+++ b/src/auburndrum/gateway/gatewayrecords.cpp
@@ -23,6 +23,7 @@
 
 void Gateway::applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::OperatorRecords);
     if (!value) {
         return;
     }
@@ -56,6 +57,7 @@
 
 void Gateway::applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::ServerRecords);
     const Instant now = monotonicNow();
     decision::BackendChange change = decision::BackendChange::None;
     if (!value) {
--- a/src/auburndrum/gateway/peerexchange.cpp
+++ b/src/auburndrum/gateway/peerexchange.cpp
@@ -49,6 +49,7 @@
 
 void PeerExchange::tick()
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::PeerNews);
     logChanges();
     const Instant now = suspendAwareNow();
     m_state.limits.removeOld(now);
@@ -168,6 +169,7 @@
 
 entry::RpcResult PeerExchange::handleExchange(const std::string &text)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::PeerNews);
     const auto request = exchangeMessageFrom(text, suspendAwareNow());
     if (!request) {
         m_state.log.write(LinePriority::Notable, "evidence_skipped", {{"peer", ""}, {"problem", request.error()}});
--- a/src/auburndrum/gateway/promptstorereader.cpp
+++ b/src/auburndrum/gateway/promptstorereader.cpp
@@ -56,6 +56,7 @@
 
 void PromptStoreReader::applyLogEntry(const PromptStoreLogEntry &entry)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::PromptStores);
     const auto it = m_stores.find(entry.address);
     if (it == m_stores.end() || m_isPolling) {
         return; // the store is not configured, or this VM reads it itself and has newer data
@@ -93,6 +94,7 @@
 
 void PromptStoreReader::handleResult(const std::string &address, std::uint64_t generation, const PromptStoreResult &result)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::PromptStores);
     const auto it = m_stores.find(address);
     if (it == m_stores.end() || it->second.generation != generation) {
         return;
@@ -179,6 +181,7 @@
 
 void PromptStoreReader::freeOutdatedParts()
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::PromptStores);
     if (!m_isPolling) {
         return; // the VMs that follow the stores free the parts
     }
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -187,6 +187,7 @@
     }
     m_store.read(
         topic, from, longest, guarded(this, [this, topic, from, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
+            const LoopWork::Span span(m_state.work, LoopWork::Kind::StoreReads);
             if (result) {
                 handleEra(result.value().era);
                 m_failedTopics.erase(topic);
@@ -298,6 +299,7 @@
     const Instant polledAt = suspendAwareNow();
     m_relayClient.call({relay.name, relay.address, RelayMethod, toJson(request)},
                        [this, relay, request, polledAt](const entry::EntryResult<std::string> &result) {
+                           const LoopWork::Span span(m_state.work, LoopWork::Kind::StoreReads);
                            m_isPolling = false;
                            const bool isUnanswered = !result && result.error() == entry::EntryError::Unanswered;
                            if (isUnanswered && m_relay == relay.name && ++m_unansweredPolls < MaxUnansweredPolls) {
--- a/src/auburndrum/gateway/relayserving.cpp
+++ b/src/auburndrum/gateway/relayserving.cpp
@@ -37,6 +37,7 @@
 
 entry::RpcResult RelayLink::handlePoll(const std::string &text)
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::RelayServing);
     if (m_isStopped) {
         return entry::rpcError(entry::RpcRefused, "stopping");
     }
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -92,6 +92,7 @@
 
 void WeightUpdater::tick()
 {
+    const LoopWork::Span span(m_state.work, LoopWork::Kind::WeightOrders);
     const std::size_t outdatedServers = countOutdatedServers();
     m_state.metrics.outdatedServers.with().Set(static_cast<double>(outdatedServers));
     if (outdatedServers == 0) {
