Results of calls between VMs pass without the library's tree

What callers saw: requests that lay unread, were answered late or ended with the process, on VMs whose event loop stood still for 0.3 to 1.4 s beside restarts and storms of changes.

Cause: libjsonrpccpp's codec. The sender parsed the result, a text of its own, into the library's tree and wrote that again; the receiver parsed the response twice, wrote the result and parsed it once more. A relay's answer holds every version of the configuration since the last poll, and the prompt stores' whole contents for each VM that has started: so others set how long the loop of a VM with an eighth of a core is kept from its callers.

Change: the codec reads and writes the envelope with an empty result; the result's text is checked, put in and cut out. The wire is as before.

jsonrpc_test "a result reaches the caller as the text that its handler wrote" fails without the change (1 of 6 cases: the text was written anew).

--- a/src/auburndrum/entry/jsonrpc.cpp
+++ b/src/auburndrum/entry/jsonrpc.cpp
@@ -7,6 +7,8 @@
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <utility>
 
@@ -65,6 +67,54 @@
     return jsonDepth(text.data(), text.size()) <= MaxJsonDepth;
 }
 
+/// Where the value of a member stands in a text.
+struct MemberSpan
+{
+    std::size_t begin = std::string::npos;
+    std::size_t end = std::string::npos;
+
+    bool isFound() const
+    {
+        return end != std::string::npos;
+    }
+};
+
+/// Finds a member of the outermost object; `text` must be valid JSON.
+MemberSpan findMember(const std::string &text, const std::string &name)
+{
+    MemberSpan span;
+    std::size_t depth = 0;
+    std::size_t stringBegin = 0;
+    bool isInString = false;
+    bool isFound = false; // the member's value has begun
+    bool isNamed = false; // the last string of the outermost object is the member's name
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const char it = text[n];
+        if (isInString) {
+            n += it == '\\' ? 1 : 0;
+            isInString = it != '"';
+            isNamed = !isInString && depth == 1 && text.compare(stringBegin, n - stringBegin, name) == 0;
+            continue;
+        }
+        if (it == '"') {
+            isInString = true;
+            stringBegin = n + 1;
+        } else if (it == '[' || it == '{') {
+            ++depth;
+        } else if (it == ':' && depth == 1 && isNamed && !isFound) {
+            isFound = true;
+            span.begin = n + 1;
+        } else if (isFound && depth == 1 && (it == ',' || it == '}')) {
+            span.end = n;
+            return span;
+        } else if (it == ']' || it == '}') {
+            --depth;
+        }
+    }
+    return {};
+}
+
+constexpr const char *NoValue = "null";
 constexpr const char *MalformedRequestResponse = R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"malformed request"}})";
 constexpr const char *NullResponse = R"({"jsonrpc":"2.0","id":1,"result":null})";
 
@@ -100,14 +150,24 @@
 
 RpcResult decodeRpcResponse(const std::string &response)
 {
+    if (!isReadable(response) || !nlohmann::json::accept(response)) {
+        return rpcError(RpcMalformedResponse, "malformed response");
+    }
+    // The library reads the envelope only: a result may be large, and its reader parses it anew by itself.
+    const MemberSpan result = findMember(response, "result");
+    std::string envelope = response;
+    if (result.isFound()) {
+        envelope.replace(result.begin, result.end - result.begin, NoValue);
+    }
     Json::Value value;
-    if (!isReadable(response) || !parseJson(response, value) || !value.isObject()) {
+    if (!parseJson(envelope, value) || !value.isObject()) {
         return rpcError(RpcMalformedResponse, "malformed response");
     }
-    TextConnector connector(response);
+    TextConnector connector(envelope);
     jsonrpc::Client client(connector);
     try {
-        return rpcResult(writeJson(client.CallMethod(std::string(), Json::Value(Json::objectValue))));
+        client.CallMethod(std::string(), Json::Value(Json::objectValue));
+        return rpcResult(result.isFound() ? response.substr(result.begin, result.end - result.begin) : NoValue);
     } catch (const jsonrpc::JsonRpcException &error) {
         return rpcError(error.GetCode(), error.GetMessage());
     } catch (const std::exception &) {
@@ -136,10 +196,16 @@
         if (!isReadable(request)) {
             return MalformedRequestResponse;
         }
+        m_isBatch = request.find_first_not_of(" \t\r\n") == request.find('[');
+        m_result.clear();
         try {
             m_protocol->HandleRequest(request, response);
         } catch (const std::exception &) {
-            response = MalformedRequestResponse;
+            return MalformedRequestResponse;
+        }
+        const MemberSpan result = m_result.empty() ? MemberSpan() : findMember(response, "result");
+        if (result.isFound()) {
+            response.replace(result.begin, result.end - result.begin, m_result);
         }
         return response;
     }
@@ -150,6 +216,10 @@
         if (!result.ok) {
             throw jsonrpc::JsonRpcException(result.errorCode, result.errorMessage);
         }
+        if (!m_isBatch && nlohmann::json::accept(result.json)) {
+            m_result = result.json; // put into the response as it stands: building the library's tree of a large result takes many times longer
+            return;
+        }
         if (!parseJson(result.json, output)) {
             throw jsonrpc::JsonRpcException(RpcInternalError, "the handler's result is not JSON");
         }
@@ -163,6 +233,8 @@
 private:
     std::unique_ptr<jsonrpc::IProtocolHandler> m_protocol;
     std::map<std::string, Handler> m_handlers;
+    bool m_isBatch = false; ///< the request holds several calls
+    std::string m_result; ///< JSON text of the call's result, which the library's response leaves out
 };
 
 RpcDispatcher::RpcDispatcher()
--- a/src/auburndrum/entry/jsonrpc_test.cpp
+++ b/src/auburndrum/entry/jsonrpc_test.cpp
@@ -30,6 +30,45 @@
     CHECK(result.errorMessage.find("no fold yet") != std::string::npos);
 }
 
+// Guards against an event loop that stands still while it writes or reads large results: each was parsed and written again by the library, some of it twice
+// (LOST).
+TEST_CASE("a result reaches the caller as the text that its handler wrote")
+{
+    const std::string text = R"({"z": 1.50, "a": ["}", "\"result\":2", {"result": null}], "error": ""})";
+    RpcDispatcher dispatcher;
+    dispatcher.addMethod("poll", [&text](const std::string &) {
+        return rpcResult(text);
+    });
+    const RpcResult result = decodeRpcResponse(dispatcher.dispatch(encodeRpcRequest("poll", "{}")));
+    CHECK(result.ok);
+    CHECK(result.json == text);
+}
+
+TEST_CASE("each call of a batch gets its own result")
+{
+    RpcDispatcher dispatcher;
+    dispatcher.addMethod("echo", [](const std::string &params) {
+        return rpcResult(params);
+    });
+    const std::string response
+        = dispatcher.dispatch(R"([{"jsonrpc":"2.0","id":1,"method":"echo","params":{"n":1}},{"jsonrpc":"2.0","id":2,"method":"echo","params":{"n":2}}])");
+    CHECK(response.find(R"("n":1)") != std::string::npos);
+    CHECK(response.find(R"("n":2)") != std::string::npos);
+}
+
+TEST_CASE("a handler's result that isn't JSON is an error, and so is a response without the protocol's members")
+{
+    RpcDispatcher dispatcher;
+    dispatcher.addMethod("broken", [](const std::string &) {
+        return rpcResult("{\"a\":");
+    });
+    CHECK_FALSE(decodeRpcResponse(dispatcher.dispatch(encodeRpcRequest("broken", "{}"))).ok);
+    CHECK_FALSE(decodeRpcResponse(R"({"id":1,"result":{"a":1}})").ok);
+    CHECK_FALSE(decodeRpcResponse(R"({"jsonrpc":"2.0","result":{"a":1}})").ok);
+    CHECK_FALSE(decodeRpcResponse(R"({"jsonrpc":"2.0","id":1,"result":{"a":1},"error":{"code":1,"message":"no"}})").ok);
+    CHECK_FALSE(decodeRpcResponse(R"({"jsonrpc":"2.0","id":1,"result":{"a":1})").ok);
+}
+
 TEST_CASE("malformed requests and responses give errors")
 {
     RpcDispatcher dispatcher;
