The end of a planned stop answers what is open before the process ends

What callers saw: a connection that ended with neither an answer nor a refusal at the end of a planned stop, where the VM's event loop was late.

Cause: the stop relied on the order of timers. A loop that is late runs all that are due at once, the oldest first: the stop's own timer, which ends the process a quarter of a second before it is killed, ran before the deadlines of open requests, set a quarter of a second earlier. A request that had arrived meanwhile was not read, and answers written last were still in the process.

Change: the last step ends open requests, then reads and refuses what has arrived, then passes all answers to the operating system, then ends.

Evidence: latestop_test blocks the loop over both times.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -97,6 +97,10 @@
     KeyedFeedHooks feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
     bool isReady() const;
     void finishStop();
+    /// Sets the time in a planned stop at which open requests end.
+    void updateStopEnd();
+    /// Gives each request that is still open its final answer.
+    void endOpenRequests();
 
     GatewayOptions m_options;
     RecordReaders m_readers;
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -99,6 +99,11 @@
     {
         m_server.refuseUnreadRequests();
     }
+    /// As HttpServer::flush(), for those of other VMs.
+    void flush()
+    {
+        m_server.flush();
+    }
     void addMethod(const std::string &name, std::function<entry::RpcResult(const std::string &request)> handler);
     void addVm(const decision::EntryVm &vm);
     std::vector<decision::EntryVm> knownVms() const
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -66,6 +66,8 @@
     void start();
     /// Moves the deadline forward to the end of a planned stop.
     void endWithStop();
+    /// Gives the request its final answer, at its deadline or at the end of a planned stop.
+    void handleTimeout();
 
 private:
     static constexpr qint64 PauseAboveBytes = 64 * 1024; ///< above this number of unsent bytes to a slow caller or server, reading from the sender pauses
@@ -182,7 +184,6 @@
     void refuse(int status, const char *reason);
     void respond(const net::HttpHead &head, const QByteArray &body);
     void abortStream(const char *reason);
-    void handleTimeout();
     void handleCallerGone();
     /// Ends the request when its caller has closed the connection, whether that was read or not. Asked before each attempt.
     bool endIfCallerGone();
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -27,11 +27,7 @@
     m_isStopping = true;
     m_stopAt = monotonicNow();
     m_onStopped = std::move(onStopped);
-    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - StopMargin;
-    const auto open = m_state.openRequests; // a copy, because a request that ends changes the set
-    for (ForwardedRequest *it : open) {
-        it->endWithStop();
-    }
+    updateStopEnd();
     m_state.log.write(LinePriority::Notable, "stop", {{"open_requests", m_callerServer.openExchanges()}});
     m_callerServer.closeAfterAnswers();
     m_relayLink.stop();
@@ -39,16 +35,29 @@
     m_stopTimer.start(StopCheckInterval);
 }
 
+void Gateway::updateStopEnd()
+{
+    if (!m_isStopping) {
+        return;
+    }
+    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - StopMargin;
+    for (ForwardedRequest *it : m_state.openRequests) {
+        it->endWithStop();
+    }
+}
+
 void Gateway::finishStop()
 {
     const auto elapsed = monotonicNow() - m_stopAt;
-    if (elapsed < std::min(BalancerLag, m_options.stopGrace - StopMargin)) {
+    const bool isOver = monotonicNow() >= *m_state.stopEndsAt;
+    if (elapsed < BalancerLag && !isOver) {
         return;
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
     m_callerServer.stopListening();
-    m_callerServer.closeIdleConnections(elapsed < m_options.stopGrace - StopMargin ? FirstRequestTime : milliseconds(0));
-    if (elapsed >= m_options.stopGrace - StopMargin) {
+    m_callerServer.closeIdleConnections(isOver ? milliseconds(0) : FirstRequestTime);
+    if (isOver) {
+        endOpenRequests();
         m_callerServer.refuseUnreadRequests();
         m_relayLink.refuseUnreadRequests();
     }
@@ -57,6 +66,8 @@
         return;
     }
     m_stopTimer.stop();
+    m_callerServer.flush();
+    m_relayLink.flush();
     m_weightUpdater.finishStop([this] {
         m_state.log.write(LinePriority::Notable, "stopped", {{"open_requests", m_callerServer.openExchanges()}});
         m_state.log.flush();
@@ -64,4 +75,12 @@
     });
 }
 
+void Gateway::endOpenRequests()
+{
+    // When the event loop is late, their own timers may run only after the one that ends the process.
+    while (!m_state.openRequests.empty()) {
+        (*m_state.openRequests.begin())->handleTimeout();
+    }
+}
+
 } // namespace auburndrum::gateway
--- /dev/null
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -0,0 +1,106 @@
+#include "gatewayfixture.h"
+
+#include "eventloop.h"
+#include "rawcaller.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+// Planned stops while the event loop runs late.
+
+namespace {
+
+/// A gateway whose servers never answer, and whose event loop can be made late.
+struct LateStop
+{
+    explicit LateStop(std::chrono::milliseconds grace)
+        : fixture(
+            [](const std::shared_ptr<net::Exchange> &, int) {
+            },
+            true,
+            [grace](GatewayFixture &, GatewayOptions &options) {
+                options.stopGrace = grace;
+            })
+    {
+    }
+
+    /// Sends a request that is still open when the stop ends.
+    void sendRequest(RawCaller &caller)
+    {
+        caller.send(requestText("/slow/x", "body"));
+        REQUIRE(runUntil([this] {
+            return fixture.receivedRequests.size() == 1;
+        }));
+    }
+
+    void stop(std::function<void()> onStopped)
+    {
+        fixture.gateway->stop([this, onStopped = std::move(onStopped)] {
+            onStopped();
+            isStopped = true;
+        });
+    }
+
+    /// Blocks the event loop from one time after now until another.
+    void block(std::chrono::milliseconds from, std::chrono::milliseconds until, std::function<void()> onEnd = {})
+    {
+        const Instant end = monotonicNow() + until;
+        QTimer::singleShot(from, Qt::PreciseTimer, [end, onEnd = std::move(onEnd)] {
+            std::this_thread::sleep_until(end);
+            if (onEnd) {
+                onEnd();
+            }
+        });
+    }
+
+    GatewayFixture fixture;
+    bool isStopped = false;
+};
+
+} // namespace
+
+// Guards against a process that ends with requests unanswered: when the loop was late, the timer that ends the process ran before those that end the requests,
+// and an answer that was written then was still in the process (LOST).
+TEST_CASE("a process whose event loop ran late at the end of a planned stop has answered each request before it ends")
+{
+    LateStop it(1200ms);
+    RawCaller caller(it.fixture.callerAddress);
+    it.sendRequest(caller);
+    QByteArray answer;
+    it.stop([&] {
+        answer = caller.readAll();
+    });
+    it.block(600ms, 1100ms);
+    REQUIRE(runUntil([&] {
+        return it.isStopped;
+    }));
+    CHECK(answer.startsWith("HTTP/1.1 504"));
+    CHECK(it.fixture.hasLogged("request"));
+}
+
+// Guards against a request that arrived while the loop was late and is dropped unread by the end of the process.
+TEST_CASE("a request that arrives while the event loop is late at the end of a planned stop is refused")
+{
+    LateStop it(1200ms);
+    RawCaller caller(it.fixture.callerAddress);
+    const QByteArray text = requestText("/slow/x", "body");
+    caller.send(text.left(20)); // a connection that isn't idle stays open in a stop
+    runFor(50ms);
+    QByteArray answer;
+    it.stop([&] {
+        answer = caller.readAll();
+    });
+    it.block(600ms, 1100ms, [&] {
+        caller.send(text.mid(20));
+    });
+    REQUIRE(runUntil([&] {
+        return it.isStopped;
+    }));
+    CHECK(answer.startsWith("HTTP/1.1 503"));
+    CHECK(it.fixture.receivedRequests.empty());
+}
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -211,6 +211,14 @@
     }
 }
 
+void HttpServer::flush()
+{
+    const auto all = d->connections; // a copy, because the last byte of an answer may close its connection
+    for (const auto &[socket, connection] : all) {
+        connection->flush();
+    }
+}
+
 int HttpServer::connectionCount() const
 {
     return static_cast<int>(d->connections.size());
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -31,6 +31,9 @@
     /// Refuses the request of which only a part was read; does nothing when the handler has it.
     void refuseUnreadRequest();
 
+    /// Passes to the operating system what it takes of the answers without waiting.
+    void flush();
+
     bool isOpen() const;
     int openExchanges() const
     {
--- a/src/auburndrum/net/serverconnectionend.cpp
+++ b/src/auburndrum/net/serverconnectionend.cpp
@@ -62,11 +62,19 @@
 
 void ServerConnection::refuseUnreadRequest()
 {
+    readRequests();
     if (m_parser && !m_isHandlerCalled) {
         reject(503, "The server stops.");
     }
 }
 
+void ServerConnection::flush()
+{
+    if (m_socket) {
+        m_socket->flush();
+    }
+}
+
 void ServerConnection::reject(int status, const QByteArray &message, const std::vector<Header> &headers)
 {
     if (!isOpen()) {
