A planned stop ends the sooner, the later the event loop has run

What callers saw: a VM that was killed at the end of its grace with a request open, on the record given with the issue: its loop was busy over the whole half second in which that request should have got its answer.

Cause: the margin before the kill was the same however late the loop ran.

Change: half a second and the longest lag of the last half minute, at most a sixth of the grace. Requests that are open move their deadlines when the lag grows in the stop.

Evidence: latestop_test's third case, a loop that was late by half a second before a stop with a grace of 6 s, fails without the change: no answer 5.4 s after the stop's begin.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "auburndrum/gateway/pathprobe.h"
 #include "auburndrum/gateway/peerexchange.h"
 #include "auburndrum/gateway/promptstorereader.h"
+#include "auburndrum/gateway/recentlag.h"
 #include "auburndrum/gateway/recordstore.h"
 #include "auburndrum/gateway/relaylink.h"
 #include "auburndrum/gateway/streamoriginlink.h"
@@ -97,7 +98,7 @@
     KeyedFeedHooks feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
     bool isReady() const;
     void finishStop();
-    /// Sets the time in a planned stop at which open requests end.
+    /// Sets the time in a planned stop at which open requests end: the earlier, the later the event loop has run lately.
     void updateStopEnd();
     /// Gives each request that is still open its final answer.
     void endOpenRequests();
@@ -119,6 +120,7 @@
     PromptStoreReader m_promptStoreReader;
     QTimer m_expiryTimer;
     Instant m_lastExpiryAt{}; ///< when that timer last ran, on the clock of monotonicNow()
+    RecentLag m_lag;
     QTimer m_stopTimer;
     bool m_isStopping = false;
     Instant m_stopAt{};
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -291,6 +291,8 @@
     const auto lag = std::max(milliseconds(0), std::chrono::floor<milliseconds>(now - m_lastExpiryAt) - ExpiryInterval);
     m_lastExpiryAt = now;
     m_state.metrics.loopLagSeconds.with().Observe(std::chrono::duration<double>(lag).count());
+    m_lag.add(lag, now);
+    updateStopEnd();
     const nlohmann::ordered_json work = m_state.work.take();
     if (lag < NotableLag) {
         return;
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -14,7 +14,8 @@
 // The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
 constexpr milliseconds BalancerLag{2600};
 constexpr milliseconds FirstRequestTime{250}; // from the accept of a connection until its first request has arrived, from another region too
-constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer
+constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer; more where the event loop runs late
+constexpr int MaxMarginShare = 6; // the margin is at most the grace divided by this
 constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
 
 } // namespace
@@ -40,7 +41,8 @@
     if (!m_isStopping) {
         return;
     }
-    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - StopMargin;
+    const auto margin = std::max(StopMargin, std::min(StopMargin + m_lag.longest(monotonicNow()), m_options.stopGrace / MaxMarginShare));
+    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - margin;
     for (ForwardedRequest *it : m_state.openRequests) {
         it->endWithStop();
     }
--- a/src/auburndrum/gateway/latestop_test.cpp
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -104,3 +104,23 @@
     CHECK(answer.startsWith("HTTP/1.1 503"));
     CHECK(it.fixture.receivedRequests.empty());
 }
+
+// Guards against a process that is killed with requests unanswered: the margin before that was the same where the loop had been late by more (LOST).
+TEST_CASE("the later the event loop has run lately, the earlier open requests end in a planned stop")
+{
+    LateStop it(6s);
+    std::this_thread::sleep_for(500ms);
+    runFor(300ms); // until the lag was measured
+    RawCaller caller(it.fixture.callerAddress);
+    it.sendRequest(caller);
+    it.stop([] {
+    });
+    QByteArray answer;
+    CHECK(runUntil(
+        [&] {
+            answer += caller.readAll();
+            return !answer.isEmpty();
+        },
+        5400ms)); // 100 ms before they end otherwise
+    CHECK(answer.startsWith("HTTP/1.1 504"));
+}
