A pause of the process takes little of a stop's grace

What callers would see: requests that are cut as soon as a VM that stood still for seconds gets SIGTERM.

The signal may have come at the end of the pause.

--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -28,7 +28,8 @@
         return;
     }
     m_isStopping = true;
-    m_stopAt = lastOnTime(); // a late event loop sees the signal late, and the grace counts from the signal
+    // A late event loop sees the signal late, and the grace counts from the signal. After a long pause of the process it may just have come.
+    m_stopAt = std::max(lastOnTime(), monotonicNow() - m_options.stopGrace / MaxMarginShare);
     m_onStopped = std::move(onStopped);
     const auto margin = std::max(StopMargin, std::min(StopMargin + m_lag.longest(monotonicNow()), m_options.stopGrace / MaxMarginShare));
     m_state.stopEndsAt = m_stopAt + m_options.stopGrace - margin;
--- a/src/auburndrum/gateway/latestop_test.cpp
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -129,6 +129,19 @@
     CHECK(answer.startsWith("HTTP/1.1 504"));
 }
 
+// Guards against requests that are cut at once in a stop after a pause of the process: the signal may have come at its end.
+TEST_CASE("a pause of the process before a planned stop takes little of the grace")
+{
+    LateStop it(3s);
+    RawCaller caller(it.fixture.callerAddress);
+    it.sendRequest(caller);
+    std::this_thread::sleep_for(2500ms);
+    it.stop([] {
+    });
+    runFor(1500ms);
+    CHECK(caller.readAll().isEmpty());
+}
+
 // Guards against a process that is killed with requests unanswered: the margin before that was the same where the loop had been late by more (LOST).
 TEST_CASE("the later the event loop has run lately, the earlier open requests end in a planned stop")
 {
