The log tells which connections a VM closes between two requests

The hypotheses on requests that end unread need the end of their connection: nothing told an idle connection's close, or after how much rest, unless bytes lay unread on it.

--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -23,6 +23,7 @@
     Counters &recordsSkipped; ///< by topic: records that can't be used
     Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
     Counters &unfinishedCloses; ///< by reason: connections that this VM closed while a request, or a part of one, lay on them unanswered
+    Counters &closes; ///< by reason and whether it was announced: connections that this VM closed between two requests
     Gauges &outdatedServers; ///< listed backend servers that don't have the newest named weights
 };
 
--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -23,6 +23,16 @@
     std::optional<std::chrono::milliseconds> sinceLastReceived; ///< empty where the system doesn't tell
 };
 
+/// A connection that the server closed between two requests.
+struct ConnectionClose
+{
+    const char *reason = ""; ///< why it was closed
+    bool isAnnounced = false; ///< the last response, or the caller's last request, told that the connection closes
+    std::chrono::milliseconds idle{0}; ///< time since the last response was complete, or since the accept
+    int requests = 0; ///< served on the connection
+    Address peer;
+};
+
 /// Limits of one server. Each is enforced before the memory is allocated.
 struct HttpServerOptions
 {
@@ -35,6 +45,7 @@
     qint64 bodyStreamingThreshold = std::numeric_limits<qint64>::max(); ///< bytes; the handler receives a longer body in parts, before it is complete
     std::function<QByteArray(int status, const QByteArray &message)> errorBody; ///< returns the JSON body of a request error that the server itself reports
     std::function<void(const UnfinishedClose &)> onUnfinishedClose;
+    std::function<void(const ConnectionClose &)> onClose;
 };
 
 /// HTTP/1.1 server that passes each request to one handler as an Exchange.
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -282,6 +282,19 @@
                            {"unsent_bytes", close.unsentBytes},
                            {"received_ms", close.sinceLastReceived ? close.sinceLastReceived->count() : -1}});
     };
+    it.onClose = [this, peers](const net::ConnectionClose &close) {
+        m_state.metrics.closes.with({peers, close.reason, close.isAnnounced ? "yes" : "no"}).Increment();
+        if (close.isAnnounced) {
+            return;
+        }
+        m_state.log.write(LinePriority::Routine,
+                          "connection_end",
+                          {{"reason", close.reason},
+                           {"peers", peers},
+                           {"peer", net::toText(close.peer)},
+                           {"idle_ms", close.idle.count()},
+                           {"requests", close.requests}});
+    };
     return it;
 }
 
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -48,6 +48,9 @@
     , unfinishedCloses(metrics.counters({.name = "auburndrum_gateway_unfinished_closes_total",
                                          .help = "Connections that were closed while a request, or a part of one, lay on them unanswered.",
                                          .labels = {"reason"}}))
+    , closes(metrics.counters({.name = "auburndrum_gateway_closes_total",
+                               .help = "Connections that were closed between two requests, by reason and whether their callers had been told.",
+                               .labels = {"peers", "reason", "announced"}}))
     , outdatedServers(metrics.gauges({.name = "auburndrum_gateway_outdated_servers", .help = "Backend servers without the newest named weights."}))
 {
 }
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -225,6 +225,7 @@
     m_exchange = std::make_shared<Exchange>(std::move(request), weak_from_this());
     m_exchange->m_bodyComplete = isComplete;
     m_isHandlerCalled = true;
+    ++m_requests;
     m_timer.stop();
     const auto exchange = m_exchange;
     if (isComplete) {
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -61,9 +61,10 @@
     void startExchange(bool isComplete);
     void finishRequest();
     void becomeIdle();
-    /// Closes the connection after the responses' last bytes, and reports what lies on it unanswered.
+    /// Closes the connection after the responses' last bytes, and reports that, with what lies on it unanswered.
     void close(const char *reason);
-    void reportClose(const char *reason) const;
+    /// Reports what lies unanswered on a connection that the server ends.
+    void reportUnfinished(const char *reason) const;
     /// Lets the connection linger for a time in which the caller can read the last response; what it sends meanwhile is discarded.
     void linger(std::chrono::milliseconds time);
     void endOnceWritten();
@@ -94,6 +95,7 @@
     bool m_paused = false;
     bool m_closeAfterAnswer = false;
     bool m_isWatchingForClose = false;
+    int m_requests = 0; ///< passed to the handler
     std::shared_ptr<Exchange> m_exchange; ///< the request whose response is not complete yet
 };
 
--- a/src/auburndrum/net/serverconnectionend.cpp
+++ b/src/auburndrum/net/serverconnectionend.cpp
@@ -42,11 +42,18 @@
 
 void ServerConnection::close(const char *reason)
 {
-    reportClose(reason);
+    reportUnfinished(reason);
+    if (m_options.onClose) {
+        m_options.onClose({.reason = reason,
+                           .isAnnounced = m_closeAfterAnswer || !m_keepsAlive,
+                           .idle = std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_idleSince),
+                           .requests = m_requests,
+                           .peer = {m_socket->peerAddress(), m_socket->peerPort()}});
+    }
     m_socket->disconnectFromHost();
 }
 
-void ServerConnection::reportClose(const char *reason) const
+void ServerConnection::reportUnfinished(const char *reason) const
 {
     const qint64 unread = net::unreadBytes(descriptor()) + m_socket->bytesAvailable() + m_input.size();
     const bool isInRequest = m_parser || unread > 0;
@@ -104,7 +111,7 @@
     if (!isOpen()) {
         return;
     }
-    reportClose("broken response");
+    reportUnfinished("broken response");
     m_exchange.reset();
     m_isHandlerCalled = false;
     linger(BrokenResponseLinger);
@@ -142,7 +149,7 @@
         return;
     }
     if (m_isHandlerCalled) {
-        reportClose("body time");
+        reportUnfinished("body time");
         abort(); // the caller stopped sending in the middle of a body
         return;
     }
