Answers tell for how long their connection is kept

Callers saw requests on kept connections end with neither an answer nor a refusal, beside changes of the configuration and without them.

Cause: a VM closed idle connections at a time that it had told nobody.

Answers on connections that stay open announce four fifths of the limit in whole seconds, and the connection is kept for the limit; where a shorter limit comes into force between the head of an answer and its end, for what goes with the time announced. Calls between VMs, whose clients keep to Keep-Alive already, gain the same. A limit under 1.25 s can't be told in whole seconds: nothing changes there. A caller that asks for the close gets Connection: close.

keptconnection_test: both cases fail without the change (no Keep-Alive; the second request unanswered) and pass with it.

--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -28,6 +28,7 @@
 {
     const char *reason = ""; ///< why it was closed
     bool isAnnounced = false; ///< the last response, or the caller's last request, told that the connection closes
+    std::chrono::seconds announcedIdle{0}; ///< for which the last response told that the connection is kept; 0: it told nothing
     std::chrono::milliseconds idle{0}; ///< time since the last response was complete, or since the accept
     int requests = 0; ///< served on the connection
     Address peer;
@@ -41,7 +42,9 @@
     int maxConnections = 4096;
     std::chrono::milliseconds requestTimeout{10000}; ///< time from the first byte of a request to its last, unless the body is streamed
     std::optional<std::chrono::milliseconds> bodyTimeout; ///< when set, requestTimeout covers only the header, and this limits the time of the body
-    std::chrono::milliseconds idleTimeout{75000}; ///< closes a connection that has waited this long for a request or for more of a streamed body
+    /// Closes a connection that has waited this long for a request or for more of a streamed body. Responses announce four fifths of it, in whole seconds
+    /// (Keep-Alive); a connection whose last response announced more than that is kept for the time that goes with it.
+    std::chrono::milliseconds idleTimeout{75000};
     qint64 bodyStreamingThreshold = std::numeric_limits<qint64>::max(); ///< bytes; the handler receives a longer body in parts, before it is complete
     std::function<QByteArray(int status, const QByteArray &message)> errorBody; ///< returns the JSON body of a request error that the server itself reports
     std::function<void(const UnfinishedClose &)> onUnfinishedClose;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -292,6 +292,7 @@
                           {{"reason", close.reason},
                            {"peers", peers},
                            {"peer", net::toText(close.peer)},
+                           {"announced_ms", std::chrono::milliseconds(close.announcedIdle).count()},
                            {"idle_ms", close.idle.count()},
                            {"requests", close.requests}});
     };
--- /dev/null
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -0,0 +1,110 @@
+#include "auburndrum/net/httpserver.h"
+#include "eventloop.h"
+#include "rawcaller.h"
+
+#include <doctest/doctest.h>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+// Connections that callers keep for further requests.
+
+namespace {
+
+const QByteArray Request = requestText("/x", "body");
+
+/// A server that streams its first answer for as long as the test wants, and answers all other requests at once.
+struct StreamingServer
+{
+    explicit StreamingServer(net::HttpServerOptions options = {})
+        : server(withReport(std::move(options)),
+                 [this](const std::shared_ptr<net::Exchange> &exchange) {
+                     if (++requests > 1) {
+                         exchange->respond(200, {}, "done");
+                         return;
+                     }
+                     exchange->startStream(200, {});
+                     stream = exchange;
+                 })
+        , address(server.listenOn({QHostAddress(QStringLiteral("127.0.0.1")), 0}))
+    {
+    }
+
+    net::HttpServerOptions withReport(net::HttpServerOptions options)
+    {
+        options.onClose = [this](const net::ConnectionClose &close) {
+            closes.push_back(close);
+        };
+        return options;
+    }
+
+    /// Sends the first request and waits until its answer has begun.
+    QByteArray beginStream(RawCaller &caller)
+    {
+        caller.send(Request);
+        QByteArray head;
+        REQUIRE(runUntil([&] {
+            head += caller.readAll();
+            return head.contains("\r\n\r\n");
+        }));
+        return head;
+    }
+
+    int requests = 0;
+    std::shared_ptr<net::Exchange> stream;
+    std::vector<net::ConnectionClose> closes;
+    net::HttpServer server;
+    net::Address address;
+};
+
+} // namespace
+
+// Guards against a request that crosses the close of its idle connection and ends without an answer: the caller wasn't told for how long the connection is kept
+// (LOST).
+TEST_CASE("an answer tells for how long its connection is kept, and the connection stays for longer")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 1500ms;
+    StreamingServer it(options);
+    RawCaller caller(it.address);
+    CHECK(it.beginStream(caller).contains("\r\nKeep-Alive: timeout=1\r\n"));
+    it.stream->finishStream();
+    runFor(1100ms);
+    caller.readAll();
+    caller.send(Request);
+    runFor(50ms);
+    CHECK(caller.readAll().contains("\r\nKeep-Alive: timeout=1\r\n"));
+    CHECK(runUntil([&] {
+        return caller.hasEnded();
+    }));
+    REQUIRE(it.closes.size() == 1);
+    CHECK(it.closes[0].idle > it.closes[0].announcedIdle);
+    CHECK(it.closes[0].announcedIdle == 1s);
+}
+
+// Guards against a connection that closes before the time that its caller was told: a shorter limit came into force between the head of an answer and its end
+// (LOST).
+TEST_CASE("a connection is kept for the time that its last answer told, also when the limit is shorter by then")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 1500ms;
+    StreamingServer it(options);
+    RawCaller caller(it.address);
+    it.beginStream(caller);
+    options.idleTimeout = 300ms;
+    it.server.setOptions(options);
+    it.stream->finishStream();
+    runFor(1000ms);
+    caller.readAll();
+    caller.send(Request);
+    runFor(50ms);
+    const QByteArray answer = caller.readAll();
+    CHECK(answer.startsWith("HTTP/1.1 200"));
+    CHECK_FALSE(answer.contains("Keep-Alive")); // whole seconds can't tell so short a time
+    CHECK(runUntil(
+        [&] {
+            return caller.hasEnded();
+        },
+        900ms));
+}
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr qint64 SocketBufferBytes = 64 * 1024; // limit on bytes read ahead of the handler; TCP flow control holds back the rest
+constexpr int AnnouncedFifths = 4; // of the idle timeout
 
 } // namespace
 
@@ -61,10 +62,17 @@
     }
 }
 
-std::vector<Header> ServerConnection::withConnectionHeader(std::vector<Header> headers) const
+std::vector<Header> ServerConnection::withConnectionHeader(std::vector<Header> headers)
 {
-    if (m_closeAfterAnswer) {
+    if (m_closeAfterAnswer || !m_keepsAlive) {
         headers.push_back({"Connection", "close"});
+        return headers;
+    }
+    // The rest of the limit is for what is on its way: a request that arrives after the close is lost.
+    m_announcedIdle = std::chrono::floor<std::chrono::seconds>(m_options.idleTimeout * AnnouncedFifths / 5);
+    if (m_announcedIdle.count() > 0) {
+        headers.push_back({"Connection", "keep-alive"});
+        headers.push_back({"Keep-Alive", "timeout=" + QByteArray::number(static_cast<qint64>(m_announcedIdle.count()))});
     }
     return headers;
 }
@@ -82,12 +90,17 @@
 void ServerConnection::startIdleTime()
 {
     m_idleSince = std::chrono::steady_clock::now();
-    m_timer.start(m_options.idleTimeout);
+    m_timer.start(idleTime());
+}
+
+std::chrono::milliseconds ServerConnection::idleTime() const
+{
+    return std::max(m_options.idleTimeout, std::chrono::milliseconds(m_announcedIdle) * 5 / AnnouncedFifths);
 }
 
 void ServerConnection::extendIdleTime()
 {
-    const auto end = m_idleSince + m_options.idleTimeout;
+    const auto end = m_idleSince + idleTime();
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
     if (isIdle() && left > m_timer.remainingTimeAsDuration()) {
         m_timer.start(left);
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -43,7 +43,8 @@
     bool hasPeerClosed() const;
     qint64 unsentBytes() const;
     void write(const QByteArray &bytes);
-    std::vector<Header> withConnectionHeader(std::vector<Header> headers) const;
+    /// Adds the fields that tell the caller whether the connection closes after this response, or for how long it is kept.
+    std::vector<Header> withConnectionHeader(std::vector<Header> headers);
     void setReadingPaused(bool paused);
     void onExchangeCompleted(Exchange *exchange);
     /// Serves no further request, and closes the connection once the caller has what was written, or has taken too long for it.
@@ -74,6 +75,8 @@
     /// Whether the connection waits for a request of which nothing has arrived yet.
     bool isIdle() const;
     void startIdleTime();
+    /// The limit, or what goes with the time that the last response announced, if that is longer.
+    std::chrono::milliseconds idleTime() const;
     int descriptor() const;
 
     QPointer<QTcpSocket> m_socket;
@@ -85,6 +88,7 @@
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
     std::chrono::steady_clock::time_point m_idleSince; ///< when the connection was accepted, or its last response completed
+    std::chrono::seconds m_announcedIdle{0}; ///< for which the last response told that the connection is kept; 0: it told nothing
     std::optional<std::chrono::milliseconds> m_unreadFor; ///< time for which the bytes that were read then had waited
     qint64 m_partialBytes = 0; ///< read of the request that is being read
     bool m_isHeadAccepted = false;
--- a/src/auburndrum/net/serverconnectionend.cpp
+++ b/src/auburndrum/net/serverconnectionend.cpp
@@ -46,6 +46,7 @@
     if (m_options.onClose) {
         m_options.onClose({.reason = reason,
                            .isAnnounced = m_closeAfterAnswer || !m_keepsAlive,
+                           .announcedIdle = m_announcedIdle,
                            .idle = std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_idleSince),
                            .requests = m_requests,
                            .peer = {m_socket->peerAddress(), m_socket->peerPort()}});
