A connection whose answer had begun before a stop serves one more request

Callers of streams that were open at SIGTERM could meet the close of their connection with the next request.

In a stop a connection closed after its answer, also where the answer's head had left before the stop and told nothing of it. Such a connection now waits for one more request, whose answer tells; the stop closes it once it has rested.

Found by reading. keptconnection_test: the case fails without the change (the second request gets no answer) and passes with it; unansweredclose_test and latestop_test pass.

--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -69,7 +69,7 @@
     /// Replaces the limits; each connection applies them from its next request on, a longer idle timeout at once.
     void setOptions(HttpServerOptions options);
     const HttpServerOptions &options() const;
-    /// From now on each response carries "Connection: close", and the connection closes after it.
+    /// From now on each response that begins carries "Connection: close", and the connection closes after it.
     void closeAfterAnswers();
     /// Closes the connections that have been without a request for `minIdle`, except where one has arrived unread.
     void closeIdleConnections(std::chrono::milliseconds minIdle = {});
--- a/src/auburndrum/gateway/keptconnection_test.cpp
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -127,3 +127,22 @@
         CHECK(close.idle >= options.idleTimeout);
     }
 }
+
+// Guards against a request that meets the close of its connection in a planned stop: the answer before it had begun before the stop, and told nothing of the
+// close (LOST).
+TEST_CASE("a connection whose answer had begun before a planned stop is closed only after the next one, which tells so")
+{
+    StreamingServer it;
+    RawCaller caller(it.address);
+    CHECK_FALSE(it.beginStream(caller).contains("Connection: close"));
+    it.server.closeAfterAnswers();
+    it.stream->finishStream();
+    runFor(50ms);
+    caller.readAll();
+    caller.send(Request);
+    runFor(50ms);
+    const QByteArray answer = caller.readAll();
+    CHECK(answer.startsWith("HTTP/1.1 200"));
+    CHECK(answer.contains("\r\nConnection: close\r\n"));
+    CHECK(caller.hasEnded());
+}
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -66,6 +66,7 @@
 std::vector<Header> ServerConnection::withConnectionHeader(std::vector<Header> headers)
 {
     if (m_closeAfterAnswer || !m_keepsAlive) {
+        m_isCloseAnnounced = true;
         headers.push_back({"Connection", "close"});
         return headers;
     }
@@ -262,7 +263,7 @@
 
 void ServerConnection::becomeIdle()
 {
-    if (m_closeAfterAnswer || !m_keepsAlive) {
+    if (m_isCloseAnnounced) { // not one whose response began before closeAfterAnswer(): its caller may send the next request already
         close("last response");
         return;
     }
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -98,6 +98,7 @@
     bool m_endsOnceWritten = false; ///< the caller is to see the end of the connection after the last byte
     bool m_paused = false;
     bool m_closeAfterAnswer = false;
+    bool m_isCloseAnnounced = false; ///< the last response told that the connection closes after it
     bool m_isWatchingForClose = false;
     int m_requests = 0; ///< passed to the handler
     std::shared_ptr<Exchange> m_exchange; ///< the request whose response is not complete yet
--- a/src/auburndrum/net/serverconnectionend.cpp
+++ b/src/auburndrum/net/serverconnectionend.cpp
@@ -45,7 +45,7 @@
     reportUnfinished(reason);
     if (m_options.onClose) {
         m_options.onClose({.reason = reason,
-                           .isAnnounced = m_closeAfterAnswer || !m_keepsAlive,
+                           .isAnnounced = m_isCloseAnnounced,
                            .announcedIdle = m_announcedIdle,
                            .idle = std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_idleSince),
                            .requests = m_requests,
