A connection rests only once its answer has left

A caller that gets an answer late, over a full link, counts the rest of its connection from then; the VM counted from the moment at which the answer was written into its own buffer, and closed under the caller's next request.

Cause: the same as of unannounced idle closes: the time told and the time kept have different beginnings. The time now begins when the operating system has taken the last byte, and no connection is closed for idle time before that.

Found by reading. keptconnection_test: the case fails without the change (the second request gets no answer) and passes with it. unansweredclose_test and latestop_test pass.

--- a/src/auburndrum/gateway/keptconnection_test.cpp
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -146,3 +146,25 @@
     CHECK(answer.contains("\r\nConnection: close\r\n"));
     CHECK(caller.hasEnded());
 }
+
+// Guards against a caller that counts the rest of its connection from an answer which reached it late, and meets the close (LOST).
+TEST_CASE("a connection rests only once its answer has left")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 400ms;
+    StreamingServer it(options);
+    RawCaller caller(it.address);
+    it.beginStream(caller);
+    it.stream->writeChunk(QByteArray(8 * 1024 * 1024, 'x'));
+    it.stream->finishStream();
+    runFor(600ms);
+    QByteArray answer;
+    REQUIRE(runUntil([&] {
+        answer += caller.readAll();
+        return answer.endsWith("0\r\n\r\n");
+    }));
+    runFor(200ms);
+    caller.send(Request);
+    runFor(50ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+}
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -26,6 +26,9 @@
         if (m_exchange && m_exchange->m_onBytesSent) {
             m_exchange->m_onBytesSent();
         }
+        if (!m_exchange && !m_parser) {
+            m_idleSince = std::chrono::steady_clock::now(); // the timer, which started with the response's end, follows when it ends
+        }
         endOnceWritten();
     });
     startIdleTime();
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -87,7 +87,7 @@
     QByteArray m_body; ///< part of the body that is parsed and not yet passed to the handler
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
-    std::chrono::steady_clock::time_point m_idleSince; ///< when the connection was accepted, or its last response completed
+    std::chrono::steady_clock::time_point m_idleSince; ///< when the connection was accepted, or the operating system took the last byte of its last response
     std::chrono::seconds m_announcedIdle{0}; ///< for which the last response told that the connection is kept; 0: it told nothing
     std::optional<std::chrono::milliseconds> m_unreadFor; ///< time for which the bytes that were read then had waited
     qint64 m_partialBytes = 0; ///< read of the request that is being read
--- a/src/auburndrum/net/serverconnectionend.cpp
+++ b/src/auburndrum/net/serverconnectionend.cpp
@@ -158,8 +158,13 @@
         reject(408, "The request did not arrive in time.");
         return;
     }
-    if (!isIdle()) {
-        startIdleTime(); // the next request has arrived; its bytes are read next
+    if (!isIdle() || unsentBytes() > 0) {
+        startIdleTime(); // the next request has arrived, and its bytes are read next; or the caller hasn't got the last response yet
+        return;
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_idleSince + idleTime() - std::chrono::steady_clock::now());
+    if (left.count() > 0) {
+        m_timer.start(left);
         return;
     }
     close("idle time");
