A planned stop keeps idle connections for as long as their callers were told

Callers saw requests end with neither an answer nor a refusal beside planned stops, also with answers that announce for how long a connection is kept.

Cause: the same as of unannounced idle closes. 2.6 s after SIGTERM a VM closed all connections that had rested for 250 ms, about twelve at once, whose callers had been told nothing of it, or that they are kept for longer.

At the end of the grace all are closed, as before.

keptconnection_test: the case fails without the change (the request 3.9 s after the stop gets no answer) and passes with it; unansweredclose_test, latestop_test and stopgrace_test pass.

--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -27,9 +27,9 @@
 struct ConnectionClose
 {
     const char *reason = ""; ///< why it was closed
-    bool isAnnounced = false; ///< the last response, or the caller's last request, told that the connection closes
+    bool isAnnounced = false; ///< the last response told that the connection closes after it
     std::chrono::seconds announcedIdle{0}; ///< for which the last response told that the connection is kept; 0: it told nothing
-    std::chrono::milliseconds idle{0}; ///< time since the last response was complete, or since the accept
+    std::chrono::milliseconds idle{0}; ///< time since the operating system took the last byte of the last response, or since the accept
     int requests = 0; ///< served on the connection
     Address peer;
 };
@@ -45,6 +45,8 @@
     /// Closes a connection that has waited this long for a request or for more of a streamed body. Responses announce four fifths of it, in whole seconds
     /// (Keep-Alive); a connection whose last response announced more than that is kept for the time that goes with it.
     std::chrono::milliseconds idleTimeout{75000};
+    /// Responses announce no longer time than this, so that a stop can keep what they announced.
+    std::chrono::milliseconds maxAnnouncedIdle{std::chrono::milliseconds::max()};
     qint64 bodyStreamingThreshold = std::numeric_limits<qint64>::max(); ///< bytes; the handler receives a longer body in parts, before it is complete
     std::function<QByteArray(int status, const QByteArray &message)> errorBody; ///< returns the JSON body of a request error that the server itself reports
     std::function<void(const UnfinishedClose &)> onUnfinishedClose;
@@ -73,6 +75,8 @@
     void closeAfterAnswers();
     /// Closes the connections that have been without a request for `minIdle`, except where one has arrived unread.
     void closeIdleConnections(std::chrono::milliseconds minIdle = {});
+    /// The same for those only that have rested for longer than their last response announced, too: their callers don't use them any more.
+    void closeRestedConnections(std::chrono::milliseconds minIdle);
     /// Answers requests that were not read completely, and so not passed to the handler, with 503, and closes their connections.
     void refuseUnreadRequests();
     /// Passes to the operating system what it takes of the answers without waiting.
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -52,7 +52,11 @@
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
     m_callerServer.stopListening();
-    m_callerServer.closeIdleConnections(isOver ? milliseconds(0) : FirstRequestTime);
+    if (isOver) {
+        m_callerServer.closeIdleConnections();
+    } else {
+        m_callerServer.closeRestedConnections(FirstRequestTime);
+    }
     if (isOver && !std::exchange(m_hasReadLast, true)) {
         m_stopTimer.start(milliseconds(0)); // sockets are read before timers: what has arrived while the loop was late is read first
         return;
--- a/src/auburndrum/gateway/keptconnection_test.cpp
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -1,4 +1,5 @@
-#include "auburndrum/net/httpserver.h"
+#include "gatewayfixture.h"
+
 #include "eventloop.h"
 #include "rawcaller.h"
 
@@ -168,3 +169,42 @@
     runFor(50ms);
     CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
 }
+
+// Guards against requests that meet the close of their idle connection in a planned stop: their callers had been told that it is kept for longer (LOST).
+TEST_CASE("a planned stop keeps an idle connection for as long as its last answer told")
+{
+    GatewayFixture it(
+        [](const std::shared_ptr<net::Exchange> &exchange, int) {
+            exchange->respond(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}}, "done");
+        },
+        true,
+        [](GatewayFixture &, GatewayOptions &options) {
+            options.stopGrace = 8s;
+        });
+    RawCaller caller(it.callerAddress);
+    RawCaller resting(it.callerAddress);
+    const auto serve = [](RawCaller &from) {
+        from.send(requestText("/slow/x", "body"));
+        QByteArray answer;
+        runUntil([&] {
+            answer += from.readAll();
+            return answer.endsWith("done");
+        });
+        return answer;
+    };
+    CHECK(serve(caller).contains("\r\nKeep-Alive: timeout=4\r\n"));
+    CHECK(serve(resting).contains("\r\nKeep-Alive: timeout=4\r\n"));
+    bool isStopped = false;
+    const Instant stopAt = monotonicNow();
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    runFor(3900ms);
+    const QByteArray last = serve(caller);
+    CHECK(last.startsWith("HTTP/1.1 200"));
+    CHECK(last.contains("\r\nConnection: close\r\n"));
+    REQUIRE(runUntil([&] {
+        return isStopped;
+    }));
+    CHECK(monotonicNow() - stopAt < 6s); // well before the end of the grace
+}
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -203,6 +203,14 @@
     }
 }
 
+void HttpServer::closeRestedConnections(std::chrono::milliseconds minIdle)
+{
+    const auto all = d->connections; // a copy, because closing a connection changes the map
+    for (const auto &[socket, connection] : all) {
+        connection->closeIfIdle(std::max(minIdle, connection->announcedIdleTime()));
+    }
+}
+
 void HttpServer::refuseUnreadRequests()
 {
     const auto all = d->connections; // a copy, because closing a connection changes the map
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -74,7 +74,7 @@
         return headers;
     }
     // The rest of the limit is for what is on its way: a request that arrives after the close is lost.
-    m_announcedIdle = std::chrono::floor<std::chrono::seconds>(m_options.idleTimeout * AnnouncedFifths / 5);
+    m_announcedIdle = std::chrono::floor<std::chrono::seconds>(std::min(m_options.idleTimeout * AnnouncedFifths / 5, m_options.maxAnnouncedIdle));
     if (m_announcedIdle.count() > 0) {
         headers.push_back({"Connection", "keep-alive"});
         headers.push_back({"Keep-Alive", "timeout=" + QByteArray::number(static_cast<qint64>(m_announcedIdle.count()))});
@@ -100,7 +100,12 @@
 
 std::chrono::milliseconds ServerConnection::idleTime() const
 {
-    return std::max(m_options.idleTimeout, std::chrono::milliseconds(m_announcedIdle) * 5 / AnnouncedFifths);
+    return std::max(m_options.idleTimeout, announcedIdleTime());
+}
+
+std::chrono::milliseconds ServerConnection::announcedIdleTime() const
+{
+    return std::chrono::milliseconds(m_announcedIdle) * 5 / AnnouncedFifths;
 }
 
 void ServerConnection::extendIdleTime()
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -25,6 +25,8 @@
     void closeAfterAnswer();
     /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread.
     void closeIfIdle(std::chrono::milliseconds minIdle);
+    /// Time for which the connection is kept after a response that announced how long its caller may use it; 0: the last one announced nothing.
+    std::chrono::milliseconds announcedIdleTime() const;
     /// Lets a connection that waits for a request follow a longer idle timeout. A shorter one holds from its next wait on, as its caller may not know it yet.
     void extendIdleTime();
 
