A connection isn't closed while its caller still receives the last answer

A caller that reads a long answer over a slow link could send its next request into the close of its connection, in a planned stop or after the idle time.

An answer counted as gone once the operating system had taken it, though most of it may wait there for the caller. A connection is now closed for rest only when the caller's system has acknowledged all, but for the end of a stop.

--- a/src/auburndrum/gateway/keptconnection_test.cpp
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -170,6 +170,30 @@
     CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
 }
 
+// Guards against a caller that is still reading its last answer when a planned stop closes the connection under its next request (LOST).
+TEST_CASE("a connection that rests is closed in a planned stop only once its caller has got the last answer")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 1200ms; // too short to be announced
+    StreamingServer it(options);
+    RawCaller caller(it.address);
+    it.beginStream(caller);
+    it.stream->writeChunk(QByteArray(300 * 1024, 'x'));
+    it.server.closeAfterAnswers();
+    it.stream->finishStream();
+    runFor(300ms);
+    it.server.closeRestedConnections(50ms);
+    CHECK(it.closes.empty());
+    QByteArray answer;
+    REQUIRE(runUntil([&] {
+        answer += caller.readAll();
+        return answer.endsWith("0\r\n\r\n");
+    }));
+    caller.send(Request);
+    runFor(50ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+}
+
 // Guards against requests that meet the close of their idle connection in a planned stop: their callers had been told that it is kept for longer (LOST).
 TEST_CASE("a planned stop keeps an idle connection for as long as its last answer told")
 {
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -92,6 +92,11 @@
     return isOpen() && !m_exchange && !m_parser && m_input.isEmpty() && m_socket->bytesAvailable() == 0 && net::unreadBytes(descriptor()) == 0;
 }
 
+bool ServerConnection::isDelivered() const
+{
+    return unsentBytes() == 0 && net::unacknowledgedBytes(descriptor()).value_or(0) == 0;
+}
+
 void ServerConnection::startIdleTime()
 {
     m_idleSince = std::chrono::steady_clock::now();
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -23,7 +23,8 @@
     void reject(int status, const QByteArray &message, const std::vector<Header> &headers = {});
     /// Sends "Connection: close" with the next response and closes the connection after it.
     void closeAfterAnswer();
-    /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread.
+    /// Closes the connection when it has been without a request for `minIdle`, and none has arrived unread. With a time, the caller must have got the last
+    /// response, too.
     void closeIfIdle(std::chrono::milliseconds minIdle);
     /// Time for which the connection is kept after a response that announced how long its caller may use it; 0: the last one announced nothing.
     std::chrono::milliseconds announcedIdleTime() const;
@@ -76,6 +77,8 @@
     bool isReadBufferFull() const;
     /// Whether the connection waits for a request of which nothing has arrived yet.
     bool isIdle() const;
+    /// Whether the caller's system has all that was written.
+    bool isDelivered() const;
     void startIdleTime();
     /// The limit, or what goes with the time that the last response announced, if that is longer.
     std::chrono::milliseconds idleTime() const;
--- a/src/auburndrum/net/serverconnectionend.cpp
+++ b/src/auburndrum/net/serverconnectionend.cpp
@@ -35,7 +35,8 @@
 
 void ServerConnection::closeIfIdle(std::chrono::milliseconds minIdle)
 {
-    if (isIdle() && std::chrono::steady_clock::now() - m_idleSince >= minIdle) {
+    const bool mayClose = isIdle() && (minIdle.count() == 0 || isDelivered());
+    if (mayClose && std::chrono::steady_clock::now() - m_idleSince >= minIdle) {
         close("stop");
     }
 }
@@ -158,7 +159,7 @@
         reject(408, "The request did not arrive in time.");
         return;
     }
-    if (!isIdle() || unsentBytes() > 0) {
+    if (!isIdle() || !isDelivered()) {
         startIdleTime(); // the next request has arrived, and its bytes are read next; or the caller hasn't got the last response yet
         return;
     }
