A planned stop doesn't take requests that it need not take

Answers now announce 2 s at most, which is less than the time for which a stop keeps all connections anyway, until the balancer has taken the VM out. At its end no caller uses a connection any more whose last answer came before the stop, so that nothing crosses the close, and nothing new is taken. The price: callers open new connections after 2 s of rest.

An answer that had begun before the stop ends its connection again, unless the next request has arrived: that one was read and dropped before (pipelining).

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -90,8 +90,6 @@
     void applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage);
     void expireServers();
     /// Options of the server for callers, or for requests that other entry VMs pass on, as `peers` says in the log.
-    /// Limits what callers may send, and how long their connections may rest, as the configuration and the grace of a stop say.
-    void applyCallerLimits();
     net::HttpServerOptions serverOptions(const decision::CallerLimits &limits, const char *peers, int maxConnections);
     /// Measures how late the event loop runs.
     void measureLag();
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "auburndrum/gateway/gateway.h"
 
 #include "forwardedrequest.h"
+#include "stoptimes.h"
 
 namespace auburndrum::gateway {
 
@@ -13,7 +14,6 @@
 // Requests are sent only when they are expected to begin this long before the limit; those that wait longer are taken back shortly before it.
 constexpr milliseconds WeightsMargin{1000};
 constexpr milliseconds NotableLag{250}; // half of the time within which a server must hear that a caller left
-constexpr int AnnouncedGraceShare = 2; // callers are told that a connection is kept for the grace divided by this at most, which a planned stop can wait for
 
 decision::ServerChooserOptions chooserOptions(const GatewayOptions &options)
 {
@@ -256,7 +256,8 @@
     m_state.storedPrompts.configure(m_state.configuration->promptStores);
     m_promptStoreReader.configure();
     m_relayLink.configure();
-    applyCallerLimits();
+    m_callerServer.setOptions(serverOptions(m_state.configuration->limits, "callers", m_options.maxConnections));
+    m_relayLink.setRequestOptions(serverOptions(m_state.configuration->limits, "entry_vms", m_options.maxConnections / 2));
     m_state.metrics.stateChanges.with({"configuration"}).Increment();
     const auto delay = observeChange(m_options.operatorTopic, m_operatorFeed);
     m_state.log.write(LinePriority::Notable,
@@ -268,19 +269,10 @@
                        {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
 }
 
-void Gateway::applyCallerLimits()
-{
-    if (!m_state.configuration) {
-        return;
-    }
-    m_callerServer.setOptions(serverOptions(m_state.configuration->limits, "callers", m_options.maxConnections));
-    m_relayLink.setRequestOptions(serverOptions(m_state.configuration->limits, "entry_vms", m_options.maxConnections / 2));
-}
-
 net::HttpServerOptions Gateway::serverOptions(const decision::CallerLimits &limits, const char *peers, int maxConnections)
 {
     net::HttpServerOptions it = callerOptions(limits, maxConnections);
-    it.maxAnnouncedIdle = m_options.stopGrace / AnnouncedGraceShare;
+    it.maxAnnouncedIdle = MaxAnnouncedIdle;
     it.onUnfinishedClose = [this, peers](const net::UnfinishedClose &close) {
         m_state.metrics.unfinishedCloses.with({close.reason}).Increment();
         m_state.log.write(LinePriority::Notable,
@@ -346,7 +338,6 @@
     m_options.retries = options.retries;
     m_options.outdatedWeightsLimit = options.outdatedWeightsLimit;
     m_options.stopGrace = options.stopGrace;
-    applyCallerLimits();
     m_options.changeTime = options.changeTime;
     m_state.changeTime = options.changeTime;
     const ReadBudget budget = ReadBudget::of(options.changeTime);
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -1,6 +1,7 @@
 #include "auburndrum/gateway/gateway.h"
 
 #include "forwardedrequest.h"
+#include "stoptimes.h"
 
 #include <utility>
 
@@ -13,8 +14,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds StopCheckInterval{50};
-// The balancer checks readiness once a second and removes an entry VM after two failures; until then it still sends new connections.
-constexpr milliseconds BalancerLag{2600};
 constexpr milliseconds FirstRequestTime{250}; // from the accept of a connection until its first request has arrived, from another region too
 constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer; more where the event loop runs late
 constexpr int MaxMarginShare = 6; // the margin is at most the grace divided by this
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -276,7 +276,8 @@
 
 void ServerConnection::becomeIdle()
 {
-    if (m_isCloseAnnounced) { // not one whose response began before closeAfterAnswer(): its caller may send the next request already
+    // Where the response began before closeAfterAnswer(), its caller may have sent the next request already.
+    if (m_isCloseAnnounced || (m_closeAfterAnswer && isIdle())) {
         close("last response");
         return;
     }
