Late in a planned stop only requests are taken that are certain to end

Callers saw answers cut at the end of a planned stop though their request came long after SIGTERM, when another VM could have served it.

Cause: whether a request can end before the stop does was judged by the latest 32 of its route, however late it came; a stream that took longer was cut.

From the moment at which the balancer has taken the VM out, a request is taken only if all of its caller's time fits, and is refused as not run otherwise.

--- a/src/auburndrum/gateway/forwardedadmission.cpp
+++ b/src/auburndrum/gateway/forwardedadmission.cpp
@@ -42,8 +42,11 @@
     if (timeLeft().count() <= 0) {
         return false;
     }
-    const milliseconds expected = std::min(m_state.routeDurations.longest(m_route->name).value_or(timeLeft()), timeLeft());
-    return monotonicNow() + expected < *m_state.stopEndsAt;
+    const Instant now = monotonicNow();
+    // Of those that come later only the ones that are certain to end are taken: other VMs are better for the rest.
+    const bool isOutOfRotation = m_state.leavesRotationAt && now >= *m_state.leavesRotationAt;
+    const auto usual = isOutOfRotation ? std::nullopt : m_state.routeDurations.longest(m_route->name);
+    return now + std::min(usual.value_or(timeLeft()), timeLeft()) < *m_state.stopEndsAt;
 }
 
 void ForwardedRequest::endWithStop()
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -31,6 +31,7 @@
     m_stopAt = std::max(lastOnTime(), monotonicNow() - m_options.stopGrace / MaxMarginShare);
     m_onStopped = std::move(onStopped);
     const auto margin = std::max(StopMargin, std::min(StopMargin + m_lag.longest(monotonicNow()), m_options.stopGrace / MaxMarginShare));
+    m_state.leavesRotationAt = m_stopAt + BalancerLag;
     m_state.stopEndsAt = m_stopAt + m_options.stopGrace - margin;
     for (ForwardedRequest *it : m_state.openRequests) {
         it->endWithStop();
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -110,6 +110,31 @@
     CHECK(it.receivedRequests.size() == served + 1); // a request that was refused has not run
 }
 
+// Guards against requests that are taken late in a planned stop since the latest of their route were short, and are cut at its end: no new caller comes then,
+// and another VM can serve the one that does (LOST).
+TEST_CASE("a request that comes once the balancer has taken the VM out is refused at once if its time is longer than the rest of the stop")
+{
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &exchange, int attempt) {
+        if (attempt == 1) {
+            exchange->respond(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}}, "done");
+        }
+    });
+    REQUIRE(it.sendRequest("/slow/x").head.status == 200); // shows how short such requests are
+    SlowCaller caller(it.callerAddress, 1);
+    runFor(50ms);
+    it.gateway->stop([] {
+    });
+    runFor(2800ms);
+    caller.sendRest();
+    REQUIRE(runUntil([&] {
+        caller.read();
+        return caller.answeredAt.has_value();
+    }));
+    CHECK(caller.answer.startsWith("HTTP/1.1 503"));
+    CHECK(*caller.answeredAt - *caller.sentAt < SoonEnough);
+    CHECK(it.receivedRequests.size() == 1);
+}
+
 TEST_CASE("a request that still runs when the grace ends gets a final answer")
 {
     // Guards against callers that see a connection close and can't know whether anybody works for them (LOST).
