The log tells when a planned stop accepts no more connections

Cause: a handshake that is half done when a listener closes is dropped by the operating system; its caller holds a connection, sends its request and gets a reset, and no VM has a line of it. Nothing told when a listener closed, so that such a reset couldn't be told from a close of a kept connection.

Change: line listener_closed, with the connections that were accepted in that moment; HttpServer::stopListening() returns their number.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -98,6 +98,8 @@
     KeyedFeedHooks feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
     bool isReady() const;
     void finishStop();
+    /// Ends the accepting of callers' connections, with a log line.
+    void stopListening();
     /// Gives each request that is still open its final answer.
     void endOpenRequests();
     /// Passes to the operating system what it takes of the answers.
--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -66,8 +66,9 @@
 
     /// Listens on `address` (port 0: any free port). Returns the address in use, with port 0 when listening failed.
     Address listenOn(const Address &address);
-    /// Stops accepting connections, after those that have been established already; open connections continue.
-    void stopListening();
+    /// Stops accepting connections, after those that have been established already; open connections continue. Returns the number of those accepted last.
+    int stopListening();
+    bool isListening() const;
     /// Replaces the limits; each connection applies them from its next request on, a longer idle timeout at once.
     void setOptions(HttpServerOptions options);
     const HttpServerOptions &options() const;
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -51,7 +51,7 @@
         return;
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
-    m_callerServer.stopListening();
+    stopListening();
     if (isOver) {
         m_callerServer.closeIdleConnections();
     } else {
@@ -81,6 +81,20 @@
     });
 }
 
+void Gateway::stopListening()
+{
+    if (!m_callerServer.isListening()) {
+        return;
+    }
+    const int accepted = m_callerServer.stopListening();
+    m_state.log.write(LinePriority::Notable,
+                      "listener_closed",
+                      {{"stop_ms", std::chrono::floor<milliseconds>(monotonicNow() - m_stopAt).count()},
+                       {"accepted", accepted},
+                       {"connections", m_callerServer.connectionCount()},
+                       {"open_requests", m_callerServer.openExchanges()}});
+}
+
 void Gateway::endOpenRequests()
 {
     // When the event loop is late, their own timers may run only after the one that ends the process.
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -163,3 +163,21 @@
     runFor(50ms);
     CHECK(caller.readAll().startsWith("HTTP/1.1 504"));
 }
+
+// Guards against resets that nobody can explain: the operating system drops a handshake that is half done when the listener closes, and no line told when that is.
+TEST_CASE("a planned stop logs when it accepts no more connections")
+{
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &, int) {
+    });
+    bool isStopped = false;
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    REQUIRE(runUntil([&] {
+        return isStopped;
+    }));
+    REQUIRE(it.hasLogged("listener_closed"));
+    CHECK_FALSE(it.hasLogged("listener_closed", 2));
+    CHECK(it.lastLine("listener_closed")["stop_ms"] >= 2600);
+    CHECK(it.lastLine("listener_closed")["accepted"] == 0);
+}
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -43,18 +43,20 @@
         setListenBacklogSize(ListenBacklog);
     }
 
-    /// Accepts the connections that the system has established; closing the listener would reset them.
-    void acceptEstablished()
+    /// Accepts the connections that the system has established, and returns their number; closing the listener would reset them.
+    int acceptEstablished()
     {
         const auto listener = static_cast<int>(socketDescriptor());
+        int accepted = 0;
         while (true) {
             const int it = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (it >= 0) {
                 incomingConnection(it);
+                ++accepted;
                 continue;
             }
             if (errno != EINTR && errno != ECONNABORTED) {
-                return;
+                return accepted;
             }
         }
     }
@@ -166,12 +168,19 @@
     return {d->server->serverAddress(), d->server->serverPort()};
 }
 
-void HttpServer::stopListening()
+int HttpServer::stopListening()
 {
-    if (d->server != nullptr && d->server->isListening()) {
-        d->server->acceptEstablished();
-        d->server->close();
+    if (!isListening()) {
+        return 0;
     }
+    const int accepted = d->server->acceptEstablished();
+    d->server->close();
+    return accepted;
+}
+
+bool HttpServer::isListening() const
+{
+    return d->server != nullptr && d->server->isListening();
 }
 
 void HttpServer::setOptions(HttpServerOptions options)
