A reload during a planned stop doesn't move its end

What callers saw: nothing. Where SIGHUP came during a stop, with settings that name a shorter grace, the process ended under its open requests; they got neither an answer nor a refusal.

Cause: the exit was timed by the options, which a reload replaces, and the requests' final answers by the time that was fixed when the stop began.

Change: a stop keeps the grace with which it began.

Evidence: found by reading all ends of a caller's connection. stopgrace_test, "a reload with a shorter grace doesn't end a planned stop under its open requests", fails without the change (no byte of an answer) and passes with it.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -129,6 +129,7 @@
     bool m_isStopping = false;
     bool m_hasReadLast = false; ///< in a stop: the loop has gone round once more after the time for open requests was over
     Instant m_stopAt{};
+    std::chrono::milliseconds m_stopGrace{0}; ///< in a stop: the grace that the platform gave when it began
     std::function<void()> m_onStopped;
 };
 
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -27,12 +27,13 @@
         return;
     }
     m_isStopping = true;
+    m_stopGrace = m_options.stopGrace;
     // A late event loop sees the signal late, and the grace counts from the signal. After a long pause of the process it may just have come.
-    m_stopAt = std::max(lastOnTime(), monotonicNow() - m_options.stopGrace / MaxMarginShare);
+    m_stopAt = std::max(lastOnTime(), monotonicNow() - m_stopGrace / MaxMarginShare);
     m_onStopped = std::move(onStopped);
-    const auto margin = std::max(StopMargin, std::min(StopMargin + m_lag.longest(monotonicNow()), m_options.stopGrace / MaxMarginShare));
+    const auto margin = std::max(StopMargin, std::min(StopMargin + m_lag.longest(monotonicNow()), m_stopGrace / MaxMarginShare));
     m_state.leavesRotationAt = m_stopAt + BalancerLag;
-    m_state.stopEndsAt = m_stopAt + m_options.stopGrace - margin;
+    m_state.stopEndsAt = m_stopAt + m_stopGrace - margin;
     for (ForwardedRequest *it : m_state.openRequests) {
         it->endWithStop();
     }
@@ -67,7 +68,7 @@
         endOpenRequests();
     }
     const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0 && m_relayLink.isIdle();
-    if (!isDone && now - m_stopAt < m_options.stopGrace - ExitMargin) {
+    if (!isDone && now - m_stopAt < m_stopGrace - ExitMargin) {
         return;
     }
     m_stopTimer.stop();
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -181,3 +181,31 @@
     CHECK(it.lastLine("listener_closed")["stop_ms"] >= 2600);
     CHECK(it.lastLine("listener_closed")["accepted"] == 0);
 }
+
+// Guards against a process that ends under its open requests: settings that were changed during a stop shortened the time until the exit, and not the time at
+// which the requests get their final answers (LOST).
+TEST_CASE("a reload with a shorter grace doesn't end a planned stop under its open requests")
+{
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &exchange, int) {
+        QTimer::singleShot(3s, [exchange] {
+            exchange->respond(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}}, "done");
+        });
+    });
+    RawCaller caller(it.callerAddress);
+    caller.send(requestText("/slow/x", "body"));
+    REQUIRE(runUntil([&] {
+        return it.receivedRequests.size() == 1;
+    }));
+    bool isStopped = false;
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    GatewayOptions shorter;
+    shorter.stopGrace = 1s;
+    it.gateway->reload(shorter);
+    REQUIRE(runUntil([&] {
+        return isStopped;
+    }));
+    it.gateway.reset(); // the process is gone
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+}
