A planned stop keeps a connection whose answer began before it

What callers saw: a reset. The answer that had begun before SIGTERM told them that the connection is kept for 2 s; it was closed at once where nothing had arrived yet, and a request on its way met the close.

Cause: closed such connections at the answer's end, so that none would bring requests late in a stop. These are refused since.

Change: only what was announced is closed after an answer; the rest goes when the time is over that its caller was told.

--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -72,7 +72,8 @@
     /// Replaces the limits; each connection applies them from its next request on, a longer idle timeout at once.
     void setOptions(HttpServerOptions options);
     const HttpServerOptions &options() const;
-    /// From now on each response that begins carries "Connection: close", and the connection closes after it.
+    /// From now on each response that begins carries "Connection: close", and the connection closes after it. A connection whose response has begun already
+    /// serves one more request.
     void closeAfterAnswers();
     /// Closes the connections that have been without a request for `minIdle`, except where one has arrived unread.
     void closeIdleConnections(std::chrono::milliseconds minIdle = {});
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -276,8 +276,7 @@
 
 void ServerConnection::becomeIdle()
 {
-    // Where the response began before closeAfterAnswer(), its caller may have sent the next request already.
-    if (m_isCloseAnnounced || (m_closeAfterAnswer && isIdle())) {
+    if (m_isCloseAnnounced) {
         close("last response");
         return;
     }
