A planned stop gives each new connection a second for its first request

What callers saw: a reset on a connection that had just been accepted.

Cause: 250 ms from the accept, less than a packet takes that is lost once and sent again.

Change: one second, which callers give a connection, too.

Evidence: stopgrace_test, "a connection that is accepted last in a planned stop has a second for its first request", fails without the change (no answer) and passes with it.

--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds StopCheckInterval{50};
-constexpr milliseconds FirstRequestTime{250}; // from the accept of a connection until its first request has arrived, from another region too
+constexpr milliseconds FirstRequestTime{1000}; // from the accept of a connection until its first request has arrived, also where a packet is sent again
 constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer; more where the event loop runs late
 constexpr int MaxMarginShare = 6; // the margin is at most the grace divided by this
 constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -209,3 +209,18 @@
     it.gateway.reset(); // the process is gone
     CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
 }
+
+// Guards against a request that meets the close of its new connection: a planned stop allowed it less time than a lost packet takes (LOST).
+TEST_CASE("a connection that is accepted last in a planned stop has a second for its first request")
+{
+    GatewayFixture it([](const std::shared_ptr<net::Exchange> &, int) {
+    });
+    it.gateway->stop([] {
+    });
+    runFor(2550ms);
+    RawCaller caller(it.callerAddress);
+    runFor(600ms);
+    caller.send(requestText("/slow/x", "body"));
+    runFor(100ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 503"));
+}
