The end of a planned stop closes no connection on which a request may come

What callers saw: a reset in the last half second of a stop.

Cause: when the time for open requests was over, all idle connections were closed at once, those that had just been accepted and those whose callers had been told to use them included.

Change: they are closed by the same times as before that; what comes meanwhile is refused as not run. Before the exit the loop goes round once more, so that what has arrived is read.

Evidence: found by reading. latestop_test, "a connection that is accepted at the end of a planned stop has a moment for its request", fails without the change (no answer) and passes with it.

--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -53,12 +53,8 @@
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
     stopListening();
-    if (isOver) {
-        m_callerServer.closeIdleConnections();
-    } else {
-        m_callerServer.closeRestedConnections(FirstRequestTime);
-    }
-    if (isOver && !std::exchange(m_hasReadLast, true)) {
+    m_callerServer.closeRestedConnections(FirstRequestTime);
+    if (isOver && !std::exchange(m_hasReadAtEnd, true)) {
         m_stopTimer.start(milliseconds(0)); // sockets are read before timers: what has arrived while the loop was late is read first
         return;
     }
@@ -71,7 +67,12 @@
     if (!isDone && now - m_stopAt < m_stopGrace - ExitMargin) {
         return;
     }
+    if (!isDone && !std::exchange(m_hasReadAtExit, true)) {
+        m_stopTimer.start(milliseconds(0)); // the same for connections that were kept for a next request
+        return;
+    }
     m_stopTimer.stop();
+    m_callerServer.closeIdleConnections();
     m_relayLink.refuseUnreadRequests();
     flushAnswers();
     m_weightUpdater.finishStop([this] {
--- a/src/auburndrum/gateway/latestop_test.cpp
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -161,3 +161,23 @@
         5400ms)); // 100 ms before they end otherwise
     CHECK(answer.startsWith("HTTP/1.1 504"));
 }
+
+// Guards against requests that meet the close of their connection at the end of a planned stop: all that were idle then were closed at once, however new (LOST).
+TEST_CASE("a connection that is accepted at the end of a planned stop has a moment for its request")
+{
+    LateStop it(3s);
+    std::unique_ptr<RawCaller> caller;
+    it.stop([] {
+    });
+    it.block(2000ms, 2560ms, [&] { // the time for open requests ends meanwhile
+        caller = std::make_unique<RawCaller>(it.fixture.callerAddress);
+        QTimer::singleShot(40ms, Qt::PreciseTimer, [&] {
+            caller->send(requestText("/slow/x", "body"));
+        });
+    });
+    REQUIRE(runUntil([&] {
+        return it.isStopped;
+    }));
+    it.fixture.gateway.reset(); // the process is gone
+    CHECK(caller->readAll().startsWith("HTTP/1.1 503"));
+}
