A VM that earlier callers keep in a planned stop answers new ones, too

Cause: 2.6 s after SIGTERM the listener was closed, but the VM stayed for its streams, up to 7.5 s. With fewer than half of a zone's VMs ready the balancer also sends to those that aren't.

Change: the listener stays open while a connection from before that time is open, until a second before the stop's end. What is certain to end is taken, as before; the rest is refused as not run.

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -74,7 +74,7 @@
     std::string vmName;
     LoopWork work;
     std::set<ForwardedRequest *> openRequests; ///< those that were begun and have no final answer
-    std::optional<Instant> leavesRotationAt; ///< in a planned stop: from when on the balancer sends no new connections
+    std::optional<Instant> leavesRotationAt; ///< in a planned stop: from when on the balancer sends no new connections, unless too few VMs are ready
     std::optional<Instant> stopEndsAt; ///< in a planned stop: when each request must have its final answer
     decision::RouteDurations routeDurations;
     Wire wire;
--- a/include/auburndrum/net/httpserver.h
+++ b/include/auburndrum/net/httpserver.h
@@ -84,6 +84,8 @@
     /// Passes to the operating system what it takes of the answers without waiting.
     void flush();
     int connectionCount() const;
+    /// Whether a connection is open that was accepted before `time`.
+    bool hasConnectionFromBefore(std::chrono::steady_clock::time_point time) const;
     /// Number of requests passed to the handler whose response is not complete yet.
     int openExchanges() const;
     /// Whether every response is complete and the operating system has accepted its last byte.
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -48,11 +48,14 @@
 {
     const Instant now = monotonicNow();
     const bool isOver = now >= *m_state.stopEndsAt;
-    if (now - m_stopAt < BalancerLag && !isOver) {
+    if (now < *m_state.leavesRotationAt && !isOver) {
         return;
     }
-    // When too few entry VMs are ready, the balancer also uses those that aren't; a request accepted later could not complete in time.
-    stopListening();
+    // When too few entry VMs are ready, the balancer also uses those that aren't: while earlier callers keep this one, it answers new ones, too.
+    const bool isKept = m_callerServer.hasConnectionFromBefore(*m_state.leavesRotationAt);
+    if (!isKept || now >= *m_state.stopEndsAt - FirstRequestTime) {
+        stopListening();
+    }
     m_callerServer.closeRestedConnections(FirstRequestTime);
     if (isOver && !std::exchange(m_hasReadAtEnd, true)) {
         m_stopTimer.start(milliseconds(0)); // sockets are read before timers: what has arrived while the loop was late is read first
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -224,3 +224,47 @@
     runFor(100ms);
     CHECK(caller.readAll().startsWith("HTTP/1.1 503"));
 }
+
+// Guards against callers who find no VM at all while many stop at once: the balancer still sends them to a VM that waits for its last answers, and its port was
+// closed.
+TEST_CASE("while earlier requests keep a VM in a planned stop, it answers new callers, too")
+{
+    GatewayFixture it(
+        [](const std::shared_ptr<net::Exchange> &exchange, int attempt) {
+            QTimer::singleShot(attempt == 1 ? 4500ms : 10ms, [exchange] {
+                exchange->respond(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}}, "done");
+            });
+        },
+        true,
+        [](GatewayFixture &, GatewayOptions &options) {
+            options.stopGrace = 8s;
+        });
+    RawCaller first(it.callerAddress);
+    first.send(requestText("/slow/x", "body"));
+    REQUIRE(runUntil([&] {
+        return it.receivedRequests.size() == 1;
+    }));
+    bool isStopped = false;
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    runFor(3s);
+    RawCaller brief(it.callerAddress);
+    RawCaller tooLong(it.callerAddress);
+    REQUIRE(brief.isConnected());
+    REQUIRE(tooLong.isConnected());
+    brief.send(requestText("/once/x", "body", "request-2"));
+    tooLong.send(requestText("/slow/x", "body", "request-3"));
+    runFor(300ms);
+    CHECK(brief.readAll().startsWith("HTTP/1.1 200"));
+    CHECK(brief.hasEnded());
+    CHECK(tooLong.readAll().startsWith("HTTP/1.1 503"));
+    CHECK_FALSE(it.hasLogged("listener_closed"));
+    REQUIRE(runUntil([&] {
+        return isStopped;
+    }));
+    CHECK(it.hasLogged("listener_closed"));
+    CHECK(it.lastLine("listener_closed")["stop_ms"] < 5000); // nobody keeps it any longer
+    it.gateway.reset();
+    CHECK(first.readAll().startsWith("HTTP/1.1 200"));
+}
--- a/src/auburndrum/net/httpserver.cpp
+++ b/src/auburndrum/net/httpserver.cpp
@@ -241,6 +241,13 @@
     return static_cast<int>(d->connections.size());
 }
 
+bool HttpServer::hasConnectionFromBefore(std::chrono::steady_clock::time_point time) const
+{
+    return std::any_of(d->connections.begin(), d->connections.end(), [time](const auto &it) {
+        return it.second->acceptedAt() < time;
+    });
+}
+
 int HttpServer::openExchanges() const
 {
     int n = 0;
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -38,6 +38,10 @@
     void flush();
 
     bool isOpen() const;
+    std::chrono::steady_clock::time_point acceptedAt() const
+    {
+        return m_acceptedAt;
+    }
     int openExchanges() const
     {
         return m_exchange ? 1 : 0;
@@ -87,6 +91,7 @@
     QPointer<QTcpSocket> m_socket;
     const HttpServerOptions &m_options;
     const HttpServer::Handler &m_handler;
+    const std::chrono::steady_clock::time_point m_acceptedAt = std::chrono::steady_clock::now();
     QTimer m_timer;
     QByteArray m_input; ///< bytes read from the socket and not yet parsed
     QByteArray m_body; ///< part of the body that is parsed and not yet passed to the handler
