A request that is half read keeps the limits under which it began

What callers saw: a reset in the middle of a body, beside a change of the configuration that shortens the time for pauses; 413 or 431 for a request that was allowed when it began.

Cause: a connection read the limits in force at each step of a request, though setOptions() says that they apply from the next request on.

Change: the limits are taken when a request's first byte is read.

Evidence: found by reading. unansweredclose_test, "a request that is half read keeps the limits under which it began", fails without the change (reset) and passes with it.

--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -189,3 +189,29 @@
     runFor(500ms);
     CHECK(it.server.connectionCount() == 0);
 }
+
+// Guards against a caller whose body meets the close of its connection: a shorter time for pauses came into force between two parts, and its caller can't know it.
+TEST_CASE("a request that is half read keeps the limits under which it began")
+{
+    net::HttpServerOptions options;
+    options.idleTimeout = 2s;
+    options.bodyStreamingThreshold = 0;
+    net::HttpServer server(options, [](const std::shared_ptr<net::Exchange> &exchange) {
+        exchange->setOnBodyPart([exchange](const QByteArray & /*part*/, bool last) {
+            if (last) {
+                exchange->respond(200, {}, "done");
+            }
+        });
+    });
+    RawCaller caller(server.listenOn(AnyPort));
+    caller.send(Request.left(Request.size() - 2));
+    runFor(50ms);
+    options.idleTimeout = 100ms;
+    options.maxBodyBytes = 1;
+    server.setOptions(options);
+    caller.send(Request.mid(Request.size() - 2, 1));
+    runFor(400ms);
+    caller.send(Request.right(1));
+    runFor(50ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+}
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -126,7 +126,7 @@
 {
     m_paused = paused;
     if (m_isHandlerCalled) { // time in which nothing is read is not the caller's
-        paused ? m_timer.stop() : m_timer.start(m_options.idleTimeout);
+        paused ? m_timer.stop() : m_timer.start(m_limits.pauseTimeout);
     }
     if (!paused) {
         QMetaObject::invokeMethod(
@@ -173,8 +173,9 @@
         m_firstByteAt = std::chrono::steady_clock::now();
         m_unreadFor = sinceLastReceived(descriptor());
         m_isHeadAccepted = false;
+        m_limits = {m_options.maxHeaderBytes, m_options.maxBodyBytes, m_options.bodyTimeout, m_options.idleTimeout};
         m_timer.start(m_options.requestTimeout);
-        m_parser.emplace(m_options.maxHeaderBytes, m_options.maxBodyBytes, [this](const char *data, std::size_t size) {
+        m_parser.emplace(m_limits.maxHeaderBytes, m_limits.maxBodyBytes, [this](const char *data, std::size_t size) {
             m_body.append(data, static_cast<qsizetype>(size));
         });
     }
@@ -186,7 +187,7 @@
         reject(400, "The request is not well-formed HTTP.");
         return;
     }
-    if (error == RequestParser::Error::HeaderTooLarge || (!m_parser->hasHead() && m_input.size() > m_options.maxHeaderBytes)) {
+    if (error == RequestParser::Error::HeaderTooLarge || (!m_parser->hasHead() && m_input.size() > m_limits.maxHeaderBytes)) {
         reject(431, "The request header is larger than allowed.");
         return;
     }
@@ -208,15 +209,15 @@
     m_isHeadAccepted = true;
     const RequestHead &head = m_parser->head();
     m_keepsAlive = m_parser->keepsAlive();
-    if (head.bodyLength.value_or(0) > m_options.maxBodyBytes) {
+    if (head.bodyLength.value_or(0) > m_limits.maxBodyBytes) {
         reject(413, "The request body is larger than allowed.");
         return false;
     }
     if (headerValue(head.headers, "Expect").compare("100-continue", Qt::CaseInsensitive) == 0) {
         m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    if (m_options.bodyTimeout) {
-        m_timer.start(*m_options.bodyTimeout);
+    if (m_limits.bodyTimeout) {
+        m_timer.start(*m_limits.bodyTimeout);
     }
     return true;
 }
@@ -231,7 +232,7 @@
         startExchange(isDone);
         return;
     }
-    m_timer.start(m_options.idleTimeout);
+    m_timer.start(m_limits.pauseTimeout);
     const QByteArray part = std::exchange(m_body, {});
     const auto exchange = m_exchange; // empty when the response was completed before the whole body arrived
     if (isDone) {
@@ -259,7 +260,7 @@
     if (isComplete) {
         finishRequest();
     } else {
-        m_timer.start(m_options.idleTimeout);
+        m_timer.start(m_limits.pauseTimeout);
     }
     m_handler(exchange);
 }
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -88,6 +88,15 @@
     std::chrono::milliseconds idleTime() const;
     int descriptor() const;
 
+    /// The server's limits on one request, as they were when its first byte was read.
+    struct RequestLimits
+    {
+        qint64 maxHeaderBytes = 0;
+        qint64 maxBodyBytes = 0;
+        std::optional<std::chrono::milliseconds> bodyTimeout;
+        std::chrono::milliseconds pauseTimeout{0}; ///< between two parts of a streamed body
+    };
+
     QPointer<QTcpSocket> m_socket;
     const HttpServerOptions &m_options;
     const HttpServer::Handler &m_handler;
@@ -95,6 +104,7 @@
     QTimer m_timer;
     QByteArray m_input; ///< bytes read from the socket and not yet parsed
     QByteArray m_body; ///< part of the body that is parsed and not yet passed to the handler
+    RequestLimits m_limits; ///< of the request being read
     std::optional<RequestParser> m_parser; ///< parser of the request being read; not set between requests
     std::chrono::steady_clock::time_point m_firstByteAt;
     std::chrono::steady_clock::time_point m_idleSince; ///< when the connection was accepted, or the operating system took the last byte of its last response
