--- a/src/auburndrum/gateway/keptconnection_test.cpp
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -129,8 +129,8 @@
     }
 }
 
-// Guards against a request that is read and dropped, or meets the close of its connection, in a planned stop: the answer before it had begun before the stop, and
-// told that the connection is kept (LOST).
+// Guards against a request that is read and dropped, or meets the close of its connection, in a planned stop: the answer before it told that the connection is
+// kept (LOST).
 TEST_CASE("a connection whose answer began before a planned stop serves the next request, and that answer tells that the connection closes")
 {
     for (const bool sendsEarly : {true, false}) {
@@ -159,8 +159,7 @@
     }
 }
 
-// Guards against a planned stop that waits for callers who don't come back: a connection that is kept for a next request is closed once the time is over that its
-// last answer told.
+// Guards against a planned stop that closes a connection before the time that its caller was told, or waits longer for a caller who doesn't come back.
 TEST_CASE("a connection whose answer began before a planned stop is closed after the time that the answer told, and not before")
 {
     net::HttpServerOptions options;
--- a/src/auburndrum/gateway/latestop_test.cpp
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -162,7 +162,7 @@
     CHECK(answer.startsWith("HTTP/1.1 504"));
 }
 
-// Guards against requests that meet the close of their connection at the end of a planned stop: all that were idle then were closed at once, however new (LOST).
+// Guards against requests that meet the close of their connection at the end of a planned stop: all idle ones were closed at once, however new (LOST).
 TEST_CASE("a connection that is accepted at the end of a planned stop has a moment for its request")
 {
     LateStop it(3s);
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -164,7 +164,7 @@
     CHECK(caller.readAll().startsWith("HTTP/1.1 504"));
 }
 
-// Guards against resets that nobody can explain: the operating system drops a handshake that is half done when the listener closes, and no line told when that is.
+// Guards against resets that no line explains: the operating system drops a handshake that is half done when the listener closes.
 TEST_CASE("a planned stop logs when it accepts no more connections")
 {
     GatewayFixture it([](const std::shared_ptr<net::Exchange> &, int) {
--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -190,7 +190,7 @@
     CHECK(it.server.connectionCount() == 0);
 }
 
-// Guards against a caller whose body meets the close of its connection: a shorter time for pauses came into force between two parts, and its caller can't know it.
+// Guards against a body that meets the close of its connection: a shorter time for pauses came into force between two parts.
 TEST_CASE("a request that is half read keeps the limits under which it began")
 {
     net::HttpServerOptions options;
