A longer time for pauses holds for a body that is being read

What callers saw: a reset in the middle of a body that paused for less than the limit in force.

Change: the longer of the two.

Evidence: unansweredclose_test. The case on pauses fails with either time alone, that on heads fails with the limits in force; both pass now.

--- a/src/auburndrum/gateway/unansweredclose_test.cpp
+++ b/src/auburndrum/gateway/unansweredclose_test.cpp
@@ -190,28 +190,46 @@
     CHECK(it.server.connectionCount() == 0);
 }
 
-// Guards against a body that meets the close of its connection: a shorter time for pauses came into force between two parts.
-TEST_CASE("a request that is half read keeps the limits under which it began")
+// Guards against a body that meets the close of its connection: a shorter time for pauses came into force between two parts, or a longer one didn't.
+TEST_CASE("a streamed body may pause for the longer of the times that held when its request began and that hold now")
 {
-    net::HttpServerOptions options;
-    options.idleTimeout = 2s;
-    options.bodyStreamingThreshold = 0;
-    net::HttpServer server(options, [](const std::shared_ptr<net::Exchange> &exchange) {
-        exchange->setOnBodyPart([exchange](const QByteArray & /*part*/, bool last) {
-            if (last) {
-                exchange->respond(200, {}, "done");
-            }
+    for (const bool isShortened : {true, false}) {
+        CAPTURE(isShortened);
+        net::HttpServerOptions options;
+        options.idleTimeout = isShortened ? 2s : 300ms;
+        options.bodyStreamingThreshold = 0;
+        net::HttpServer server(options, [](const std::shared_ptr<net::Exchange> &exchange) {
+            exchange->setOnBodyPart([exchange](const QByteArray & /*part*/, bool last) {
+                if (last) {
+                    exchange->respond(200, {}, "done");
+                }
+            });
         });
-    });
-    RawCaller caller(server.listenOn(AnyPort));
-    caller.send(Request.left(Request.size() - 2));
+        RawCaller caller(server.listenOn(AnyPort));
+        caller.send(Request.left(Request.size() - 2));
+        runFor(50ms);
+        options.idleTimeout = isShortened ? 100ms : 2s;
+        server.setOptions(options);
+        caller.send(Request.mid(Request.size() - 2, 1));
+        runFor(600ms);
+        caller.send(Request.right(1));
+        runFor(50ms);
+        CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
+    }
+}
+
+// Guards against a request that is refused for good though it was allowed when its caller began to send it: smaller limits came into force meanwhile (DENIED).
+TEST_CASE("a request whose head is half read keeps the limits under which it began")
+{
+    net::HttpServerOptions options;
+    AnsweringServer it(options);
+    RawCaller caller(it.address);
+    caller.send(Request.left(20));
     runFor(50ms);
-    options.idleTimeout = 100ms;
+    options.maxHeaderBytes = 10;
     options.maxBodyBytes = 1;
-    server.setOptions(options);
-    caller.send(Request.mid(Request.size() - 2, 1));
-    runFor(400ms);
-    caller.send(Request.right(1));
+    it.server.setOptions(it.withReport(options));
+    caller.send(Request.mid(20));
     runFor(50ms);
     CHECK(caller.readAll().startsWith("HTTP/1.1 200"));
 }
--- a/src/auburndrum/net/serverconnection.cpp
+++ b/src/auburndrum/net/serverconnection.cpp
@@ -108,6 +108,11 @@
     return std::max(m_options.idleTimeout, announcedIdleTime());
 }
 
+std::chrono::milliseconds ServerConnection::pauseTimeout() const
+{
+    return std::max(m_limits.pauseTimeout, m_options.idleTimeout);
+}
+
 std::chrono::milliseconds ServerConnection::announcedIdleTime() const
 {
     return std::chrono::milliseconds(m_announcedIdle) * 5 / AnnouncedFifths;
@@ -126,7 +131,7 @@
 {
     m_paused = paused;
     if (m_isHandlerCalled) { // time in which nothing is read is not the caller's
-        paused ? m_timer.stop() : m_timer.start(m_limits.pauseTimeout);
+        paused ? m_timer.stop() : m_timer.start(pauseTimeout());
     }
     if (!paused) {
         QMetaObject::invokeMethod(
@@ -232,7 +237,7 @@
         startExchange(isDone);
         return;
     }
-    m_timer.start(m_limits.pauseTimeout);
+    m_timer.start(pauseTimeout());
     const QByteArray part = std::exchange(m_body, {});
     const auto exchange = m_exchange; // empty when the response was completed before the whole body arrived
     if (isDone) {
@@ -260,7 +265,7 @@
     if (isComplete) {
         finishRequest();
     } else {
-        m_timer.start(m_limits.pauseTimeout);
+        m_timer.start(pauseTimeout());
     }
     m_handler(exchange);
 }
--- a/src/auburndrum/net/serverconnection.h
+++ b/src/auburndrum/net/serverconnection.h
@@ -86,15 +86,17 @@
     void startIdleTime();
     /// The limit, or what goes with the time that the last response announced, if that is longer.
     std::chrono::milliseconds idleTime() const;
+    /// Between two parts of a streamed body: a longer time holds at once, a shorter one from the next request on.
+    std::chrono::milliseconds pauseTimeout() const;
     int descriptor() const;
 
-    /// The server's limits on one request, as they were when its first byte was read.
+    /// The server's limits on one request that hold beyond one step, as they were when the reading of it began.
     struct RequestLimits
     {
         qint64 maxHeaderBytes = 0;
         qint64 maxBodyBytes = 0;
         std::optional<std::chrono::milliseconds> bodyTimeout;
-        std::chrono::milliseconds pauseTimeout{0}; ///< between two parts of a streamed body
+        std::chrono::milliseconds pauseTimeout{0}; ///< between two parts of a streamed body; see pauseTimeout()
     };
 
     QPointer<QTcpSocket> m_socket;
