A planned stop passes its last answers on before the loop goes round once more

What callers saw: nothing where the loop is so late that a stop's end and its exit fall into one round, and late once more after it.

Change: the answers leave with the step that writes them. Passed-on requests of other VMs keep the listener open, too, as they keep the VM.

"a planned stop that lasts to its end accepts no more connections in the last second" fails without its condition. No case fails without the round before the exit: the fixture's VM resigns its lease then, and the loop goes round for that.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -128,7 +128,7 @@
     QTimer m_stopTimer;
     bool m_isStopping = false;
     bool m_hasReadAtEnd = false; ///< in a stop: the loop has gone round once more after the time for open requests was over
-    bool m_hasReadAtExit = false; ///< in a stop: the same before the exit
+    bool m_hasReadAtExit = false; ///< in a stop: the loop has gone round once more before the exit
     Instant m_stopAt{};
     std::chrono::milliseconds m_stopGrace{0}; ///< in a stop: the grace that the platform gave when it began
     std::function<void()> m_onStopped;
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -14,7 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds StopCheckInterval{50};
-constexpr milliseconds FirstRequestTime{1000}; // from the accept of a connection until its first request has arrived, also where a packet is sent again
+// From the accept of a connection until its first request has arrived, also where a packet is sent again. So long before its end a stop accepts no more.
+constexpr milliseconds FirstRequestTime{1000};
 constexpr milliseconds StopMargin{500}; // before the platform kills the process, when each request has its final answer; more where the event loop runs late
 constexpr int MaxMarginShare = 6; // the margin is at most the grace divided by this
 constexpr milliseconds ExitMargin{250}; // before that, when the process ends; the last answers leave between the two
@@ -51,9 +52,9 @@
     if (now < *m_state.leavesRotationAt && !isOver) {
         return;
     }
-    // When too few entry VMs are ready, the balancer also uses those that aren't: while earlier callers keep this one, it answers new ones, too.
-    const bool isKept = m_callerServer.hasConnectionFromBefore(*m_state.leavesRotationAt);
-    if (!isKept || now >= *m_state.stopEndsAt - FirstRequestTime) {
+    // When too few entry VMs are ready, the balancer also uses those that aren't: while earlier work keeps this one, it answers new callers, too.
+    const bool hasEarlierWork = m_callerServer.hasConnectionFromBefore(*m_state.leavesRotationAt) || !m_relayLink.isIdle();
+    if (!hasEarlierWork || now >= *m_state.stopEndsAt - FirstRequestTime) {
         stopListening();
     }
     m_callerServer.closeRestedConnections(FirstRequestTime);
@@ -65,13 +66,14 @@
         m_stopTimer.start(StopCheckInterval);
         m_callerServer.refuseUnreadRequests();
         endOpenRequests();
+        flushAnswers();
     }
     const bool isDone = m_callerServer.isIdle() && m_callerServer.connectionCount() == 0 && m_relayLink.isIdle();
     if (!isDone && now - m_stopAt < m_stopGrace - ExitMargin) {
         return;
     }
     if (!isDone && !std::exchange(m_hasReadAtExit, true)) {
-        m_stopTimer.start(milliseconds(0)); // the same for connections that were kept for a next request
+        m_stopTimer.start(milliseconds(0)); // what has arrived on connections that are still kept is read, and refused, first
         return;
     }
     m_stopTimer.stop();
--- a/src/auburndrum/gateway/keptconnection_test.cpp
+++ b/src/auburndrum/gateway/keptconnection_test.cpp
@@ -163,22 +163,23 @@
 TEST_CASE("a connection whose answer began before a planned stop is closed after the time that the answer told, and not before")
 {
     net::HttpServerOptions options;
-    options.idleTimeout = 1500ms;
+    options.idleTimeout = 2400ms; // longer than the time that goes with what is told
     StreamingServer it(options);
     RawCaller caller(it.address);
     REQUIRE(it.beginStream(caller).contains("\r\nKeep-Alive: timeout=1\r\n"));
     it.server.closeAfterAnswers();
     it.stream->finishStream();
-    runFor(1100ms);
+    runFor(1010ms);
     it.server.closeRestedConnections(250ms);
     runFor(20ms);
     CHECK(it.closes.empty());
-    runFor(200ms);
+    runFor(300ms);
     it.server.closeRestedConnections(250ms);
     runFor(20ms);
     caller.readAll();
     CHECK(caller.hasEnded());
     REQUIRE(it.closes.size() == 1);
+    CHECK(std::string(it.closes[0].reason) == "stop");
     CHECK(it.closes[0].idle > it.closes[0].announcedIdle);
 }
 
--- a/src/auburndrum/gateway/latestop_test.cpp
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -181,3 +181,23 @@
     it.fixture.gateway.reset(); // the process is gone
     CHECK(caller->readAll().startsWith("HTTP/1.1 503"));
 }
+
+// Guards against a request that has arrived and is reset by the exit: the loop was late, and the timer that ends the process ran before it was read (LOST).
+TEST_CASE("a request that arrives on a kept connection while the loop is late before the exit of a planned stop is refused")
+{
+    LateStop it(3s);
+    std::unique_ptr<RawCaller> caller;
+    QByteArray answer;
+    it.stop([&] {
+        answer = caller->readAll();
+    });
+    runFor(2200ms);
+    caller = std::make_unique<RawCaller>(it.fixture.callerAddress);
+    it.block(450ms, 650ms, [&] { // the time for open requests ends before, that of the exit meanwhile
+        caller->send(requestText("/slow/x", "body"));
+    });
+    REQUIRE(runUntil([&] {
+        return it.isStopped;
+    }));
+    CHECK(answer.startsWith("HTTP/1.1 503"));
+}
--- a/src/auburndrum/gateway/stopgrace_test.cpp
+++ b/src/auburndrum/gateway/stopgrace_test.cpp
@@ -110,8 +110,8 @@
     CHECK(it.receivedRequests.size() == served + 1); // a request that was refused has not run
 }
 
-// Guards against requests that are taken late in a planned stop since the latest of their route were short, and are cut at its end: no new caller comes then,
-// and another VM can serve the one that does (LOST).
+// Guards against requests that are taken late in a planned stop since the latest of their route were short, and are cut at its end, though another VM could
+// have served them (LOST).
 TEST_CASE("a request that comes once the balancer has taken the VM out is refused at once if its time is longer than the rest of the stop")
 {
     GatewayFixture it([](const std::shared_ptr<net::Exchange> &exchange, int attempt) {
@@ -219,7 +219,7 @@
     });
     runFor(2550ms);
     RawCaller caller(it.callerAddress);
-    runFor(600ms);
+    runFor(800ms);
     caller.send(requestText("/slow/x", "body"));
     runFor(100ms);
     CHECK(caller.readAll().startsWith("HTTP/1.1 503"));
@@ -268,3 +268,32 @@
     it.gateway.reset();
     CHECK(first.readAll().startsWith("HTTP/1.1 200"));
 }
+
+// Guards against connections that are accepted so late in a planned stop that it ends before their first request has arrived (LOST).
+TEST_CASE("a planned stop that lasts to its end accepts no more connections in the last second")
+{
+    GatewayFixture it(
+        [](const std::shared_ptr<net::Exchange> &, int) {
+        },
+        true,
+        [](GatewayFixture &, GatewayOptions &options) {
+            options.stopGrace = 5s;
+        });
+    RawCaller caller(it.callerAddress);
+    caller.send(requestText("/slow/x", "body"));
+    REQUIRE(runUntil([&] {
+        return it.receivedRequests.size() == 1;
+    }));
+    bool isStopped = false;
+    it.gateway->stop([&] {
+        isStopped = true;
+    });
+    REQUIRE(runUntil([&] {
+        return isStopped;
+    }));
+    const int closedAfter = it.lastLine("listener_closed")["stop_ms"];
+    CHECK(closedAfter >= 3500); // open requests end after 4.5 s
+    CHECK(closedAfter < 4500);
+    it.gateway.reset();
+    CHECK(caller.readAll().startsWith("HTTP/1.1 504"));
+}
