A VM that passes on a broken answer is no silent VM

Cause: a VM without a path left another VM alone for 2 s when a connection to it closed, also inside an answer whose head had arrived. Such a close is how the other VM passes on that its server broke a stream; it had answered, and was often the only way.

Change: only a VM that closed before its answer's head, or didn't answer in time, is left alone.

--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -124,7 +124,10 @@
 
 void ForwardedRequest::handleFailedVm(const net::HttpResult &result)
 {
-    m_state.peerRoutes.onSilent(m_attempt->vm, suspendAwareNow());
+    // A VM that closes the connection inside its answer was there to pass on the break of its server's.
+    if (!m_attempt->head || result.failure != net::HttpFailure::Closed) {
+        m_state.peerRoutes.onSilent(m_attempt->vm, suspendAwareNow());
+    }
     endAttempt(net::toText(result.failure));
     if (!result.sent) {
         tryNextServer();
--- a/src/auburndrum/gateway/lostpath_test.cpp
+++ b/src/auburndrum/gateway/lostpath_test.cpp
@@ -260,6 +260,34 @@
     CHECK(healthy.lastLine("request")["outcome"] == "caller_gone");
 }
 
+TEST_CASE("a VM that passed on a server's broken answer is asked for the next request at once")
+{
+    // Guards against callers refused for two seconds since one server, behind the only VM that has a path, broke off a stream (RECOVER).
+    DeadAddress dead(DeadAddress::Kind::Refusing);
+    SplitFleet fleet([](const std::shared_ptr<net::Exchange> &exchange, int) {
+        if (exchange->path() != "/brief/broken") {
+            respondOk(exchange, 0);
+            return;
+        }
+        exchange->startStream(200, {{"Id", exchange->header("Attempt")}, {"Seal", "s"}});
+        exchange->writeChunk("id: 1\ndata: a\n\n");
+        QTimer::singleShot(50ms, [exchange] {
+            exchange->abort();
+        });
+    });
+    GatewayFixture &healthy = fleet.addVm("healthy");
+    GatewayFixture &cut = fleet.addVm("cut", {dead.text()});
+    fleet.introduce();
+    SplitFleet::sendFor(cut, 500ms, {"/safe/"});
+    for (int n = 0; n < 3; ++n) {
+        CAPTURE(n);
+        const auto broken = cut.sendRequest("/brief/broken");
+        CHECK(broken.failure != net::HttpFailure::None);
+        CHECK(healthy.lastLine("request")["relayed_by"] == "cut");
+        CHECK(cut.sendRequest("/once/").head.status == 200);
+    }
+}
+
 TEST_CASE("a refusal of the VM that a request was passed on to reaches the caller with its time to return")
 {
     // Guards against a refusal that is taken for a lost request, and against one more send of a request that the servers refused.
