A VM without a path is avoided once for all requests that it had

Cause: each "no path" doubled the time for which a VM isn't asked again, 1 s to 8 s, also those for requests that it had been sent before the first of them. A VM that took itself to be cut off for some milliseconds was then avoided for seconds by VMs that really were.

Change: an answer that comes while the VM is avoided changes nothing.

Measured: peerroutes_test "a VM is avoided once for all requests that it had when it lacked a path" fails without the change (2 checks), all 4 cases pass with it, one run.

--- a/src/auburndrum/decision/traffic/peerroutes.cpp
+++ b/src/auburndrum/decision/traffic/peerroutes.cpp
@@ -93,6 +93,9 @@
 {
     Service &it = m_services[std::string(service)];
     Route &route = it.routes[std::string(vm)];
+    if (now < route.avoidedUntil) {
+        return; // sent before the answer that it is avoided for: it tells nothing further
+    }
     route.pause = std::clamp(route.pause * 2, m_options.noPathPause, m_options.maxNoPathPause);
     route.avoidedUntil = now + route.pause;
     route.servedAt.reset();
--- a/src/auburndrum/decision/traffic/peerroutes_test.cpp
+++ b/src/auburndrum/decision/traffic/peerroutes_test.cpp
@@ -126,6 +126,21 @@
     }
 }
 
+TEST_CASE("a VM is avoided once for all requests that it had when it lacked a path")
+{
+    // Guards against a wrong guess of some milliseconds that costs a cut-off VM its way for 8 s, since several requests learned of it at a time (RECOVER).
+    std::mt19937_64 random(1);
+    PeerRoutes routes(InZoneA);
+    for (int n = 0; n < 5; ++n) {
+        routes.onNoPath("service", "vm-0", Begin + n * 10ms);
+    }
+    CHECK_FALSE(routes.choose("service", vmsOf(1), {}, Begin + 990ms, random));
+    CHECK(routes.choose("service", vmsOf(1), {}, Begin + 1010ms, random));
+    routes.onNoPath("service", "vm-0", Begin + 1010ms); // asked anew: the pause doubles
+    CHECK_FALSE(routes.choose("service", vmsOf(1), {}, Begin + 2990ms, random));
+    CHECK(routes.choose("service", vmsOf(1), {}, Begin + 3020ms, random));
+}
+
 TEST_CASE("a VM that lacks a path to one service serves another, and a silent VM is left alone for a while")
 {
     PeerRoutes it(InZoneA);
