A VM that had no path for long is asked every 2 s

Cause: the time for which a VM without a path isn't asked again doubled up to 8 s. After some seconds in which no VM had a server, those that were cut off themselves noticed up to 8 s late that another had servers again.

Change: 2 s at most, as for the VM's own trials (serverpath.h). What is asked in vain in a large fleet is bounded by the eight failures in a row as before.

--- a/include/auburndrum/decision/traffic/peerroutes.h
+++ b/include/auburndrum/decision/traffic/peerroutes.h
@@ -21,7 +21,7 @@
     std::string zone; ///< zone of this entry VM
     std::map<std::string, std::string, std::less<>> regionOfZone;
     std::chrono::milliseconds noPathPause{1000}; ///< a VM without a path is not asked again for this time, which doubles each time that it has none
-    std::chrono::milliseconds maxNoPathPause{8000};
+    std::chrono::milliseconds maxNoPathPause{2000}; ///< with many VMs, failuresUntilPause bounds what is asked in vain
     std::chrono::milliseconds provenTime{2000}; ///< a VM that served a request this short a time ago is taken to have a path
     double unprovenCost = 1; ///< any other is asked when those that have one have so many more of this VM's requests in progress
     std::chrono::milliseconds silencePause{2000}; ///< a VM that did not answer is left alone this long
--- a/src/auburndrum/decision/traffic/peerroutes_test.cpp
+++ b/src/auburndrum/decision/traffic/peerroutes_test.cpp
@@ -141,6 +141,22 @@
     CHECK(routes.choose("service", vmsOf(1), {}, Begin + 3020ms, random));
 }
 
+TEST_CASE("the only VM that gets its path back is asked within 2 s, however long it had none")
+{
+    // Guards against a small fleet after an outage of all servers: VMs without a path asked the one that had servers again up to 8 s late (RECOVER).
+    std::mt19937_64 random(1);
+    PeerRoutes routes(InZoneA);
+    Instant lastAskedAt = Begin;
+    for (Instant now = Begin; now < Begin + 30s; now += 50ms) {
+        if (routes.choose("service", vmsOf(1), {}, now, random)) {
+            CHECK(now - lastAskedAt <= 2s);
+            lastAskedAt = now;
+            routes.onNoPath("service", "vm-0", now);
+        }
+    }
+    CHECK(Begin + 30s - lastAskedAt <= 2s);
+}
+
 TEST_CASE("a VM that lacks a path to one service serves another, and a silent VM is left alone for a while")
 {
     PeerRoutes it(InZoneA);
