--- a/src/auburndrum/decision/traffic/peerroutes_test.cpp
+++ b/src/auburndrum/decision/traffic/peerroutes_test.cpp
@@ -126,6 +126,37 @@
     }
 }
 
+TEST_CASE("a VM is avoided once for all requests that it had when it lacked a path")
+{
+    // Guards against a wrong guess of some milliseconds that costs a cut-off VM its way for 8 s, since several requests learned of it at a time (RECOVER).
+    std::mt19937_64 random(1);
+    PeerRoutes routes(InZoneA);
+    for (int n = 0; n < 5; ++n) {
+        routes.onNoPath("service", "vm-0", Begin + n * 10ms);
+    }
+    CHECK_FALSE(routes.choose("service", vmsOf(1), {}, Begin + 990ms, random));
+    CHECK(routes.choose("service", vmsOf(1), {}, Begin + 1010ms, random));
+    routes.onNoPath("service", "vm-0", Begin + 1010ms); // asked anew: the pause doubles
+    CHECK_FALSE(routes.choose("service", vmsOf(1), {}, Begin + 2990ms, random));
+    CHECK(routes.choose("service", vmsOf(1), {}, Begin + 3020ms, random));
+}
+
+TEST_CASE("the only VM that gets its path back is asked within 2 s, however long it had none")
+{
+    // Guards against a small fleet after an outage of all servers: VMs without a path asked the one that had servers again up to 8 s late (RECOVER).
+    std::mt19937_64 random(1);
+    PeerRoutes routes(InZoneA);
+    Instant lastAskedAt = Begin;
+    for (Instant now = Begin; now < Begin + 30s; now += 50ms) {
+        if (routes.choose("service", vmsOf(1), {}, now, random)) {
+            CHECK(now - lastAskedAt <= 2s);
+            lastAskedAt = now;
+            routes.onNoPath("service", "vm-0", now);
+        }
+    }
+    CHECK(Begin + 30s - lastAskedAt <= 2s);
+}
+
 TEST_CASE("a VM that lacks a path to one service serves another, and a silent VM is left alone for a while")
 {
     PeerRoutes it(InZoneA);
