A planned stop after a pause takes only what ends before the earliest kill

What callers saw: streams and requests that ended without an answer with the process, in a stop whose SIGTERM came while the process was paused.

Cause: a VM can't tell when in a pause its signal came, and counts the grace from the pause's end, less a sixth.

Change: what is taken, and for how long new connections are accepted, follows the end that the stop has if the signal came at the beginning of the longest delay that was measured lately. Open requests keep the later end.

latestop_test: "a planned stop after a pause of the process takes only what ends in time if the signal came when the pause began".

--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -75,6 +75,7 @@
     LoopWork work;
     std::set<ForwardedRequest *> openRequests; ///< those that were begun and have no final answer
     std::optional<Instant> leavesRotationAt; ///< in a planned stop: from when on the balancer sends no new connections, unless too few VMs are ready
+    std::optional<Instant> stopMayEndAt; ///< the same as stopEndsAt if the signal came as early as it may have, while the loop was late or the process paused
     std::optional<Instant> stopEndsAt; ///< in a planned stop: when each request must have its final answer
     decision::RouteDurations routeDurations;
     Wire wire;
--- a/src/auburndrum/gateway/forwardedadmission.cpp
+++ b/src/auburndrum/gateway/forwardedadmission.cpp
@@ -36,7 +36,7 @@
 
 bool ForwardedRequest::canEndBeforeStop() const
 {
-    if (!m_state.stopEndsAt) {
+    if (!m_state.stopMayEndAt) {
         return true;
     }
     if (timeLeft().count() <= 0) {
@@ -46,7 +46,7 @@
     // Of those that come later only the ones that are certain to end are taken: other VMs are better for the rest.
     const bool isOutOfRotation = m_state.leavesRotationAt && now >= *m_state.leavesRotationAt;
     const auto usual = isOutOfRotation ? std::nullopt : m_state.routeDurations.longest(m_route->name);
-    return now + std::min(usual.value_or(timeLeft()), timeLeft()) < *m_state.stopEndsAt;
+    return now + std::min(usual.value_or(timeLeft()), timeLeft()) < *m_state.stopMayEndAt;
 }
 
 void ForwardedRequest::endWithStop()
--- a/src/auburndrum/gateway/gatewaystop.cpp
+++ b/src/auburndrum/gateway/gatewaystop.cpp
@@ -32,9 +32,11 @@
     // A late event loop sees the signal late, and the grace counts from the signal. After a long pause of the process it may just have come.
     m_stopAt = std::max(lastOnTime(), monotonicNow() - m_stopGrace / MaxMarginShare);
     m_onStopped = std::move(onStopped);
-    const auto margin = std::max(StopMargin, std::min(StopMargin + m_lag.longest(monotonicNow()), m_stopGrace / MaxMarginShare));
+    const auto lag = m_lag.longest(monotonicNow());
+    const auto margin = std::max(StopMargin, std::min(StopMargin + lag, m_stopGrace / MaxMarginShare));
     m_state.leavesRotationAt = m_stopAt + BalancerLag;
     m_state.stopEndsAt = m_stopAt + m_stopGrace - margin;
+    m_state.stopMayEndAt = std::min(lastOnTime(), m_stopAt - lag) + m_stopGrace - margin;
     for (ForwardedRequest *it : m_state.openRequests) {
         it->endWithStop();
     }
@@ -54,7 +56,7 @@
     }
     // When too few entry VMs are ready, the balancer also uses those that aren't: while earlier work keeps this one, it answers new callers, too.
     const bool hasEarlierWork = m_callerServer.hasConnectionFromBefore(*m_state.leavesRotationAt) || !m_relayLink.isIdle();
-    if (!hasEarlierWork || now >= *m_state.stopEndsAt - FirstRequestTime) {
+    if (!hasEarlierWork || now >= *m_state.stopMayEndAt - FirstRequestTime) {
         stopListening();
     }
     m_callerServer.closeRestedConnections(FirstRequestTime);
--- a/src/auburndrum/gateway/latestop_test.cpp
+++ b/src/auburndrum/gateway/latestop_test.cpp
@@ -201,3 +201,24 @@
     }));
     CHECK(answer.startsWith("HTTP/1.1 503"));
 }
+
+// Guards against requests that are taken in a planned stop and killed with the process: its signal came during a pause, so that the kill comes earlier than the
+// stop's end (LOST).
+TEST_CASE("a planned stop after a pause of the process takes only what ends in time if the signal came when the pause began")
+{
+    LateStop it(6s);
+    RawCaller first(it.fixture.callerAddress);
+    it.sendRequest(first);
+    std::this_thread::sleep_for(2500ms);
+    runFor(300ms); // until the lag was measured
+    it.stop([] {
+    });
+    runFor(2300ms);
+    RawCaller caller(it.fixture.callerAddress);
+    runFor(400ms);
+    CHECK(it.fixture.hasLogged("listener_closed")); // the first request keeps the VM, but it may be killed within a second
+    caller.send(requestText("/once/x", "body"));
+    runFor(100ms);
+    CHECK(caller.readAll().startsWith("HTTP/1.1 503"));
+    CHECK(first.readAll().isEmpty());
+}
