--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -42,14 +42,29 @@
     std::optional<QByteArray> value; ///< nothing when the key was dropped
 };
 
+/// A read of a topic's records.
+struct RecordQuery
+{
+    std::string topic;
+    std::uint64_t from = 0; ///< first offset to read
+    std::chrono::milliseconds wait{0}; ///< for a record, where there is none yet
+};
+
 /// Records from some offset on.
 struct RecordBatch
 {
     std::vector<StoreRecord> records;
     std::uint64_t nextOffset = 0; ///< the first offset that was not read
+    std::optional<std::uint64_t> endOffset; ///< the topic's end at the time of the response; nothing where a relay read the topic to its end
     bool hasGap = false; ///< requested records were dropped; `nextOffset` is the first that is still there
     std::uint64_t era = 0; ///< rises each time that the store returns from an older copy, after which offsets are given out again; 0 when unknown
     std::chrono::milliseconds age{0}; ///< time since the store had no further records; 0 for a response from the store itself
+
+    /// Whether the response leaves out records that the store had.
+    bool isPartial() const
+    {
+        return endOffset.value_or(nextOffset) > nextOffset;
+    }
 };
 
 /// A page of the newest record of each key.
@@ -65,8 +80,8 @@
 struct RecordStore
 {
     std::function<void(const std::string &topic, const std::string &afterKey, std::function<void(StoreResult<NewestPage>)>)> readNewest;
-    /// Returns as soon as a record is there, or without records after `wait`.
-    std::function<void(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)>)> read;
+    /// Returns as soon as a record is there, or without records after the query's wait.
+    std::function<void(const RecordQuery &, std::function<void(StoreResult<RecordBatch>)>)> read;
     /// Optional. The calls that follow open new connections, as the idle ones may have gone silent.
     std::function<void()> closeIdleConnections;
     /// Appends one record; returns its offset.
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -134,7 +134,7 @@
 private:
     struct PendingRead
     {
-        std::uint64_t from = 0;
+        RecordQuery query;
         Instant deadline{}; ///< suspend-aware
         std::function<void(StoreResult<RecordBatch>)> done;
     };
@@ -142,8 +142,10 @@
     void registerSelf();
     void readDirectory(const std::string &afterKey);
     void handleDirectory(const StoreResult<NewestPage> &page);
-    void read(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done);
-    void readDirectly(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done);
+    void read(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done);
+    void readDirectly(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done);
+    /// As readDirectly(), for the rest of the time in which the read may wait.
+    void readDirectly(const PendingRead &read);
     void readPendingDirectly();
     /// Greatest age of records read through a relay.
     std::chrono::milliseconds maxRelayedAge() const;
--- a/src/auburndrum/gateway/changedelay_test.cpp
+++ b/src/auburndrum/gateway/changedelay_test.cpp
@@ -85,8 +85,8 @@
     // Guards against reads that are all sent twice, and more, to a store that is slow already.
     FakeStore fake;
     RecordStore slow = fake.hooks();
-    slow.read = [read = slow.read](const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, auto done) {
-        read(topic, from, wait, [done](const StoreResult<RecordBatch> &result) {
+    slow.read = [read = slow.read](const RecordQuery &query, auto done) {
+        read(query, [done](const StoreResult<RecordBatch> &result) {
             QTimer::singleShot(400ms, [done, result] {
                 done(result);
             });
--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -23,7 +23,7 @@
             done(page);
         });
     };
-    it.read = [this](const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, auto done) {
+    it.read = [this](const RecordQuery &query, auto done) {
         ++m_calls;
         if (m_error) {
             QTimer::singleShot(0, &m_context, [error = *m_error, done] {
@@ -33,19 +33,19 @@
         }
         const bool isLost = m_losesReads || m_readsToLose > 0;
         m_readsToLose = std::max(0, m_readsToLose - 1);
-        const auto pending = std::make_shared<PendingRead>(PendingRead{topic, from, done, isLost});
+        const auto pending = std::make_shared<PendingRead>(PendingRead{query.topic, query.from, done, isLost});
         m_pendingReads.push_back(pending);
-        QTimer::singleShot(wait, &m_context, [this, pending] {
+        QTimer::singleShot(query.wait, &m_context, [this, pending] {
             if (pending->done && !pending->isLost) {
                 std::exchange(pending->done, {})(batch(pending->topic, pending->from));
             }
         });
-        QTimer::singleShot(wait + m_callTimeout, &m_context, [pending] {
+        QTimer::singleShot(query.wait + m_callTimeout, &m_context, [pending] {
             if (pending->done) {
                 std::exchange(pending->done, {})(failure(StoreError::TimedOut));
             }
         });
-        QTimer::singleShot(0, &m_context, [this, topic] {
+        QTimer::singleShot(0, &m_context, [this, topic = query.topic] {
             completeReads(topic);
         });
     };
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -232,7 +232,7 @@
     m_lastReadAt = suspendAwareNow();
     // A read that follows a failed one doesn't wait, so its reader learns early that the store is back.
     beginRead(m_isStoreLost ? milliseconds(0) : currentWait(), [this](milliseconds wait) {
-        m_store.read(m_options.topic, m_nextOffset, wait, onFirstAnswer<RecordBatch>([this](const StoreResult<RecordBatch> &result) {
+        m_store.read({m_options.topic, m_nextOffset, wait}, onFirstAnswer<RecordBatch>([this](const StoreResult<RecordBatch> &result) {
                          handleBatch(result);
                      }));
     });
--- a/src/auburndrum/gateway/lateanswer_test.cpp
+++ b/src/auburndrum/gateway/lateanswer_test.cpp
@@ -26,7 +26,7 @@
             done(NewestPage{});
         });
     };
-    it.read = [&calls](const std::string &, std::uint64_t, std::chrono::milliseconds, auto done) {
+    it.read = [&calls](const RecordQuery &, auto done) {
         calls.push_back([done] {
             done(failure(StoreError::TimedOut));
         });
@@ -69,7 +69,7 @@
     link.emplace(options, logged.state, heldStore(calls), RelayLinkHooks{});
     const RecordStore store = link->relayedStore();
     link->start(); // registers
-    store.read("operator", 0, 1s, [&answers](const StoreResult<RecordBatch> &) {
+    store.read({"operator", 0, 1s}, [&answers](const StoreResult<RecordBatch> &) {
         ++answers;
     });
     store.readNewest("operator", {}, [&answers](const StoreResult<NewestPage> &) {
--- a/src/auburndrum/gateway/missedwakeup_test.cpp
+++ b/src/auburndrum/gateway/missedwakeup_test.cpp
@@ -17,9 +17,9 @@
 RecordStore withoutWakeups(const RecordStore &store)
 {
     RecordStore it = store;
-    it.read = [store](const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait, auto done) {
-        QTimer::singleShot(wait, [store, topic, from, done] {
-            store.read(topic, from, 0ms, done);
+    it.read = [store](const RecordQuery &query, auto done) {
+        QTimer::singleShot(query.wait, [store, query, done] {
+            store.read({query.topic, query.from}, done);
         });
     };
     return it;
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -148,20 +148,20 @@
                                done(page);
                            }));
     };
-    it.read = [this](const std::string &topic, std::uint64_t from, milliseconds wait, auto done) {
-        read(topic, from, wait, std::move(done));
+    it.read = [this](const RecordQuery &query, auto done) {
+        read(query, std::move(done));
     };
     return it;
 }
 
-void RelayLink::read(const std::string &topic, std::uint64_t from, milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done)
+void RelayLink::read(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done)
 {
-    if (m_relay.empty() || m_pendingReads.contains(topic)) {
-        readDirectly(topic, from, wait, std::move(done));
+    if (m_relay.empty() || m_pendingReads.contains(query.topic)) {
+        readDirectly(query, std::move(done));
         return;
     }
     // One poll earlier, so that the answer to the last poll comes by the end of the wait.
-    m_pendingReads[topic] = {from, suspendAwareNow() + std::max(wait - m_options.budget.pollInterval, milliseconds(0)), std::move(done)};
+    m_pendingReads[query.topic] = {query, suspendAwareNow() + std::max(query.wait - m_options.budget.pollInterval, milliseconds(0)), std::move(done)};
 }
 
 milliseconds RelayLink::longestRead() const
@@ -179,25 +179,34 @@
     m_options.budget = budget;
 }
 
-void RelayLink::readDirectly(const std::string &topic, std::uint64_t from, milliseconds wait, std::function<void(StoreResult<RecordBatch>)> done)
+void RelayLink::readDirectly(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done)
 {
-    milliseconds longest = needsRelay() ? std::min(wait, m_options.budget.relayReadTime) : wait;
-    if (m_failedTopics.contains(topic)) {
-        longest = milliseconds(0); // a lost read is noticed sooner, so its reader learns early that the store is back
+    RecordQuery direct = query;
+    if (needsRelay()) {
+        direct.wait = std::min(query.wait, m_options.budget.relayReadTime);
     }
-    m_store.read(
-        topic, from, longest, guarded(this, [this, topic, from, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
-            const LoopWork::Span span(m_state.work, LoopWork::Kind::StoreReads);
-            if (result) {
-                handleEra(result.value().era);
-                m_failedTopics.erase(topic);
-                m_topicCache.addBatch(topic, from, result.value(), m_pauses.earliestAnswerTime(sentAt));
-            } else {
-                m_failedTopics.insert(topic);
-                m_topicCache.recordFailure(topic, suspendAwareNow());
-            }
-            done(result);
-        }));
+    if (m_failedTopics.contains(query.topic)) {
+        direct.wait = milliseconds(0); // a lost read is noticed sooner, so its reader learns early that the store is back
+    }
+    m_store.read(direct, guarded(this, [this, query, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
+                     const LoopWork::Span span(m_state.work, LoopWork::Kind::StoreReads);
+                     if (result) {
+                         handleEra(result.value().era);
+                         m_failedTopics.erase(query.topic);
+                         m_topicCache.addBatch(query.topic, query.from, result.value(), m_pauses.earliestAnswerTime(sentAt));
+                     } else {
+                         m_failedTopics.insert(query.topic);
+                         m_topicCache.recordFailure(query.topic, suspendAwareNow());
+                     }
+                     done(result);
+                 }));
+}
+
+void RelayLink::readDirectly(const PendingRead &read)
+{
+    RecordQuery query = read.query;
+    query.wait = std::max(std::chrono::floor<milliseconds>(read.deadline - suspendAwareNow()), milliseconds(0));
+    readDirectly(query, read.done);
 }
 
 void RelayLink::handleEra(std::uint64_t era)
@@ -213,8 +222,7 @@
 {
     const auto pending = std::exchange(m_pendingReads, {});
     for (const auto &[topic, it] : pending) {
-        const auto timeLeft = std::chrono::floor<milliseconds>(it.deadline - suspendAwareNow());
-        readDirectly(topic, it.from, std::max(timeLeft, milliseconds(0)), it.done);
+        readDirectly(it);
     }
 }
 
@@ -288,7 +296,7 @@
     RelayRequest request;
     request.from = m_options.self;
     for (const auto &[topic, it] : m_pendingReads) {
-        request.topics[topic] = it.from;
+        request.topics[topic] = it.query.from;
     }
     if (std::exchange(m_needsSnapshot, false)) {
         m_relayLogName.clear();
@@ -349,8 +357,7 @@
         if (!isUsable) {
             // The relay has lost the store, or no longer caches records that old.
             isFresh = false;
-            const auto timeLeft = std::chrono::floor<milliseconds>(it.deadline - suspendAwareNow());
-            readDirectly(topic, it.from, std::max(timeLeft, milliseconds(0)), it.done);
+            readDirectly(it);
             continue;
         }
         RecordBatch batch = relayed->second;
--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -62,7 +62,7 @@
     /// Reads records one after another from the topic's start, as a feed does.
     void readContinuously(std::uint64_t from = 0)
     {
-        store.read(Topic, from, 200ms, [this, from](const StoreResult<RecordBatch> &result) {
+        store.read({Topic, from, 200ms}, [this, from](const StoreResult<RecordBatch> &result) {
             const std::uint64_t next = result ? result.value().nextOffset : from;
             for (const StoreRecord &it : result ? result.value().records : std::vector<StoreRecord>{}) {
                 values.push_back(*it.value);
@@ -218,19 +218,19 @@
     int reads = 0;
     // The reads begin at varying times relative to the polls.
     std::function<void()> readNext = [&] {
-        vm.store.read("servers", 0, 0ms, [&](const StoreResult<RecordBatch> &) {
+        vm.store.read({"servers"}, [&](const StoreResult<RecordBatch> &) {
             ++reads;
             QTimer::singleShot(std::chrono::milliseconds(9 + reads % 4), &vm.link, [&] {
                 readNext();
             });
         });
     };
-    fleet.vms[0]->store.read("servers", 0, 100ms, [](const StoreResult<RecordBatch> &) {
+    fleet.vms[0]->store.read({"servers", 0, 100ms}, [](const StoreResult<RecordBatch> &) {
     });
     runFor(150ms);
     readNext();
     const auto readAtRelay = [&] {
-        fleet.vms[0]->store.read("servers", 0, 0ms, [](const StoreResult<RecordBatch> &) {
+        fleet.vms[0]->store.read({"servers"}, [](const StoreResult<RecordBatch> &) {
         });
     };
     int relayReads = 1;
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -85,7 +85,7 @@
     m_isReading = true;
     m_lastReadAt = monotonicNow();
     // The first read returns what is there, the next ones wait for new records.
-    m_store.read(m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0), guarded([this](const StoreResult<RecordBatch> &result) {
+    m_store.read({m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0)}, guarded([this](const StoreResult<RecordBatch> &result) {
                      handleBatch(result);
                  }));
 }
