--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -82,7 +82,8 @@
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
     /// Serves a request that another entry VM passes on for one of its callers.
     void handleRelayedRequest(const std::shared_ptr<net::Exchange> &exchange);
-    void logOverdue(const std::string &topic, int repeats, std::chrono::milliseconds waited);
+    void logOverdue(const std::string &topic, int repeats, std::chrono::milliseconds waited, std::optional<std::chrono::milliseconds> sinceBytes);
+    void logBatch(const std::string &topic, const BatchReport &report);
     /// The longest time for which a change that a feed reports now may have been acknowledged; empty in its first snapshot.
     std::optional<std::chrono::milliseconds> observeChange(const std::string &topic, const KeyedFeed &feed);
     void applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value);
--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -20,6 +20,7 @@
     Counters &stateChanges; ///< changes of configuration, weights, servers and relay, by what changed
     Histograms &changeDelaySeconds; ///< by topic: the longest time for which a change may have been acknowledged when it was applied
     Counters &readsRepeated; ///< by topic: reads whose answers were overdue
+    Counters &recordsSuperseded; ///< by topic: records that were read together with a newer one of their key
     Counters &recordsSkipped; ///< by topic: records that can't be used
     Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
     Counters &unfinishedCloses; ///< by reason: connections that this VM closed while a request, or a part of one, lay on them unanswered
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -31,14 +31,27 @@
     std::chrono::milliseconds postOutageWindow{3000}; ///< removals within this time after an outage may be expired entries of live servers
 };
 
+/// One answer to a read of a topic's records.
+struct BatchReport
+{
+    std::uint64_t from = 0; ///< offset from which records were read
+    std::uint64_t next = 0; ///< the first offset that was not read
+    std::optional<std::uint64_t> end; ///< the topic's end; nothing where a relay read the topic to its end
+    std::size_t records = 0;
+    std::size_t superseded = 0; ///< records of a key that has a newer one in the same answer
+    std::chrono::milliseconds duration{0}; ///< from the read's begin until its answer
+};
+
 /// Hooks that a KeyedFeed calls.
 struct KeyedFeedHooks
 {
     /// Receives the newest value of a key; nothing when the key was dropped. `duringOutage`: the store was unavailable just before.
     std::function<void(const std::string &key, const std::optional<QByteArray> &value, bool duringOutage)> onChange;
     std::function<void()> onSynced; ///< everything that the store held at one moment has been reported
-    /// No answer came in time, and the read is repeated over a new connection; `repeats` counts those of this read.
-    std::function<void(int repeats, std::chrono::milliseconds waited)> onOverdue;
+    std::function<void(const BatchReport &)> onBatch; ///< an answer to a read of records, before its records are reported
+    /// No answer came in time, and the read is repeated over a new connection; `repeats` counts those of this read, `sinceBytes` the time since bytes
+    /// of an answer arrived last, nothing when none have since the read began.
+    std::function<void(int repeats, std::chrono::milliseconds waited, std::optional<std::chrono::milliseconds> sinceBytes)> onOverdue;
     std::function<void(StoreError)> onStoreLost; ///< the store doesn't respond
     std::function<void()> onStoreRegained;
     std::function<void(std::uint64_t era)> onNewEra; ///< the store returned from an older copy of its records
@@ -90,6 +103,9 @@
     std::function<void(StoreResult<T>)> onFirstAnswer(std::function<void(const StoreResult<T> &)> handle);
     /// Whether the result of an attempt of a read is to be handled: its first answer, or the failure of its last attempt.
     bool endRead(std::uint64_t read, int attempt, Instant sentAt, bool isAnswer);
+    /// Time since bytes of an answer to the present read arrived; nothing when none have.
+    std::optional<std::chrono::milliseconds> sinceBytes() const;
+    void reportBatch(const RecordBatch &batch) const;
     void recordLost(StoreError error);
     std::chrono::milliseconds currentWait() const;
     void readPage(const std::string &afterKey);
--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auburndrum/base/errors.h"
+#include "auburndrum/base/time.h"
 
 #include <QByteArray>
 
@@ -82,6 +83,8 @@
     std::function<void(const std::string &topic, const std::string &afterKey, std::function<void(StoreResult<NewestPage>)>)> readNewest;
     /// Returns as soon as a record is there, or without records after the query's wait.
     std::function<void(const RecordQuery &, std::function<void(StoreResult<RecordBatch>)>)> read;
+    /// Optional. When the last bytes of an answer to a read of the topic arrived, suspend-aware; nothing before the first ones.
+    std::function<std::optional<Instant>(const std::string &topic)> lastBytesAt;
     /// Optional. The calls that follow open new connections, as the idle ones may have gone silent.
     std::function<void()> closeIdleConnections;
     /// Appends one record; returns its offset.
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -1,5 +1,9 @@
+#include "auburndrum/base/jsonreader.h"
+#include "auburndrum/gateway/recordstore.h"
 #include "forwardedrequest.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 // How a request reaches the servers through another entry VM while this one has no path to them.
@@ -20,6 +24,15 @@
 }
 
 constexpr milliseconds SkewRetryDelay{500}; // until the other VM has the configuration that this one has
+constexpr int MaxReasonLength = 200; // characters of another VM's refusal, for the log
+
+std::string refusalReason(const QByteArray &body)
+{
+    const nlohmann::json object = parseJsonOrDiscard(toView(body));
+    const auto reason = object.is_object() ? object.find("error") : object.end();
+    const QString text = reason != object.end() && reason->is_string() ? QString::fromStdString(reason->get<std::string>()) : QString();
+    return text.left(MaxReasonLength).toStdString();
+}
 
 } // namespace
 
@@ -108,7 +121,10 @@
     if (!answer.server.empty()) {
         return false; // a backend server's own answer
     }
+    const std::string reason = refusalReason(m_attempt->body);
     endAttempt("refused");
+    m_record.attempts.back().refusalStatus = head.status;
+    m_record.attempts.back().refusal = reason;
     const bool hasRun = head.status >= 500 && head.status != 503;
     m_mayHaveRun = m_mayHaveRun || hasRun;
     bool isDelay = false;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -170,8 +170,11 @@
     hooks.onSynced = [this, topic] {
         m_state.log.write(LinePriority::Notable, "topic_synced", {{"topic", topic}, {"servers_known", m_state.servers.size()}});
     };
-    hooks.onOverdue = [this, topic](int repeats, milliseconds waited) {
-        logOverdue(topic, repeats, waited);
+    hooks.onBatch = [this, topic](const BatchReport &report) {
+        logBatch(topic, report);
+    };
+    hooks.onOverdue = [this, topic](int repeats, milliseconds waited, std::optional<milliseconds> sinceBytes) {
+        logOverdue(topic, repeats, waited, sinceBytes);
     };
     hooks.onStoreLost = [this, topic](StoreError error) {
         m_state.log.write(LinePriority::Notable, "dependency_lost", {{"dependency", "store"}, {"topic", topic}, {"error", toText(error)}});
@@ -185,14 +188,6 @@
     return hooks;
 }
 
-void Gateway::logOverdue(const std::string &topic, int repeats, milliseconds waited)
-{
-    m_state.metrics.readsRepeated.with({topic}).Increment();
-    m_state.log.write(LinePriority::Notable,
-                      "read_overdue",
-                      {{"topic", topic}, {"repeats", repeats}, {"waited_ms", waited.count()}, {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
-}
-
 bool Gateway::start()
 {
     const net::Address callers = m_callerServer.listenOn(m_options.callerAddress);
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -41,6 +41,9 @@
                                              .buckets = LatencyBuckets}))
     , readsRepeated(
           metrics.counters({.name = "auburndrum_gateway_reads_repeated_total", .help = "Reads of the store whose answers were overdue.", .labels = {"topic"}}))
+    , recordsSuperseded(metrics.counters({.name = "auburndrum_gateway_records_superseded_total",
+                                          .help = "Store records that were read together with a newer one of their key.",
+                                          .labels = {"topic"}}))
     , recordsSkipped(metrics.counters({.name = "auburndrum_gateway_records_skipped_total", .help = "Store records that can't be used.", .labels = {"topic"}}))
     , streamOrigins(metrics.counters({.name = "auburndrum_gateway_stream_origins_total",
                                       .help = "Streams that callers take up, by whether the software that began them is known.",
--- a/src/auburndrum/gateway/gatewayrecords.cpp
+++ b/src/auburndrum/gateway/gatewayrecords.cpp
@@ -21,6 +21,37 @@
     return delay;
 }
 
+void Gateway::logBatch(const std::string &topic, const BatchReport &report)
+{
+    m_state.metrics.recordsSuperseded.with({topic}).Increment(static_cast<double>(report.superseded));
+    const bool isPartial = report.end.value_or(report.next) > report.next;
+    if (report.superseded == 0 && !isPartial) {
+        return;
+    }
+    m_state.log.write(LinePriority::Notable,
+                      "read_behind",
+                      {{"topic", topic},
+                       {"from", report.from},
+                       {"next", report.next},
+                       {"end", report.end ? static_cast<std::int64_t>(*report.end) : -1},
+                       {"records", report.records},
+                       {"superseded", report.superseded},
+                       {"ms", report.duration.count()},
+                       {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
+}
+
+void Gateway::logOverdue(const std::string &topic, int repeats, milliseconds waited, std::optional<milliseconds> sinceBytes)
+{
+    m_state.metrics.readsRepeated.with({topic}).Increment();
+    m_state.log.write(LinePriority::Notable,
+                      "read_overdue",
+                      {{"topic", topic},
+                       {"repeats", repeats},
+                       {"waited_ms", waited.count()},
+                       {"bytes_ms", sinceBytes ? sinceBytes->count() : -1},
+                       {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
+}
+
 void Gateway::applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
 {
     const LoopWork::Span span(m_state.work, LoopWork::Kind::OperatorRecords);
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -82,7 +82,7 @@
 {
     ++m_attempt;
     if (m_hooks.onOverdue) {
-        m_hooks.onOverdue(m_attempt, std::chrono::floor<milliseconds>(suspendAwareNow() - m_readBeganAt));
+        m_hooks.onOverdue(m_attempt, std::chrono::floor<milliseconds>(suspendAwareNow() - m_readBeganAt), sinceBytes());
     }
     if (m_attempt == RepeatsUntilLost) {
         recordLost(StoreError::TimedOut);
@@ -93,6 +93,15 @@
     sendRead(milliseconds(0));
 }
 
+std::optional<milliseconds> KeyedFeed::sinceBytes() const
+{
+    const auto at = m_store.lastBytesAt ? m_store.lastBytesAt(m_options.topic) : std::nullopt;
+    if (!at || *at < m_readBeganAt) {
+        return std::nullopt;
+    }
+    return std::chrono::floor<milliseconds>(suspendAwareNow() - *at);
+}
+
 bool KeyedFeed::endRead(std::uint64_t read, int attempt, Instant sentAt, bool isAnswer)
 {
     if (read != m_read || (!isAnswer && attempt != m_attempt)) {
@@ -253,6 +262,7 @@
         start();
         return;
     }
+    reportBatch(result.value());
     m_previousCompleteAt = m_completeAt;
     m_completeAt = std::max(m_completeAt.value_or(m_answerGivenAt), m_answerGivenAt);
     for (const StoreRecord &it : result.value().records) {
@@ -262,6 +272,23 @@
     readNext();
 }
 
+void KeyedFeed::reportBatch(const RecordBatch &batch) const
+{
+    if (!m_hooks.onBatch) {
+        return;
+    }
+    std::set<std::string_view> keys;
+    for (const StoreRecord &it : batch.records) {
+        keys.insert(it.key);
+    }
+    m_hooks.onBatch({.from = m_nextOffset,
+                     .next = batch.nextOffset,
+                     .end = batch.endOffset,
+                     .records = batch.records.size(),
+                     .superseded = batch.records.size() - keys.size(),
+                     .duration = std::chrono::floor<milliseconds>(suspendAwareNow() - m_readBeganAt)});
+}
+
 void KeyedFeed::apply(const StoreRecord &record)
 {
     const auto [it, isNew] = m_offsets.try_emplace(record.key, record.offset);
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -44,6 +44,9 @@
     if (it.isPassedOn) {
         object["passed_on"] = true;
     }
+    if (it.refusalStatus != 0) {
+        object["refusal"] = {{"status", it.refusalStatus}, {"reason", it.refusal}};
+    }
     if (!it.keptDespite.empty()) {
         object["kept_despite"] = it.keptDespite;
     }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds sentAfter{0}; ///< from the request's first byte until it was sent
     std::int64_t unacknowledgedBytes = 0; ///< of the request, when its caller left
     std::uint32_t foreignAnswers = 0; ///< answers on its connection that were not the request's
+    int refusalStatus = 0; ///< of the entry VM that it was passed on to; 0 without one
+    std::string refusal; ///< the reason that this VM gave
     bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
     std::string keptDespite; ///< the silence after which it would have been moved if another server could have taken over; empty without one
 };
