--- /dev/null
+++ b/src/auburndrum/gateway/passedonstream_test.cpp
@@ -0,0 +1,170 @@
+#include "gatewayfixture.h"
+
+#include "auburndrum/gateway/relaymessages.h"
+#include "deadaddress.h"
+#include "eventloop.h"
+#include "rawserver.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace auburndrum;
+using namespace auburndrum::gateway;
+using namespace std::chrono_literals;
+
+// Guards against streams that are broken off with most of their time left: one other VM refused the rest, for a moment or since it had not heard which software
+// began the stream, and that counted as the end (LOST).
+
+namespace {
+
+const QByteArray Head = "HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n";
+const QByteArray Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+const QByteArray Refusal = "HTTP/1.1 503 Service Unavailable\r\nRelayed-Vm: other\r\nRetry-After: 0.2\r\nContent-Length: 16\r\n\r\n{\"error\":\"test\"}";
+
+QByteArray event(int n)
+{
+    return "id: " + QByteArray::number(n) + "\ndata: piece " + QByteArray::number(n) + "\n\n";
+}
+
+QByteArray chunk(const QByteArray &body)
+{
+    return QByteArray::number(body.size(), 16) + "\r\n" + body + "\r\n";
+}
+
+const QByteArray FirstEvents = event(1) + event(2);
+const QByteArray LastEvents = event(3) + event(4);
+
+/// A VM whose server ends inside a stream, while no other one can be reached, and the VMs that the rest is passed on to: the first requests are refused.
+struct LostPath
+{
+    LostPath(int vms, int refusals)
+        : others([this, refusals](QTcpSocket *socket, const QByteArray &request) {
+            if (!request.contains("Relayed-By: ")) { // news between VMs
+                socket->write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            passedOn.push_back(request);
+            const QByteArray fields = "Relayed-Server: a\r\nRelayed-Service: service\r\nRelayed-Software: v1\r\n";
+            const bool isRefused = static_cast<int>(passedOn.size()) <= refusals;
+            socket->write(isRefused ? Refusal : Head + fields + Chunked + chunk(LastEvents) + "0\r\n\r\n");
+        })
+        , gateway(
+              [](const std::shared_ptr<net::Exchange> &, int) {
+              },
+              true,
+              [&](GatewayFixture &it, GatewayOptions &options) {
+                  options.retries = {.ratio = 2, .window = 10s};
+                  options.entryTopic = "entries";
+                  options.peerAddress = {QHostAddress(QStringLiteral("127.0.0.1")), 0};
+                  for (int n = 0; n < vms; ++n) {
+                      const std::string name = "other-" + std::to_string(n);
+                      it.store.put("entries", name, QByteArray::fromStdString(toJson(decision::EntryVm{name, others.address().toStdString(), "zone", 10})));
+                  }
+                  server.emplace([this](QTcpSocket *socket, const QByteArray &) {
+                      socket->write(Head + Chunked + chunk(FirstEvents));
+                      QTimer::singleShot(100ms, &timer, [this] {
+                          breakOff();
+                      });
+                  });
+                  it.store.put("servers", "a", server->address() + " 0 v1");
+                  it.store.put("servers", "b", std::nullopt);
+              })
+    {
+        REQUIRE(runUntil([this] {
+            return gateway.hasLogged("entry_vms");
+        }));
+    }
+
+    void breakOff()
+    {
+        for (const char *it : {"b", "c", "d"}) {
+            gateway.store.put("servers", it, dead.text() + " 0 v1");
+        }
+        QTimer::singleShot(300ms, &timer, [this] { // once they are known
+            server.reset();
+        });
+    }
+
+    DeadAddress dead{DeadAddress::Kind::Refusing};
+    std::vector<QByteArray> passedOn;
+    QTimer timer;
+    std::optional<RawServer> server;
+    RawServer others;
+    GatewayFixture gateway;
+};
+
+void checkWhole(LostPath &it, std::size_t passedOn)
+{
+    it.gateway.extraHeaders = {{"Patience", "1000"}};
+    const auto result = it.gateway.sendRequest("/stream/");
+    CHECK(result.failure == net::HttpFailure::None);
+    CHECK(result.body == FirstEvents + LastEvents);
+    CHECK(it.passedOn.size() == passedOn);
+}
+
+} // namespace
+
+TEST_CASE("a stream that has begun goes on through another VM when the first one refuses it")
+{
+    LostPath it(2, 1);
+    checkWhole(it, 2);
+    const nlohmann::json attempts = it.gateway.lastLine("request")["attempts"];
+    CHECK(std::any_of(attempts.begin(), attempts.end(), [](const nlohmann::json &attempt) {
+        return attempt.value("refusal", nlohmann::json()) == nlohmann::json{{"status", 503}, {"reason", "test"}};
+    }));
+}
+
+TEST_CASE("a stream that has begun is passed on again after the time that the only other VM names")
+{
+    LostPath it(1, 1);
+    checkWhole(it, 2);
+}
+
+TEST_CASE("a stream that has begun ends when it is refused for longer than its time")
+{
+    LostPath it(1, 100);
+    const auto begin = monotonicNow();
+    const auto result = it.gateway.sendRequest("/stream/");
+    CHECK(result.failure != net::HttpFailure::None);
+    CHECK(monotonicNow() - begin < 1200ms);
+    CHECK(it.passedOn.size() <= 4);
+}
+
+TEST_CASE("a VM that passes a stream on tells which software began it")
+{
+    LostPath it(1, 0);
+    checkWhole(it, 1);
+    CHECK(it.passedOn.front().contains("Relayed-Service: service\r\n"));
+    CHECK(it.passedOn.front().contains("Relayed-Software: v1\r\n"));
+}
+
+TEST_CASE("a VM that is told which software began a stream goes on with it, though it hasn't heard of the stream")
+{
+    GatewayFixture it(
+        [](const std::shared_ptr<net::Exchange> &exchange, int) {
+            exchange->respond(200, {{"Id", "request-1"}, {"Seal", "s"}, {"Content-Type", "text/event-stream"}}, LastEvents);
+        },
+        true,
+        [](GatewayFixture &fixture, GatewayOptions &options) {
+            options.entryTopic = "entries";
+            options.peerAddress = {QHostAddress(QStringLiteral("127.0.0.1")), 0};
+            for (const std::size_t n : {0, 1}) {
+                fixture.store.put("servers", n == 0 ? "a" : "b", fixture.serverAddresses[n] + " 0 v" + QByteArray::number(static_cast<int>(n) + 1));
+            }
+        });
+    REQUIRE(runUntil([&it] {
+        return it.hasLogged("entry_vms");
+    }));
+    const auto vm = entryVmFrom(it.store.records("entries").front().value->toStdString());
+    REQUIRE(vm);
+    for (const char *software : {"v1", "v2"}) {
+        it.extraHeaders = {{"Last", "2"}, {"Resumes", "begun"}, {"Relayed-By", "other"}, {"Relayed-Service", "service"}, {"Relayed-Software", software}};
+        const auto result = it.sendRequestTo(*net::parseAddress(vm.value().address), "/stream/");
+        CHECK(result.head.status == 200);
+        CHECK(result.body == LastEvents);
+        const nlohmann::json attempts = it.lastLine("request")["attempts"];
+        REQUIRE_FALSE(attempts.empty());
+        CHECK(attempts.back()["software"] == software);
+    }
+}
