A VM that is behind reads the newest record of each key in place of the history

Cause: a VM read every superseded version, up to 1 MB an answer, and parsed and applied each by itself; a relay passed on all of them, and sent its readers to the store once they were more than an answer holds. On a small link a VM that was behind stayed so. Catching up cost more than it brought. Change: of a batch the newest usable record of each key alone is reported; an answer is bounded by a quarter of what the link carries in its time; where it leaves records out, or the superseded ones outweigh all present values, the newest of each key is read in their place. An unusable newest record sends the reader back to the history, since it may hide a usable one.

--- a/include/auburndrum/gateway/gateway.h
+++ b/include/auburndrum/gateway/gateway.h
@@ -86,9 +86,11 @@
     void logBatch(const std::string &topic, const BatchReport &report);
     /// The longest time for which a change that a feed reports now may have been acknowledged; empty in its first snapshot.
     std::optional<std::chrono::milliseconds> observeChange(const std::string &topic, const KeyedFeed &feed);
-    void applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value);
+    /// Returns whether the record can be used.
+    bool applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value);
     void applyConfiguration(decision::Configuration configuration);
-    void applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage);
+    /// Returns whether the record can be used.
+    bool applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage);
     void expireServers();
     /// Options of the server for callers, or for requests that other entry VMs pass on, as `peers` says in the log.
     net::HttpServerOptions serverOptions(const decision::CallerLimits &limits, const char *peers, int maxConnections);
@@ -96,7 +98,7 @@
     void measureLag();
     void skipRecord(const std::string &topic, const std::string &key, const std::string &problem);
     KeyedFeedOptions feedOptions(const std::string &topic);
-    KeyedFeedHooks feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
+    KeyedFeedHooks feedHooks(const std::string &topic, std::function<bool(const std::string &, const std::optional<QByteArray> &, bool)> onChange);
     bool isReady() const;
     void finishStop();
     /// Ends the accepting of callers' connections, with a log line.
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -20,11 +20,14 @@
     ReadBudget budget; ///< of the time in which a change must be in force
     /// Longest time for which a read may wait for records; empty: the budget's refresh interval.
     std::function<std::chrono::milliseconds()> longestRead;
+    /// Whether reads of records go through a relay; empty: none do.
+    std::function<bool()> hasRelay;
     /// Between two reads, so that records that arrive together are read in one call, since each call has a cost. Grows with the number of keys,
     /// since more of them change at once in a larger fleet. The next read waits the shorter for records, so the budget holds all the same.
     std::chrono::milliseconds readInterval{150};
     std::chrono::milliseconds intervalPerKey{5};
     std::chrono::milliseconds maxInterval{500};
+    double linkMegabits = 0; ///< bandwidth of this VM's network link, Mbit/s, which limits the size of an answer; 0 when unknown
     std::chrono::milliseconds minRetryDelay{50}; ///< before a failed call is repeated; doubles up to maxRetryDelay
     std::chrono::milliseconds maxRetryDelay{800}; ///< short against the limits for configurations and drains, which count from the store's recovery
     std::chrono::milliseconds outageThreshold{1500}; ///< time without a successful response after which the store counts as unavailable
@@ -39,14 +42,16 @@
     std::optional<std::uint64_t> end; ///< the topic's end; nothing where a relay read the topic to its end
     std::size_t records = 0;
     std::size_t superseded = 0; ///< records of a key that has a newer one in the same answer
+    std::size_t supersededBytes = 0; ///< size of their values
     std::chrono::milliseconds duration{0}; ///< from the read's begin until its answer
 };
 
 /// Hooks that a KeyedFeed calls.
 struct KeyedFeedHooks
 {
-    /// Receives the newest value of a key; nothing when the key was dropped. `duringOutage`: the store was unavailable just before.
-    std::function<void(const std::string &key, const std::optional<QByteArray> &value, bool duringOutage)> onChange;
+    /// Receives the newest value of a key; nothing when the key was dropped. `duringOutage`: the store was unavailable just before. Returns whether the
+    /// value can be used; when it can't, the newest one before it that can is reported, unless it was.
+    std::function<bool(const std::string &key, const std::optional<QByteArray> &value, bool duringOutage)> onChange;
     std::function<void()> onSynced; ///< everything that the store held at one moment has been reported
     std::function<void(const BatchReport &)> onBatch; ///< an answer to a read of records, before its records are reported
     /// No answer came in time, and the read is repeated over a new connection; `repeats` counts those of this read, `sinceBytes` the time since bytes
@@ -61,6 +66,7 @@
 ///
 /// Reads the newest record of each key once, then long-polls from there. When records expired before they were read, it starts over; also when the store
 /// returned from an older copy of its records. What such a copy still lists, though it was dropped since, is not reported before it is written again.
+/// Where the records since the last read are more than one answer holds, or mostly superseded ones, the newest of each key is read in their place.
 class KeyedFeed : public QObject
 {
     Q_OBJECT
@@ -105,9 +111,18 @@
     bool endRead(std::uint64_t read, int attempt, Instant sentAt, bool isAnswer);
     /// Time since bytes of an answer to the present read arrived; nothing when none have.
     std::optional<std::chrono::milliseconds> sinceBytes() const;
-    void reportBatch(const RecordBatch &batch) const;
+    BatchReport report(const RecordBatch &batch) const;
+    /// As if the records between the last read and the snapshot had been read; superseded ones count as the largest value.
+    BatchReport reportSnapshot() const;
     void recordLost(StoreError error);
     std::chrono::milliseconds currentWait() const;
+    /// Reads the newest record of each key in place of the records since the last read.
+    void catchUp();
+    /// Reads the newest records as the next read, as superseded ones are written all the time.
+    void scheduleCatchUp();
+    void readSnapshot();
+    /// Whether the newest record of each key is smaller than the superseded records of an answer.
+    bool isSnapshotSmaller(const BatchReport &report) const;
     void readPage(const std::string &afterKey);
     void handlePage(const StoreResult<NewestPage> &result);
     void finishSnapshot();
@@ -116,7 +131,12 @@
     void readNext();
     std::chrono::milliseconds currentReadInterval() const;
     void handleBatch(const StoreResult<RecordBatch> &result);
-    void apply(const StoreRecord &record);
+    /// The longest answer to a read, in bytes; 0: as long as the store gives.
+    std::size_t maxAnswerBytes() const;
+    /// Reports the newest usable record of each key. Returns whether each key has one.
+    bool applyNewest(const std::vector<StoreRecord> &records);
+    /// Reports a record that is newer than the key's last one. Returns whether it is usable, or was not reported.
+    bool apply(const StoreRecord &record);
     void recordAnswer(std::chrono::milliseconds age);
     void handleFailure(StoreError error);
     bool isAfterOutage() const;
@@ -135,10 +155,16 @@
     Instant m_lastReadAt{}; ///< when the last read began
     Instant m_sentAt{}; ///< when the call that was answered last, a read or a page of a snapshot, was sent
     std::map<std::string, std::uint64_t> m_offsets; ///< of the newest record reported for each key, dropped keys too
-    std::set<std::string> m_presentKeys; ///< keys that have a value
+    std::map<std::string, std::size_t> m_presentKeys; ///< keys that have a value, with its size
     std::set<std::string> m_snapshotKeys; ///< keys seen in the snapshot being read
     std::optional<std::uint64_t> m_snapshotEnd; ///< end of the topic when the snapshot began
     Instant m_snapshotAt{}; ///< when the snapshot began
+    bool m_isCatchingUp = false; ///< the snapshot being read, or the next read, stands for the records since the last read
+    std::size_t m_snapshotNews = 0; ///< records of the snapshot being read that are newer than the last read
+    bool m_hasUnusable = false; ///< the snapshot being read has an unusable record newer than the last read
+    bool m_isNextTooLarge = false; ///< the next record is larger than an answer may be
+    bool m_isRelayedHistory = false; ///< the records up to m_historyEnd were reported as far as a relay has them
+    std::optional<std::uint64_t> m_historyEnd; ///< superseded records are read too up to here, for usable ones before unusable ones
     std::set<std::string> m_droppedBeforeEra; ///< keys dropped before the store returned from a copy, while the snapshot after that is read
     std::uint64_t m_era = 0; ///< of the last response; 0 when unknown
     std::uint64_t m_nextOffset = 0;
--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -49,6 +49,8 @@
     std::string topic;
     std::uint64_t from = 0; ///< first offset to read
     std::chrono::milliseconds wait{0}; ///< for a record, where there is none yet
+    std::size_t maxBytes = 0; ///< of the answer, at least one record where there is one; 0: as many as the store gives
+    bool everyRecord = false; ///< superseded ones too, which only the store itself has
 };
 
 /// Records from some offset on.
@@ -58,6 +60,7 @@
     std::uint64_t nextOffset = 0; ///< the first offset that was not read
     std::optional<std::uint64_t> endOffset; ///< the topic's end at the time of the response; nothing where a relay read the topic to its end
     bool hasGap = false; ///< requested records were dropped; `nextOffset` is the first that is still there
+    bool isCompacted = false; ///< of each key only the newest record, from a relay
     std::uint64_t era = 0; ///< rises each time that the store returns from an older copy, after which offsets are given out again; 0 when unknown
     std::chrono::milliseconds age{0}; ///< time since the store had no further records; 0 for a response from the store itself
 
--- a/include/auburndrum/gateway/relaylink.h
+++ b/include/auburndrum/gateway/relaylink.h
@@ -75,6 +75,11 @@
     void setBudget(const ReadBudget &budget);
     /// Applies the number of readers that each prompt store of the configuration in force allows.
     void configure();
+    /// Whether reads of records are sent to a relay first.
+    bool hasRelay() const
+    {
+        return !m_relay.empty();
+    }
     /// Whether records come from a relay that reads them from the store itself.
     bool isRelayed() const;
     /// @{ For other calls between entry VMs: the client, the methods that this VM serves, and the VMs known.
@@ -139,9 +144,19 @@
         std::function<void(StoreResult<RecordBatch>)> done;
     };
 
+    /// Pages of a snapshot that is being read.
+    struct PendingSnapshot
+    {
+        NewestPage pages; ///< the end offset and the era are the first page's
+        Instant answeredAt{}; ///< the earliest time at which the first page may have been given, suspend-aware
+    };
+
     void registerSelf();
     void readDirectory(const std::string &afterKey);
     void handleDirectory(const StoreResult<NewestPage> &page);
+    void readNewest(const std::string &topic, const std::string &afterKey, std::function<void(StoreResult<NewestPage>)> done);
+    /// Collects the pages of a topic's snapshot for the VMs that poll this one.
+    void addPage(const std::string &topic, const std::string &afterKey, const NewestPage &page, Instant answeredAt);
     void read(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done);
     void readDirectly(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done);
     /// As readDirectly(), for the rest of the time in which the read may wait.
@@ -177,6 +192,7 @@
     QTimer m_pollTimer;
     PauseDetector m_pauses;
     std::map<std::string, PendingRead> m_pendingReads; ///< by topic
+    std::map<std::string, PendingSnapshot> m_snapshots; ///< by topic
     std::set<std::string> m_failedTopics; ///< topics whose last direct read failed
     std::string m_relay; ///< name of the relay in use; empty while this VM reads directly
     std::uint64_t m_era = 0; ///< of the store, as the last response told it; 0 when unknown
--- a/include/auburndrum/gateway/topiccache.h
+++ b/include/auburndrum/gateway/topiccache.h
@@ -5,11 +5,12 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace auburndrum::gateway {
 
@@ -29,7 +30,7 @@
     std::chrono::milliseconds settleTime{5000};
 };
 
-/// @brief Caches the newest records that this entry VM read from the store, for the VMs that poll it. Not thread-safe.
+/// @brief Caches the newest record of each key that this entry VM read from the store, for the VMs that poll it. Not thread-safe.
 class TopicCache
 {
 public:
@@ -37,7 +38,9 @@
 
     /// Adds the records that the store returned at `now` for a read from offset `from`.
     void addBatch(const std::string &topic, std::uint64_t from, const RecordBatch &batch, Instant now);
-    /// Records from offset `from` on, with their age; nothing when they are not all cached or too large for one response.
+    /// Adds the newest record of each key, as the store returned it in pages from `now` on. `end`: of the topic, as the first page told it.
+    void addSnapshot(const std::string &topic, std::uint64_t end, std::uint64_t era, const std::vector<StoreRecord> &records, Instant now);
+    /// The newest record of each key that has one from offset `from` on, with their age; nothing when they are not all cached or too large for one response.
     std::optional<RecordBatch> readFrom(const std::string &topic, std::uint64_t from, Instant now) const;
     /// A read of the topic failed at `now`.
     void recordFailure(const std::string &topic, Instant now);
@@ -50,10 +53,15 @@
         Instant at{};
     };
 
+    using Records = std::multimap<std::uint64_t, StoreRecord>; ///< by offset
+
     struct Topic
     {
-        std::deque<StoreRecord> records;
-        std::uint64_t firstOffset = 0; ///< all records that are still in the topic from this offset on are in `records`
+        Records records;
+        std::map<std::string, Records::iterator, std::less<>> newest; ///< by key; each of `records` is here
+        /// Keys that have a value; nothing until a snapshot told all of them.
+        std::optional<std::set<std::string>> presentKeys;
+        std::uint64_t firstOffset = 0; ///< the newest record of each key that has one from this offset on is in `records`
         std::uint64_t nextOffset = 0;
         std::uint64_t era = 0;
         std::size_t bytes = 0;
@@ -65,6 +73,11 @@
     /// Whether a record says nothing new. Remembers what it says.
     bool isHeartbeat(const std::string &name, Topic &topic, const StoreRecord &record, Instant now) const;
     void evictOldest(Topic &topic) const;
+    /// Puts a record in place of the key's last one.
+    void put(const std::string &name, Topic &topic, const StoreRecord &record, Instant now) const;
+    /// Puts the records of a snapshot that are newer than the last read.
+    void addMissed(const std::string &name, Topic &topic, std::uint64_t end, const std::vector<StoreRecord> &records, Instant now) const;
+    static void drop(Topic &topic, Records::iterator record);
 
     TopicCacheOptions m_options;
     std::map<std::string, Topic> m_topics;
--- a/src/auburndrum/gateway/changedelay_test.cpp
+++ b/src/auburndrum/gateway/changedelay_test.cpp
@@ -30,6 +30,7 @@
         : store(hooks)
         , feed({.topic = Topic}, store, {.onChange = [this](const std::string & /*key*/, const std::optional<QByteArray> & /*value*/, bool /*duringOutage*/) {
                    ++changes;
+                   return true;
                }})
     {
         feed.start();
--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -33,11 +33,11 @@
         }
         const bool isLost = m_losesReads || m_readsToLose > 0;
         m_readsToLose = std::max(0, m_readsToLose - 1);
-        const auto pending = std::make_shared<PendingRead>(PendingRead{query.topic, query.from, done, isLost});
+        const auto pending = std::make_shared<PendingRead>(PendingRead{query, done, isLost});
         m_pendingReads.push_back(pending);
         QTimer::singleShot(query.wait, &m_context, [this, pending] {
             if (pending->done && !pending->isLost) {
-                std::exchange(pending->done, {})(batch(pending->topic, pending->from));
+                std::exchange(pending->done, {})(batch(pending->query));
             }
         });
         QTimer::singleShot(query.wait + m_callTimeout, &m_context, [pending] {
@@ -132,19 +132,29 @@
     }
 }
 
-RecordBatch FakeStore::batch(const std::string &topic, std::uint64_t from)
+RecordBatch FakeStore::batch(const RecordQuery &query)
 {
-    const Topic &it = m_topics[topic];
+    const Topic &it = m_topics[query.topic];
     RecordBatch batch;
     batch.era = m_era;
-    batch.hasGap = from < it.firstOffset || from > it.endOffset;
+    batch.endOffset = it.endOffset;
+    batch.hasGap = query.from < it.firstOffset || query.from > it.endOffset;
     batch.nextOffset = batch.hasGap ? it.firstOffset : it.endOffset;
     if (batch.hasGap) {
         return batch;
     }
-    std::copy_if(it.records.begin(), it.records.end(), std::back_inserter(batch.records), [from](const StoreRecord &record) {
-        return record.offset >= from;
-    });
+    std::size_t bytes = 0;
+    for (const StoreRecord &record : it.records) {
+        if (record.offset < query.from) {
+            continue;
+        }
+        bytes += record.value ? static_cast<std::size_t>(record.value->size()) : 0;
+        if (query.maxBytes > 0 && bytes > query.maxBytes && !batch.records.empty()) {
+            batch.nextOffset = record.offset;
+            break;
+        }
+        batch.records.push_back(record);
+    }
     return batch;
 }
 
@@ -152,12 +162,12 @@
 {
     const auto pending = m_pendingReads;
     for (const auto &it : pending) {
-        const bool hasNewRecords = it->from != m_topics[topic].endOffset;
-        if (it->topic != topic || !it->done || it->isLost || !hasNewRecords) {
+        const bool hasNewRecords = it->query.from != m_topics[topic].endOffset;
+        if (it->query.topic != topic || !it->done || it->isLost || !hasNewRecords) {
             continue;
         }
         const auto done = std::exchange(it->done, {});
-        const RecordBatch newRecords = batch(topic, it->from);
+        const RecordBatch newRecords = batch(it->query);
         QTimer::singleShot(0, &m_context, [done, newRecords] {
             done(newRecords);
         });
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -69,13 +69,12 @@
 
     struct PendingRead
     {
-        std::string topic;
-        std::uint64_t from = 0;
+        RecordQuery query;
         std::function<void(StoreResult<RecordBatch>)> done;
         bool isLost = false; ///< never answered
     };
 
-    RecordBatch batch(const std::string &topic, std::uint64_t from);
+    RecordBatch batch(const RecordQuery &query);
     void completeReads(const std::string &topic);
 
     std::map<std::string, Topic> m_topics;
--- a/src/auburndrum/gateway/gateway.cpp
+++ b/src/auburndrum/gateway/gateway.cpp
@@ -99,13 +99,13 @@
                      m_store,
                      feedHooks(m_options.operatorTopic,
                                [this](const std::string &key, const std::optional<QByteArray> &value, bool /*duringOutage*/) {
-                                   applyOperatorRecord(key, value);
+                                   return applyOperatorRecord(key, value);
                                }))
     , m_backendFeed(feedOptions(m_options.backendTopic),
                     m_store,
                     feedHooks(m_options.backendTopic,
                               [this](const std::string &key, const std::optional<QByteArray> &value, bool duringOutage) {
-                                  applyBackendRecord(key, value, duringOutage);
+                                  return applyBackendRecord(key, value, duringOutage);
                               }))
     , m_weightUpdater({.vm = m_options.vm,
                        .orderInterval = m_options.orderInterval,
@@ -157,13 +157,17 @@
     KeyedFeedOptions it;
     it.topic = topic;
     it.budget = ReadBudget::of(m_options.changeTime);
+    it.linkMegabits = m_options.linkMegabits;
+    it.hasRelay = [this] {
+        return m_relayLink.hasRelay();
+    };
     it.longestRead = [this] {
         return m_relayLink.longestRead();
     };
     return it;
 }
 
-KeyedFeedHooks Gateway::feedHooks(const std::string &topic, std::function<void(const std::string &, const std::optional<QByteArray> &, bool)> onChange)
+KeyedFeedHooks Gateway::feedHooks(const std::string &topic, std::function<bool(const std::string &, const std::optional<QByteArray> &, bool)> onChange)
 {
     KeyedFeedHooks hooks;
     hooks.onChange = std::move(onChange);
--- a/src/auburndrum/gateway/gatewayrecords.cpp
+++ b/src/auburndrum/gateway/gatewayrecords.cpp
@@ -52,41 +52,42 @@
                        {"through", m_relayLink.isRelayed() ? "relay" : "store"}});
 }
 
-void Gateway::applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
+bool Gateway::applyOperatorRecord(const std::string &key, const std::optional<QByteArray> &value)
 {
     const LoopWork::Span span(m_state.work, LoopWork::Kind::OperatorRecords);
     if (!value) {
-        return;
+        return true;
     }
     std::string problem;
     if (m_readers.isConfiguration(key)) {
         auto configuration = m_readers.readConfiguration(toView(*value), problem);
         if (!configuration) {
             skipRecord(m_options.operatorTopic, key, problem);
-            return;
+            return false;
         }
         applyConfiguration(std::move(*configuration));
-        return;
+        return true;
     }
     if (!m_readers.isWeights(key)) {
-        return;
+        return true;
     }
     const auto weights = m_readers.readWeights(toView(*value), problem);
     if (!weights) {
         skipRecord(m_options.operatorTopic, key, problem);
-        return;
+        return false;
     }
     const auto readBefore = m_operatorFeed.previousReadAt();
     // Weights that were named before the start may have been named at any time: their limit then passes when this VM has settled.
     const Instant countsFrom = readBefore.value_or(suspendAwareNow() - (m_options.outdatedWeightsLimit - m_options.startSettleTime));
     if (!m_state.weights[weights->first].addVersion(weights->second, countsFrom, !readBefore)) {
-        return;
+        return true;
     }
     m_state.metrics.stateChanges.with({"weights"}).Increment();
     m_state.log.write(LinePriority::Notable, "weights_named", {{"model", weights->first}, {"version", weights->second}});
+    return true;
 }
 
-void Gateway::applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage)
+bool Gateway::applyBackendRecord(const std::string &id, const std::optional<QByteArray> &value, bool duringOutage)
 {
     const LoopWork::Span span(m_state.work, LoopWork::Kind::ServerRecords);
     const Instant now = monotonicNow();
@@ -98,12 +99,12 @@
         const auto server = m_readers.readBackendServer(id, toView(*value), problem);
         if (!server) {
             skipRecord(m_options.backendTopic, id, problem);
-            return;
+            return false;
         }
         change = m_state.servers.put(*server, now);
     }
     if (change == decision::BackendChange::None) {
-        return;
+        return true;
     }
     if (change == decision::BackendChange::Removed || change == decision::BackendChange::Restarted) {
         m_state.chooser.forget(id);
@@ -121,6 +122,7 @@
                        {"software", entry == nullptr ? "" : entry->server.softwareVersion},
                        {"delay_ms", delay ? delay->count() : -1},
                        {"during_outage", duringOutage}});
+    return true;
 }
 
 void Gateway::skipRecord(const std::string &topic, const std::string &key, const std::string &problem)
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -47,18 +47,43 @@
     m_overdueTimer.setTimerType(Qt::PreciseTimer); // a coarse timer is off by up to 5%
     connect(&m_overdueTimer, &QTimer::timeout, this, &KeyedFeed::repeatRead);
     connect(&m_readTimer, &QTimer::timeout, this, [this] {
-        if (m_isSynced) {
-            readNext();
-        } else {
+        if (!m_isSynced) {
             start();
+        } else if (m_isCatchingUp) {
+            catchUp();
+        } else {
+            readNext();
         }
     });
 }
 
 void KeyedFeed::start()
+{
+    m_isCatchingUp = false;
+    m_historyEnd.reset();
+    readSnapshot();
+}
+
+void KeyedFeed::catchUp()
+{
+    m_isCatchingUp = true;
+    m_lastReadAt = suspendAwareNow();
+    readSnapshot();
+}
+
+void KeyedFeed::scheduleCatchUp()
+{
+    const bool hasRelay = m_options.hasRelay && m_options.hasRelay();
+    m_isCatchingUp = !hasRelay; // a relay passes on the newest records alone
+    m_readTimer.start(std::max(currentReadInterval(), m_options.budget.pollInterval));
+}
+
+void KeyedFeed::readSnapshot()
 {
     m_snapshotEnd.reset();
     m_snapshotKeys.clear();
+    m_snapshotNews = 0;
+    m_hasUnusable = false;
     readPage({});
 }
 
@@ -160,8 +185,10 @@
     }
     for (const StoreRecord &it : page.records) {
         m_snapshotKeys.insert(it.key);
-        if (!m_droppedBeforeEra.contains(it.key)) {
-            apply(it);
+        const bool isNew = it.offset >= m_nextOffset;
+        m_snapshotNews += isNew ? 1 : 0;
+        if (!m_droppedBeforeEra.contains(it.key) && !apply(it)) {
+            m_hasUnusable = m_hasUnusable || isNew;
         }
     }
     if (page.hasMore && !page.records.empty()) {
@@ -173,20 +200,37 @@
 
 void KeyedFeed::finishSnapshot()
 {
+    const bool isCatchingUp = std::exchange(m_isCatchingUp, false);
+    if (isCatchingUp && m_hasUnusable) {
+        m_historyEnd = m_snapshotEnd; // a usable record before the unusable one is there only
+        m_isRelayedHistory = false;
+        readNext();
+        return;
+    }
+    const BatchReport reported = reportSnapshot();
+    if (isCatchingUp && m_hooks.onBatch) {
+        m_hooks.onBatch(reported);
+    }
     const auto known = m_presentKeys;
-    for (const std::string &it : known) {
-        if (!m_snapshotKeys.contains(it)) {
+    for (const auto &[key, bytes] : known) {
+        if (!m_snapshotKeys.contains(key)) {
             // The key was removed before the snapshot; a record at the end offset itself is newer.
-            apply({*m_snapshotEnd - 1, it, std::nullopt});
+            apply({*m_snapshotEnd - 1, key, std::nullopt});
         }
     }
     m_droppedBeforeEra.clear();
     m_nextOffset = *m_snapshotEnd;
     m_completeAt = m_snapshotAt;
-    m_isSynced = true;
-    if (m_hooks.onSynced) {
+    if (!std::exchange(m_isSynced, true) && m_hooks.onSynced) {
         m_hooks.onSynced();
     }
+    if (isCatchingUp) {
+        m_lastReadAt = suspendAwareNow(); // what is written meanwhile is read together
+    }
+    if (isCatchingUp && isSnapshotSmaller(reported)) {
+        scheduleCatchUp();
+        return;
+    }
     readNext();
 }
 
@@ -241,7 +285,8 @@
     m_lastReadAt = suspendAwareNow();
     // A read that follows a failed one doesn't wait, so its reader learns early that the store is back.
     beginRead(m_isStoreLost ? milliseconds(0) : currentWait(), [this](milliseconds wait) {
-        m_store.read({m_options.topic, m_nextOffset, wait}, onFirstAnswer<RecordBatch>([this](const StoreResult<RecordBatch> &result) {
+        const RecordQuery query = {m_options.topic, m_nextOffset, wait, m_isNextTooLarge ? 0 : maxAnswerBytes(), m_historyEnd.has_value()};
+        m_store.read(query, onFirstAnswer<RecordBatch>([this](const StoreResult<RecordBatch> &result) {
                          handleBatch(result);
                      }));
     });
@@ -262,46 +307,38 @@
         start();
         return;
     }
-    reportBatch(result.value());
-    m_previousCompleteAt = m_completeAt;
-    m_completeAt = std::max(m_completeAt.value_or(m_answerGivenAt), m_answerGivenAt);
-    for (const StoreRecord &it : result.value().records) {
-        apply(it);
+    const RecordBatch &batch = result.value();
+    const BatchReport reported = report(batch);
+    if (m_hooks.onBatch) {
+        m_hooks.onBatch(reported);
     }
-    m_nextOffset = std::max(m_nextOffset, result.value().nextOffset);
-    readNext();
-}
-
-void KeyedFeed::reportBatch(const RecordBatch &batch) const
-{
-    if (!m_hooks.onBatch) {
+    m_previousCompleteAt = m_completeAt;
+    const bool areUsable = applyNewest(batch.records);
+    if (!areUsable && batch.isCompacted) {
+        m_historyEnd = batch.nextOffset; // the relay may have left out a usable record before the unusable one
+        m_isRelayedHistory = true;
+        readNext();
         return;
     }
-    std::set<std::string_view> keys;
-    for (const StoreRecord &it : batch.records) {
-        keys.insert(it.key);
+    m_nextOffset = std::max(m_nextOffset, batch.nextOffset);
+    if (m_historyEnd && m_nextOffset >= *m_historyEnd) {
+        m_historyEnd.reset();
     }
-    m_hooks.onBatch({.from = m_nextOffset,
-                     .next = batch.nextOffset,
-                     .end = batch.endOffset,
-                     .records = batch.records.size(),
-                     .superseded = batch.records.size() - keys.size(),
-                     .duration = std::chrono::floor<milliseconds>(suspendAwareNow() - m_readBeganAt)});
-}
-
-void KeyedFeed::apply(const StoreRecord &record)
-{
-    const auto [it, isNew] = m_offsets.try_emplace(record.key, record.offset);
-    if (!isNew && record.offset <= it->second) {
+    m_isNextTooLarge = batch.isPartial() && batch.records.empty();
+    if (batch.isPartial()) {
+        if (m_historyEnd) {
+            readNext();
+        } else {
+            catchUp();
+        }
         return;
     }
-    it->second = record.offset;
-    if (record.value) {
-        m_presentKeys.insert(record.key);
-    } else {
-        m_presentKeys.erase(record.key);
+    m_completeAt = std::max(m_completeAt.value_or(m_answerGivenAt), m_answerGivenAt);
+    if (isSnapshotSmaller(reported)) {
+        scheduleCatchUp();
+        return;
     }
-    m_hooks.onChange(record.key, record.value, isAfterOutage());
+    readNext();
 }
 
 void KeyedFeed::recordAnswer(milliseconds age)
@@ -332,6 +369,12 @@
 void KeyedFeed::handleFailure(StoreError error)
 {
     recordLost(error);
+    // A relay may answer where the store itself doesn't, so the next read may go there again.
+    m_isCatchingUp = false;
+    if (m_historyEnd && m_isRelayedHistory) {
+        m_nextOffset = std::max(m_nextOffset, *m_historyEnd);
+    }
+    m_historyEnd.reset();
     if (error != StoreError::Refused && m_store.closeIdleConnections) {
         m_store.closeIdleConnections();
     }
--- a/src/auburndrum/gateway/keyedfeed_test.cpp
+++ b/src/auburndrum/gateway/keyedfeed_test.cpp
@@ -36,6 +36,7 @@
                         } else {
                             values.erase(key);
                         }
+                        return true;
                     },
                 .onStoreLost =
                     [this](StoreError) {
--- a/src/auburndrum/gateway/missedwakeup_test.cpp
+++ b/src/auburndrum/gateway/missedwakeup_test.cpp
@@ -36,6 +36,7 @@
     KeyedFeed feed(
         {.topic = Topic}, store, {.onChange = [&changes](const std::string & /*key*/, const std::optional<QByteArray> & /*value*/, bool /*duringOutage*/) {
             ++changes;
+            return true;
         }});
     feed.start();
     REQUIRE(runUntil([&] {
--- a/src/auburndrum/gateway/pausedread_test.cpp
+++ b/src/auburndrum/gateway/pausedread_test.cpp
@@ -29,6 +29,7 @@
     hooks.onChange = [&](const std::string & /*key*/, const std::optional<QByteArray> & /*value*/, bool /*duringOutage*/) {
         ++changes;
         possiblyThereSince = self->previousReadAt();
+        return true;
     };
     KeyedFeed feed({.topic = Topic, .readInterval = 10ms}, store, std::move(hooks));
     self = &feed;
--- a/src/auburndrum/gateway/relaylink.cpp
+++ b/src/auburndrum/gateway/relaylink.cpp
@@ -139,93 +139,6 @@
     updateMode();
 }
 
-RecordStore RelayLink::relayedStore()
-{
-    RecordStore it = m_store;
-    it.readNewest = [this](const std::string &topic, const std::string &afterKey, auto done) {
-        m_store.readNewest(topic, afterKey, guarded(this, [this, done = std::move(done)](const StoreResult<NewestPage> &page) {
-                               handleEra(page ? page.value().era : 0);
-                               done(page);
-                           }));
-    };
-    it.read = [this](const RecordQuery &query, auto done) {
-        read(query, std::move(done));
-    };
-    return it;
-}
-
-void RelayLink::read(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done)
-{
-    if (m_relay.empty() || m_pendingReads.contains(query.topic)) {
-        readDirectly(query, std::move(done));
-        return;
-    }
-    // One poll earlier, so that the answer to the last poll comes by the end of the wait.
-    m_pendingReads[query.topic] = {query, suspendAwareNow() + std::max(query.wait - m_options.budget.pollInterval, milliseconds(0)), std::move(done)};
-}
-
-milliseconds RelayLink::longestRead() const
-{
-    return needsRelay() && m_relay.empty() ? m_options.budget.relayReadTime : m_options.budget.refreshInterval;
-}
-
-milliseconds RelayLink::maxRelayedAge() const
-{
-    return m_options.budget.refreshInterval + m_options.budget.answerTime;
-}
-
-void RelayLink::setBudget(const ReadBudget &budget)
-{
-    m_options.budget = budget;
-}
-
-void RelayLink::readDirectly(const RecordQuery &query, std::function<void(StoreResult<RecordBatch>)> done)
-{
-    RecordQuery direct = query;
-    if (needsRelay()) {
-        direct.wait = std::min(query.wait, m_options.budget.relayReadTime);
-    }
-    if (m_failedTopics.contains(query.topic)) {
-        direct.wait = milliseconds(0); // a lost read is noticed sooner, so its reader learns early that the store is back
-    }
-    m_store.read(direct, guarded(this, [this, query, sentAt = suspendAwareNow(), done = std::move(done)](const StoreResult<RecordBatch> &result) {
-                     const LoopWork::Span span(m_state.work, LoopWork::Kind::StoreReads);
-                     if (result) {
-                         handleEra(result.value().era);
-                         m_failedTopics.erase(query.topic);
-                         m_topicCache.addBatch(query.topic, query.from, result.value(), m_pauses.earliestAnswerTime(sentAt));
-                     } else {
-                         m_failedTopics.insert(query.topic);
-                         m_topicCache.recordFailure(query.topic, suspendAwareNow());
-                     }
-                     done(result);
-                 }));
-}
-
-void RelayLink::readDirectly(const PendingRead &read)
-{
-    RecordQuery query = read.query;
-    query.wait = std::max(std::chrono::floor<milliseconds>(read.deadline - suspendAwareNow()), milliseconds(0));
-    readDirectly(query, read.done);
-}
-
-void RelayLink::handleEra(std::uint64_t era)
-{
-    const bool isNew = m_era != 0 && era > m_era;
-    m_era = std::max(m_era, era);
-    if (isNew && !m_options.directoryTopic.empty()) {
-        registerSelf(); // the copy that the store returned from may lack this VM
-    }
-}
-
-void RelayLink::readPendingDirectly()
-{
-    const auto pending = std::exchange(m_pendingReads, {});
-    for (const auto &[topic, it] : pending) {
-        readDirectly(it);
-    }
-}
-
 void RelayLink::configure()
 {
     const auto stores = m_state.storedPrompts.addresses();
@@ -362,6 +275,7 @@
         }
         RecordBatch batch = relayed->second;
         batch.age += since(polledAt);
+        batch.isCompacted = true;
         handleEra(batch.era);
         if (batch.records.empty() && suspendAwareNow() < it.deadline) {
             m_pendingReads.try_emplace(topic, it);
--- a/src/auburndrum/gateway/topiccache.cpp
+++ b/src/auburndrum/gateway/topiccache.cpp
@@ -42,6 +42,33 @@
     return record.key.size() + (record.value ? static_cast<std::size_t>(record.value->size()) : 0);
 }
 
+void TopicCache::drop(Topic &topic, Records::iterator record)
+{
+    topic.bytes -= sizeOf(record->second);
+    topic.newest.erase(record->second.key);
+    topic.records.erase(record);
+}
+
+void TopicCache::put(const std::string &name, Topic &topic, const StoreRecord &record, Instant now) const
+{
+    if (topic.presentKeys && record.value) {
+        topic.presentKeys->insert(record.key);
+    } else if (topic.presentKeys) {
+        topic.presentKeys->erase(record.key);
+    }
+    if (isHeartbeat(name, topic, record, now)) {
+        return;
+    }
+    if (const auto superseded = topic.newest.find(record.key); superseded != topic.newest.end()) {
+        if (superseded->second->first > record.offset) {
+            return;
+        }
+        drop(topic, superseded->second);
+    }
+    topic.newest.emplace(record.key, topic.records.emplace(record.offset, record));
+    topic.bytes += sizeOf(record);
+}
+
 void TopicCache::addBatch(const std::string &topic, std::uint64_t from, const RecordBatch &batch, Instant now)
 {
     const auto [it, isNew] = m_topics.try_emplace(topic);
@@ -64,24 +91,72 @@
         known.nextOffset = from;
     }
     for (const StoreRecord &record : batch.records) {
-        if (record.offset < known.nextOffset || isHeartbeat(topic, known, record, now)) {
+        if (record.offset < known.nextOffset) {
             continue;
         }
-        known.records.push_back(record);
-        known.bytes += sizeOf(record);
+        put(topic, known, record, now);
         known.nextOffset = record.offset + 1;
     }
     known.nextOffset = std::max(known.nextOffset, batch.nextOffset);
-    known.readAt = now;
+    if (!batch.isPartial()) {
+        known.readAt = now;
+    }
+    evictOldest(known);
+}
+
+void TopicCache::addSnapshot(const std::string &topic, std::uint64_t end, std::uint64_t era, const std::vector<StoreRecord> &records, Instant now)
+{
+    const auto [it, isNew] = m_topics.try_emplace(topic);
+    Topic &known = it->second;
+    if (!isNew && (era < known.era || (era == known.era && end < known.nextOffset))) {
+        return; // given before what was read since
+    }
+    std::set<std::string> present;
+    for (const StoreRecord &record : records) {
+        present.insert(record.key);
+    }
+    if (isNew || era > known.era || !known.presentKeys) {
+        if (!isNew) {
+            recordFailure(topic, now);
+        }
+        known = Topic{};
+        known.era = era;
+        known.firstOffset = end;
+    } else {
+        addMissed(topic, known, end, records, now);
+        for (const std::string &key : std::set<std::string>(*known.presentKeys)) {
+            if (!present.contains(key)) {
+                put(topic, known, {end - 1, key, std::nullopt}, now);
+            }
+        }
+    }
+    known.presentKeys = std::move(present);
+    known.nextOffset = end;
+    const bool isWhole = std::none_of(records.begin(), records.end(), [end](const StoreRecord &record) {
+        return record.offset >= end; // in place of one before the end, which the cache lacks until the next read
+    });
+    if (isWhole) {
+        known.readAt = now;
+    }
     evictOldest(known);
 }
 
+void TopicCache::addMissed(const std::string &name, Topic &topic, std::uint64_t end, const std::vector<StoreRecord> &records, Instant now) const
+{
+    for (const StoreRecord &it : records) {
+        // A record at the end or behind it was written between two pages, and is read again from there.
+        if (it.offset >= topic.nextOffset && it.offset < end) {
+            put(name, topic, it, now);
+        }
+    }
+}
+
 void TopicCache::evictOldest(Topic &topic) const
 {
     while (!topic.records.empty() && (topic.records.size() > m_options.maxRecords || topic.bytes > m_options.maxBytes)) {
-        topic.bytes -= sizeOf(topic.records.front());
-        topic.firstOffset = topic.records.front().offset + 1;
-        topic.records.pop_front();
+        const auto oldest = topic.records.begin();
+        topic.firstOffset = oldest->first + 1;
+        drop(topic, oldest);
     }
 }
 
@@ -94,18 +169,16 @@
     const Topic &known = it->second;
     RecordBatch batch;
     batch.era = known.era;
+    batch.isCompacted = true;
     batch.nextOffset = std::max(from, known.nextOffset);
     batch.age = std::chrono::ceil<std::chrono::milliseconds>(now - known.readAt);
     std::size_t bytes = 0;
-    const auto begin = std::lower_bound(known.records.begin(), known.records.end(), from, [](const StoreRecord &record, std::uint64_t offset) {
-        return record.offset < offset;
-    });
-    for (auto record = begin; record != known.records.end(); ++record) {
-        bytes += sizeOf(*record);
+    for (auto record = known.records.lower_bound(from); record != known.records.end(); ++record) {
+        bytes += sizeOf(record->second);
         if (bytes > m_options.maxAnswerBytes) {
             return std::nullopt;
         }
-        batch.records.push_back(*record);
+        batch.records.push_back(record->second);
     }
     return batch;
 }
