A read of the store is not repeated while its answer still arrives

Cause: a read counted as overdue by its time alone. On a full link its answer was under way, and the repeat from the same offset competed with it, up to 46 times (read_overdue). Change: as long as bytes arrive the read gets more time, and each further attempt more than the one before; a silent answer is asked for again as before, once what had arrived was handled.

--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -109,6 +109,8 @@
     std::function<void(StoreResult<T>)> onFirstAnswer(std::function<void(const StoreResult<T> &)> handle);
     /// Whether the result of an attempt of a read is to be handled: its first answer, or the failure of its last attempt.
     bool endRead(std::uint64_t read, int attempt, Instant sentAt, bool isAnswer);
+    /// How much longer an overdue answer is awaited, since its bytes still arrive. Nothing: not at all.
+    std::optional<std::chrono::milliseconds> timeForBytes() const;
     /// Time since bytes of an answer to the present read arrived; nothing when none have.
     std::optional<std::chrono::milliseconds> sinceBytes() const;
     BatchReport report(const RecordBatch &batch) const;
@@ -150,6 +152,7 @@
     std::uint64_t m_read = 0; ///< number of the present read
     int m_attempt = 0; ///< repeats of the present read
     Instant m_readBeganAt{};
+    Instant m_dueAt{}; ///< when the answer to the last attempt of the present read was due
     std::chrono::milliseconds m_answerTime; ///< grows while the store is slow
     PauseDetector m_pauses;
     Instant m_lastReadAt{}; ///< when the last read began
@@ -164,6 +167,7 @@
     bool m_hasUnusable = false; ///< the snapshot being read has an unusable record newer than the last read
     bool m_isNextTooLarge = false; ///< the next record is larger than an answer may be
     bool m_isRelayedHistory = false; ///< the records up to m_historyEnd were reported as far as a relay has them
+    bool m_isSilenceCertain = false; ///< whether all that had arrived was handled before the read counts as overdue
     std::optional<std::uint64_t> m_historyEnd; ///< superseded records are read too up to here, for usable ones before unusable ones
     std::set<std::string> m_droppedBeforeEra; ///< keys dropped before the store returned from a copy, while the snapshot after that is read
     std::uint64_t m_era = 0; ///< of the last response; 0 when unknown
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -99,12 +99,34 @@
 void KeyedFeed::sendRead(milliseconds wait)
 {
     const milliseconds grown = m_answerTime * (1 << std::clamp(m_attempt - RepeatsUntilLost, 0, MaxDoublings));
+    m_dueAt = suspendAwareNow() + wait;
+    m_isSilenceCertain = false;
     m_overdueTimer.start(wait + std::max(m_answerTime, std::min(grown, m_options.maxRetryDelay)));
     m_send(wait);
 }
 
+std::optional<milliseconds> KeyedFeed::timeForBytes() const
+{
+    const auto silence = sinceBytes();
+    const auto overdue = std::chrono::floor<milliseconds>(suspendAwareNow() - m_dueAt);
+    // Each further attempt gets more time, so that one of them ends on a link that is nearly full.
+    const milliseconds longest = m_options.budget.answerTime * (MaxSlowness << std::min(m_attempt, MaxDoublings));
+    const milliseconds left = std::min(m_answerTime - silence.value_or(m_answerTime), longest - overdue);
+    return left.count() > 0 ? std::optional(left) : std::nullopt;
+}
+
 void KeyedFeed::repeatRead()
 {
+    // A second answer would compete for the link with the one that still arrives.
+    if (const auto left = timeForBytes()) {
+        m_isSilenceCertain = false;
+        m_overdueTimer.start(*left);
+        return;
+    }
+    if (!std::exchange(m_isSilenceCertain, true)) {
+        m_overdueTimer.start(milliseconds(0)); // what arrived while the event loop was busy is handled first
+        return;
+    }
     ++m_attempt;
     if (m_hooks.onOverdue) {
         m_hooks.onOverdue(m_attempt, std::chrono::floor<milliseconds>(suspendAwareNow() - m_readBeganAt), sinceBytes());
