A stream that another VM refuses goes on elsewhere while its time lasts

Cause: a refusal by the one VM that a stream was passed on to counted as the end, whatever time was left and whatever Retry-After said. That VM refused since it did not know which software began the stream, which the first one knew. Change: the first VM tells service and software with what it passes on, in fields that earlier versions drop; a refusal leads to a further VM, and then to a wait of up to 2 s, the shortest gap after which callers abandon a stream. Each of these takes a retry of the service's allowance.

--- a/include/auburndrum/gateway/relayedrequest.h
+++ b/include/auburndrum/gateway/relayedrequest.h
@@ -15,6 +15,8 @@
 {
     std::string by; ///< name of the VM that passed it on
     std::uint32_t deliveries = 0; ///< backend servers that it reached before
+    std::string service; ///< that began the stream which the request goes on with; empty when unknown, and from VMs of versions that don't say it
+    std::string softwareVersion; ///< that began it
 };
 
 /// What the other VM states in its answer, besides the backend server's own fields.
--- a/src/auburndrum/gateway/forwardedorigin.cpp
+++ b/src/auburndrum/gateway/forwardedorigin.cpp
@@ -24,6 +24,10 @@
 
 void ForwardedRequest::seekOrigin()
 {
+    if (m_origin) { // the VM that passed the request on has told it
+        handleOrigin({.origin = m_origin});
+        return;
+    }
     if (!m_exchange->isBodyComplete()) {
         m_exchange->setBodyPaused(true);
     }
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -89,7 +89,11 @@
     net::HttpCall call = makeCall(metadata.timeLeft);
     call.peer = net::parseAddress(vm.address).value_or(net::Address{});
     call.headers = withoutRelayFields(m_state.wire.relayHeaders(m_exchange->head(), metadata));
-    addFields(call.headers, RelayedRequest{.by = m_state.vmName, .deliveries = m_deliveries});
+    addFields(call.headers,
+              RelayedRequest{.by = m_state.vmName,
+                             .deliveries = m_deliveries,
+                             .service = m_origin ? m_origin->service : "",
+                             .softwareVersion = m_origin ? m_origin->softwareVersion : ""});
     call.freshConnection = true; // its answer needs no id then, and a connection that was idle may have died without notice
     call.connectTimeout = std::min(PeerConnectTimeout, metadata.timeLeft);
     return call;
@@ -134,7 +138,12 @@
         m_retryAfter = SkewRetryDelay;
     }
     m_record.noServerReason = "refused by the VM that it was passed on to";
-    concludeWithoutAnswer();
+    // One VM's refusal says nothing about the others, and a caller who has a part of the stream can't be told to come back.
+    const bool mayGoOn = meansNotRun(head.status) && !lastEventId().empty() && chooseVm();
+    if (mayGoOn && m_state.retryAllowance(m_service).tryAcquire(monotonicNow()) && passOn()) {
+        return true;
+    }
+    waitOrConclude();
     return true;
 }
 
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -45,6 +45,9 @@
         const RelayedRequest relayed = readRelayedRequest(m_exchange->head().headers);
         m_record.relayedBy = relayed.by;
         m_deliveries = relayed.deliveries;
+        if (!relayed.service.empty() && !relayed.softwareVersion.empty()) {
+            m_origin = decision::StreamOrigin{relayed.service, relayed.softwareVersion};
+        }
     }
     m_record.affinityKey = m_metadata.prompt ? decision::affinityKey(*m_metadata.prompt) : std::string();
     for (std::size_t n = 0; m_metadata.prompt && n + 1 < m_metadata.prompt->parts.size(); ++n) {
@@ -121,11 +124,18 @@
     QObject::connect(&m_weightsTimer, &QTimer::timeout, &m_weightsTimer, [this] {
         checkWeights();
     });
+    m_waitTimer.setSingleShot(true);
+    m_waitTimer.setTimerType(Qt::PreciseTimer);
+    QObject::connect(&m_waitTimer, &QTimer::timeout, &m_waitTimer, [this] {
+        const auto self = shared_from_this();
+        tryNextServer();
+    });
     startFingerprint();
     if (isTakeUp()) {
         seekOrigin();
         return;
     }
+    m_origin.reset();
     chooseService();
     sendFirst();
 }
@@ -203,13 +213,13 @@
         } else if (m_origin && !m_state.servers.hasSoftwareVersion(m_service, m_origin->softwareVersion)) {
             m_retryAfter.reset(); // the version has left the service
         }
-        concludeWithoutAnswer();
+        waitOrConclude();
         return;
     }
     if (m_metadata.prompt && isTooBusy(*choice)) {
         m_record.noServerReason = "all servers too busy";
         m_retryAfter = decision::retryDelay(choice->expectedWait, absl::Uniform<double>(m_state.random, 0, 1));
-        concludeWithoutAnswer();
+        waitOrConclude();
         return;
     }
     send(*choice);
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -199,6 +199,8 @@
     void setReadingPaused(bool paused);
     /// Pauses reading the caller's body while its server takes the bytes slowly.
     void setBodyPaused(bool paused);
+    /// Waits to try again, where the caller has a part of the stream and time is left; ends the request otherwise.
+    void waitOrConclude();
     /// Ends the attempt without a replacement at hand, because it must not go on, and sends the request to another server where that is allowed.
     void takeBack(const char *result);
     /// @{ What the connection shows of this VM's path to the servers.
@@ -233,6 +235,8 @@
     std::string m_service;
     QTimer m_deadlineTimer; ///< ends the request at its deadline
     QTimer m_silenceTimer; ///< checks for a server that gives no response
+    QTimer m_waitTimer; ///< tries again to send a stream on that has begun
+    std::optional<Instant> m_waitsSince; ///< when a stream that has begun found no server first since its last event
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
     Instant m_startedAt{}; ///< when the request was passed to this object; its bytes may have taken longer to arrive
     Instant m_deadline{};
@@ -257,7 +261,7 @@
     /// Retry delay for a refused caller, long enough for a restart or a refusal to pass; empty when coming back is of no use.
     std::optional<std::chrono::milliseconds> m_retryAfter{500};
     std::optional<decision::EventSequence> m_events; ///< of the stream, those before a take-up included; set once the service is known
-    std::optional<decision::StreamOrigin> m_origin; ///< of a stream that has begun, in this answer or in one before
+    std::optional<decision::StreamOrigin> m_origin; ///< of a stream that has begun, in this answer or in one before; as the VM told that passed it on
     std::optional<std::pair<net::HttpHead, QByteArray>> m_serverFailure; ///< forwarded when no other server returns a better response
 };
 
--- a/src/auburndrum/gateway/forwardedstream.cpp
+++ b/src/auburndrum/gateway/forwardedstream.cpp
@@ -71,6 +71,7 @@
         m_answeringServer = m_attempt->choice;
         m_exchange->startStream(m_attempt->head->status, answerHeaders(*m_attempt->head));
     }
+    m_waitsSince.reset();
     m_exchange->writeChunk(bytes);
     if (m_exchange->unsentBytes() > PauseAboveBytes) {
         setReadingPaused(true);
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -16,6 +16,9 @@
 constexpr int MaxSilenceInTargetLatencies = 4;
 // A stream counts as silent after this many times its route's longest event gap without a byte.
 constexpr int MaxSilenceInEventGaps = 4;
+// Longest time for which a stream that has begun waits for a server: the shortest gap after which callers abandon one.
+constexpr milliseconds MaxServerWait{2000};
+constexpr milliseconds MinServerWait{100}; // between two tries, also where a refusal names a shorter time
 // Longest time between checks of the weights at which a request waits; short against the limit for outdated weights.
 constexpr milliseconds WeightsCheckInterval{250};
 // Reserve before that limit: the closed connection must reach the server, from another region too, before it begins the request.
@@ -118,6 +121,23 @@
     }
 }
 
+void ForwardedRequest::waitOrConclude()
+{
+    const bool mayGoOn = m_isStreaming && m_route->isResumable && m_isBodyRepeatable && m_deliveries < m_route->maxServers;
+    const milliseconds delay = std::max(m_retryAfter.value_or(milliseconds(0)), MinServerWait);
+    const Instant triesAt = monotonicNow() + delay;
+    const Instant waitsSince = m_waitsSince.value_or(monotonicNow());
+    const bool hasTime = m_retryAfter && triesAt - waitsSince <= MaxServerWait && timeLeft() >= delay + MinAttemptTime;
+    if (!mayGoOn || !hasTime || !m_state.retryAllowance(m_service).tryAcquire(monotonicNow())) {
+        concludeWithoutAnswer();
+        return;
+    }
+    m_waitsSince = waitsSince;
+    m_triedServers.clear();
+    m_triedVms.clear();
+    m_waitTimer.start(delay);
+}
+
 void ForwardedRequest::takeBack(const char *result)
 {
     const auto self = shared_from_this();
--- a/src/auburndrum/gateway/relayedrequest.cpp
+++ b/src/auburndrum/gateway/relayedrequest.cpp
@@ -22,6 +22,10 @@
 {
     headers.push_back({By, QByteArray::fromStdString(request.by)});
     headers.push_back({Deliveries, QByteArray::number(request.deliveries)});
+    if (!request.service.empty()) {
+        headers.push_back({Service, QByteArray::fromStdString(request.service)});
+        headers.push_back({Software, QByteArray::fromStdString(request.softwareVersion)});
+    }
 }
 
 void addFields(std::vector<net::Header> &headers, const RelayedAnswer &answer)
@@ -41,7 +45,10 @@
 
 RelayedRequest readRelayedRequest(const std::vector<net::Header> &headers)
 {
-    return {net::headerValue(headers, By).toStdString(), net::headerValue(headers, Deliveries).toUInt()};
+    return {net::headerValue(headers, By).toStdString(),
+            net::headerValue(headers, Deliveries).toUInt(),
+            net::headerValue(headers, Service).toStdString(),
+            net::headerValue(headers, Software).toStdString()};
 }
 
 RelayedAnswer readRelayedAnswer(const std::vector<net::Header> &headers)
