What arrived while the event loop was busy is handled before a server counts as silent

Cause: timers that were due ran before the sockets on which a connection or an answer had arrived meanwhile, so a VM that was late itself took sound servers for dead (connect timed out, answer went silent). Change: such a timer runs once more, after the loop has looked at its sockets.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -329,6 +329,7 @@
 void ForwardedRequest::startCall(const net::HttpCall &call)
 {
     m_attempt->goesOn = !lastEventId().empty();
+    m_isSilenceCertain = false;
     m_attempt->sentAt = monotonicNow();
     m_attempt->memoryId = m_state.responseMemory.add();
     m_state.giveUpResponse[m_attempt->memoryId] = [this] {
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -235,6 +235,7 @@
     std::string m_service;
     QTimer m_deadlineTimer; ///< ends the request at its deadline
     QTimer m_silenceTimer; ///< checks for a server that gives no response
+    bool m_isSilenceCertain = false; ///< whether all that had arrived was handled before the next check
     QTimer m_waitTimer; ///< tries again to send a stream on that has begun
     std::optional<Instant> m_waitsSince; ///< when a stream that has begun found no server first since its last event
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -40,7 +40,13 @@
         return; // what has begun to arrive can't go on elsewhere, or may pause for any time
     }
     const Instant now = monotonicNow();
-    if (const char *result = silence(now)) {
+    const char *result = silence(now);
+    if (result != nullptr && !std::exchange(m_isSilenceCertain, true)) {
+        m_silenceTimer.start(milliseconds(0)); // what arrived while the event loop was busy is handled first
+        return;
+    }
+    m_isSilenceCertain = false;
+    if (result != nullptr) {
         moveIfReplaceable(result);
         return;
     }
--- a/src/auburndrum/net/clientconnection.cpp
+++ b/src/auburndrum/net/clientconnection.cpp
@@ -117,6 +117,7 @@
     m_unreportedBody.clear();
     m_bodyBytes = 0;
     m_responseStarted = false;
+    m_isSilenceCertain = false;
     m_hasTrailingBytes = false;
     m_skippedResponses = 0;
     m_skippedBytes = 0;
@@ -350,14 +351,20 @@
         return;
     }
     if (m_paused) {
+        m_isSilenceCertain = false;
         m_timer.start(currentTimeout()); // the caller is slow, not the peer
         return;
     }
     const auto silence = std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_lastProgress);
     if (silence < currentTimeout()) {
+        m_isSilenceCertain = false;
         m_timer.start(currentTimeout() - silence);
         return;
     }
+    if (!std::exchange(m_isSilenceCertain, true)) {
+        m_timer.start(std::chrono::milliseconds(0)); // what arrived while the event loop was busy is handled first
+        return;
+    }
     if (!m_connected) {
         finish(HttpFailure::ConnectTimeout);
         return;
--- a/src/auburndrum/net/clientconnection.h
+++ b/src/auburndrum/net/clientconnection.h
@@ -77,6 +77,7 @@
     bool m_skipsResponse = false; ///< the response being read is interim or belongs to another call
     std::optional<std::chrono::milliseconds> m_peerIdleTimeout;
     bool m_responseStarted = false;
+    bool m_isSilenceCertain = false; ///< all that had arrived was handled before the timer ran
     bool m_hasTrailingBytes = false; ///< bytes arrived after the complete response
     std::chrono::steady_clock::time_point m_lastProgress;
 };
