A relay's answer holds a bounded part of the prompt stores' updates

Change: 500 changes an answer; the reader's next poll goes on from there. Evidence: the new case of promptstorelog_test fails without.

--- a/include/auburndrum/gateway/promptstorelog.h
+++ b/include/auburndrum/gateway/promptstorelog.h
@@ -38,7 +38,7 @@
 
     void addUpdate(const std::string &address, const decision::PromptStoreUpdate &update);
     void addUnreachable(const std::string &address);
-    /// The entries from number `from` of the log `log` on.
+    /// The entries from number `from` of the log `log` on, as many as an answer should hold.
     PromptStoreLogSlice readFrom(std::string_view log, std::uint64_t from) const;
 
 private:
--- a/src/auburndrum/gateway/promptstorelog.cpp
+++ b/src/auburndrum/gateway/promptstorelog.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::size_t MaxChanges = 4000; // uses at most half a megabyte, and holds several seconds of a large fleet's changes
+constexpr std::size_t MaxSliceChanges = 500; // about 64 KiB, which arrive well within a poll's timeout; the next poll gets the rest
 
 } // namespace
 
@@ -51,8 +52,16 @@
     if (log != m_name || from < m_firstEntry || from > end) {
         return snapshot();
     }
-    PromptStoreLogSlice slice{m_name, end, {}};
-    slice.entries.assign(m_entries.begin() + static_cast<std::ptrdiff_t>(from - m_firstEntry), m_entries.end());
+    PromptStoreLogSlice slice{m_name, from, {}};
+    std::size_t changes = 0;
+    for (auto it = m_entries.begin() + static_cast<std::ptrdiff_t>(from - m_firstEntry); it != m_entries.end(); ++it) {
+        changes += it->update ? it->update->changes.size() : 0;
+        if (changes > MaxSliceChanges && !slice.entries.empty()) {
+            break;
+        }
+        slice.entries.push_back(*it);
+        ++slice.nextEntry;
+    }
     return slice;
 }
 
--- a/src/auburndrum/gateway/promptstorelog_test.cpp
+++ b/src/auburndrum/gateway/promptstorelog_test.cpp
@@ -62,6 +62,28 @@
     CHECK(log.readFrom("log-1", 4990).entries.size() == 10);
 }
 
+TEST_CASE("a reader that is behind gets the entries in parts of a bounded size, each once")
+{
+    // Guards against answers of a relay that grow with each poll that they miss: nothing of them was used, and the relay was given up (CONFIG).
+    const decision::StoredPrompts storedPrompts = configuredPrompts();
+    PromptStoreLog log("log-1", storedPrompts);
+    for (std::uint64_t n = 0; n < 1200; ++n) {
+        log.addUpdate(Store, updateAddingPart("p", n));
+    }
+    std::uint64_t next = 0;
+    for (const std::size_t expected : {500, 500, 200, 0}) {
+        const PromptStoreLogSlice slice = log.readFrom("log-1", next);
+        CHECK(slice.entries.size() == expected);
+        CHECK((slice.entries.empty() || slice.entries.front().update->nextChange == next));
+        next = slice.nextEntry;
+    }
+    CHECK(next == 1200);
+    decision::PromptStoreUpdate large = updateAddingPart("p", 1200);
+    large.changes.resize(600);
+    log.addUpdate(Store, large);
+    CHECK(log.readFrom("log-1", next).entries.size() == 1);
+}
+
 TEST_CASE("a store whose changes don't arrive is reported as unreachable")
 {
     const decision::StoredPrompts storedPrompts = configuredPrompts();
