A relay passes on all records of a topic without keys

Cause: since a relay keeps the newest record of each key, and took the topic of leases, whose records have no key, for one key. Its readers missed leases. Change: records without a key supersede none. Evidence: the new case of topiccache_test fails without.

--- a/src/auburndrum/gateway/topiccache.cpp
+++ b/src/auburndrum/gateway/topiccache.cpp
@@ -45,7 +45,9 @@
 void TopicCache::drop(Topic &topic, Records::iterator record)
 {
     topic.bytes -= sizeOf(record->second);
-    topic.newest.erase(record->second.key);
+    if (!record->second.key.empty()) {
+        topic.newest.erase(record->second.key);
+    }
     topic.records.erase(record);
 }
 
@@ -59,14 +61,18 @@
     if (isHeartbeat(name, topic, record, now)) {
         return;
     }
-    if (const auto superseded = topic.newest.find(record.key); superseded != topic.newest.end()) {
+    const auto superseded = topic.newest.find(record.key);
+    if (superseded != topic.newest.end()) {
         if (superseded->second->first > record.offset) {
             return;
         }
         drop(topic, superseded->second);
     }
-    topic.newest.emplace(record.key, topic.records.emplace(record.offset, record));
+    const auto added = topic.records.emplace(record.offset, record);
     topic.bytes += sizeOf(record);
+    if (!record.key.empty()) { // in a topic without keys each record counts
+        topic.newest.emplace(record.key, added);
+    }
 }
 
 void TopicCache::addBatch(const std::string &topic, std::uint64_t from, const RecordBatch &batch, Instant now)
--- a/src/auburndrum/gateway/topiccache_test.cpp
+++ b/src/auburndrum/gateway/topiccache_test.cpp
@@ -200,6 +200,21 @@
     CHECK(cache.readFrom(Topic, 0, Start)->isCompacted);
 }
 
+TEST_CASE("all records of a topic without keys are returned")
+{
+    // Guards against a VM that misses the lease of another one, since its relay passes on the last announcement alone (ONE).
+    TopicCache cache({.maxBytes = 100});
+    for (std::uint64_t n = 0; n < 5; ++n) {
+        add(cache, n, {}, "lease", Start);
+    }
+    CHECK(offsetsFrom(cache, 0, Start) == Offsets{0, 1, 2, 3, 4});
+    for (std::uint64_t n = 5; n < 30; ++n) {
+        add(cache, n, {}, "lease", Start);
+    }
+    CHECK_FALSE(cache.readFrom(Topic, 9, Start));
+    CHECK(offsetsFrom(cache, 10, Start).size() == 20);
+}
+
 TEST_CASE("a response that left records out doesn't count as the topic's state at its time")
 {
     // Guards against a VM that takes its routes and keys for those in force, since its relay has read a part of what the store holds (DENIED).
