A stream that waits for a server is not sent to one that broke it off

Cause: let a begun stream wait for any want of a server and forgot which servers had been tried, so that one that had broken the stream off was asked for its rest; streamversion_test showed it (2 servers for 1, served for cut). Change: the tried servers are kept, and a stream for which all were tried ends at once.

--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -213,6 +213,10 @@
         } else if (m_origin && !m_state.servers.hasSoftwareVersion(m_service, m_origin->softwareVersion)) {
             m_retryAfter.reset(); // the version has left the service
         }
+        if (reason == decision::NoServerReason::AllTried) {
+            concludeWithoutAnswer(); // a server that broke the stream off isn't asked for the rest
+            return;
+        }
         waitOrConclude();
         return;
     }
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -139,7 +139,6 @@
         return;
     }
     m_waitsSince = waitsSince;
-    m_triedServers.clear();
     m_triedVms.clear();
     m_waitTimer.start(delay);
 }
