--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -284,19 +284,6 @@
     return false;
 }
 
-milliseconds KeyedFeed::currentReadInterval() const
-{
-    const auto grown = std::min(m_options.intervalPerKey * static_cast<std::int64_t>(m_presentKeys.size()), m_options.maxInterval);
-    return std::max(m_options.readInterval, grown);
-}
-
-milliseconds KeyedFeed::currentWait() const
-{
-    const milliseconds longest = m_options.longestRead ? m_options.longestRead() : m_options.budget.refreshInterval;
-    const Instant due = m_completeAt.value_or(suspendAwareNow()) + longest;
-    return std::clamp(std::chrono::floor<milliseconds>(due - suspendAwareNow()), milliseconds(0), longest);
-}
-
 void KeyedFeed::readNext()
 {
     const auto sinceRead = std::chrono::floor<milliseconds>(suspendAwareNow() - m_lastReadAt);
@@ -404,9 +391,4 @@
     m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
 }
 
-bool KeyedFeed::isAfterOutage() const
-{
-    return m_regainedAt && suspendAwareNow() - *m_regainedAt < m_options.postOutageWindow;
-}
-
 } // namespace auburndrum::gateway
--- a/src/auburndrum/gateway/keyedfeedrecords.cpp
+++ b/src/auburndrum/gateway/keyedfeedrecords.cpp
@@ -106,4 +106,22 @@
     return true;
 }
 
+milliseconds KeyedFeed::currentReadInterval() const
+{
+    const auto grown = std::min(m_options.intervalPerKey * static_cast<std::int64_t>(m_presentKeys.size()), m_options.maxInterval);
+    return std::max(m_options.readInterval, grown);
+}
+
+milliseconds KeyedFeed::currentWait() const
+{
+    const milliseconds longest = m_options.longestRead ? m_options.longestRead() : m_options.budget.refreshInterval;
+    const Instant due = m_completeAt.value_or(suspendAwareNow()) + longest;
+    return std::clamp(std::chrono::floor<milliseconds>(due - suspendAwareNow()), milliseconds(0), longest);
+}
+
+bool KeyedFeed::isAfterOutage() const
+{
+    return m_regainedAt && suspendAwareNow() - *m_regainedAt < m_options.postOutageWindow;
+}
+
 } // namespace auburndrum::gateway
