Attempts log passed_on and kept_despite again

On-call engineers could not see in a request's line which attempts had gone through another VM, nor that a silent server's attempt had been kept: the fields passed_on and kept_despite were never written.

Cause: added two members in the middle of AttemptRecord, whose values were given by position, so that isPassedOn became a refusal's status and keptDespite its reason. The members are named now.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -181,17 +181,19 @@
     if (!m_attempt) {
         return;
     }
-    m_record.attempts.push_back({m_attempt->choice,
-                                 result,
-                                 std::chrono::floor<milliseconds>(monotonicNow() - m_attempt->sentAt),
-                                 m_attempt->endedByClose,
-                                 m_attempt->events.incompleteEventBytes(),
-                                 m_attempt->metadata.limitPerSecond,
-                                 std::chrono::floor<milliseconds>(m_attempt->sentAt - m_record.arrivedAt),
-                                 m_attempt->unacknowledgedBytes,
-                                 m_attempt->foreignAnswers,
-                                 m_attempt->isPassedOn(),
-                                 m_attempt->keptDespite});
+    const Instant now = monotonicNow();
+    m_record.attempts.push_back({.choice = m_attempt->choice,
+                                 .result = result,
+                                 .duration = std::chrono::floor<milliseconds>(now - m_attempt->sentAt),
+                                 .endedByClose = m_attempt->endedByClose,
+                                 .partialEventBytes = m_attempt->events.incompleteEventBytes(),
+                                 .limitPerSecond = m_attempt->metadata.limitPerSecond,
+                                 .sentAfter = std::chrono::floor<milliseconds>(m_attempt->sentAt - m_record.arrivedAt),
+                                 .unacknowledgedBytes = m_attempt->unacknowledgedBytes,
+                                 .foreignAnswers = m_attempt->foreignAnswers,
+                                 .refusal = {},
+                                 .isPassedOn = m_attempt->isPassedOn(),
+                                 .keptDespite = m_attempt->keptDespite});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
     if (m_attempt->isPassedOn()) {
         m_state.peerRoutes.onFinished(m_attempt->vm);
--- a/src/auburndrum/gateway/passedonstream_test.cpp
+++ b/src/auburndrum/gateway/passedonstream_test.cpp
@@ -101,6 +101,11 @@
     CHECK(result.failure == net::HttpFailure::None);
     CHECK(result.body == FirstEvents + LastEvents);
     CHECK(it.passedOn.size() == passedOn);
+    const nlohmann::json attempts = it.gateway.lastLine("request")["attempts"];
+    const auto logged = std::count_if(attempts.begin(), attempts.end(), [](const nlohmann::json &attempt) {
+        return attempt.value("passed_on", false); // the log tells which attempts went to another VM
+    });
+    CHECK(logged == static_cast<std::ptrdiff_t>(passedOn));
 }
 
 } // namespace
--- a/src/auburndrum/gateway/silentanswer_test.cpp
+++ b/src/auburndrum/gateway/silentanswer_test.cpp
@@ -123,7 +123,9 @@
         const auto result = it.gateway.sendRequest("/stream/x");
         CHECK(result.failure == net::HttpFailure::None);
         CHECK(result.body == FirstEvents + LastEvent);
-        CHECK(it.gateway.lastLine("request")["outcome"] == "served");
+        const nlohmann::json &line = it.gateway.lastLine("request");
+        CHECK(line["outcome"] == "served");
+        CHECK(line["attempts"].at(0).value("kept_despite", "") == "answer went silent"); // the log tells why the stream stood still
         CHECK(it.first.requests() == 1);
         CHECK(it.other.requests() == 0);
     }
