Attempts log for how long their answers had been silent

A stream whose server paused and one whose server ended could not be told apart in a request's line: both end as "answer went silent" or as a cut. The field silent_ms holds the time since the last part of the answer, which is a second or two for a server that pauses, and near 0 for one that broke off.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -182,6 +182,7 @@
         return;
     }
     const Instant now = monotonicNow();
+    const auto silentFor = std::chrono::floor<milliseconds>(now - m_attempt->lastBytesAt);
     m_record.attempts.push_back({.choice = m_attempt->choice,
                                  .result = result,
                                  .duration = std::chrono::floor<milliseconds>(now - m_attempt->sentAt),
@@ -193,7 +194,8 @@
                                  .foreignAnswers = m_attempt->foreignAnswers,
                                  .refusal = {},
                                  .isPassedOn = m_attempt->isPassedOn(),
-                                 .keptDespite = m_attempt->keptDespite});
+                                 .keptDespite = m_attempt->keptDespite,
+                                 .silentFor = m_attempt->head ? std::optional(silentFor) : std::nullopt});
     m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
     if (m_attempt->isPassedOn()) {
         m_state.peerRoutes.onFinished(m_attempt->vm);
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -50,6 +50,9 @@
     if (!it.keptDespite.empty()) {
         object["kept_despite"] = it.keptDespite;
     }
+    if (it.silentFor) {
+        object["silent_ms"] = it.silentFor->count();
+    }
     if (it.choice.limitPerSecond) {
         object["limit"] = *it.choice.limitPerSecond;
     }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -39,6 +39,7 @@
     std::string refusal; ///< the reason that this VM gave
     bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
     std::string keptDespite; ///< the silence after which it would have been moved if another server could have taken over; empty without one
+    std::optional<std::chrono::milliseconds> silentFor; ///< since the last part of its answer, when it ended; empty when no part had come
 };
 
 /// What the log states of one request.
