--- a/src/auburndrum/gateway/silentanswer_test.cpp
+++ b/src/auburndrum/gateway/silentanswer_test.cpp
@@ -17,6 +17,7 @@
 
 const QByteArray StreamHead = "HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 const QByteArray PlainAnswer = "HTTP/1.1 200 OK\r\nId: request-1\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone";
+const QByteArray Refusal = "HTTP/1.1 503 Service Unavailable\r\nId: request-1\r\nSeal: s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const QByteArray FirstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const QByteArray LastEvent = "id: 3\ndata: c\n\n";
 
@@ -67,9 +68,16 @@
             writeLater(socket, StreamSilence, asChunk(LastEvent) + "0\r\n\r\n");
         })
         , other([this, isStream](QTcpSocket *socket, const QByteArray &request) {
+            QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] {
+                ++otherClosed;
+            });
             if (refusals > 0) {
                 --refusals;
-                socket->write("HTTP/1.1 503 Service Unavailable\r\nId: request-1\r\nSeal: s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                socket->write(Refusal);
+                return;
+            }
+            if (respondOther) {
+                respondOther(socket);
                 return;
             }
             const QByteArray events = request.contains("After: 2\r\n") ? LastEvent : FirstEvents + LastEvent;
@@ -101,6 +109,8 @@
     }
 
     int closed = 0; ///< connections to the first server that ended
+    int otherClosed = 0; ///< connections to the other server that ended
+    std::function<void(QTcpSocket *socket)> respondOther; ///< what the other server does in place of its answer; optional
     int refusals = 0; ///< requests that the other server refuses before it answers
     QByteArray otherSoftware;
     RawServer first;
@@ -111,6 +121,24 @@
     QObject m_context;
 };
 
+/// What becomes of a request that was sent to the other server because the first one is silent.
+struct Failure
+{
+    std::string name;
+    int refusals; ///< of the other server
+    std::function<void(QTcpSocket *socket)> respondOther;
+};
+
+const Failure Refused = {"refused", 100, nullptr};
+const Failure Closed = {"closed without an answer", 0, [](QTcpSocket *socket) {
+                            socket->disconnectFromHost();
+                        }};
+const Failure Unanswered = {"unanswered", 0, [](QTcpSocket * /*socket*/) {
+                            }};
+const Failure HeadOnly = {"answered with nothing but a head", 0, [](QTcpSocket *socket) {
+                              socket->write(StreamHead);
+                          }};
+
 } // namespace
 
 // Guards against a stream that is cut for its caller though its server is sound: a silence ended the call before it was known whether another server may go on
@@ -176,3 +204,40 @@
         CHECK(it.other.requests() == 2);
     }
 }
+
+// Guards against a stream that is cut though its server is sound: its call was ended when the rest was asked of another server, and that one didn't give it
+// (LOST).
+TEST_CASE("a stream whose sound server falls silent goes on there when the server that is asked for the rest does not give it")
+{
+    for (const Failure &failure : {Refused, Closed, Unanswered, HeadOnly}) {
+        CAPTURE(failure.name);
+        SilentServer it(true, Obstacle{"none", 4, true, {}});
+        it.refusals = failure.refusals;
+        it.respondOther = failure.respondOther;
+        const auto result = it.gateway.sendRequest("/stream/x");
+        CHECK(result.failure == net::HttpFailure::None);
+        CHECK(result.body == FirstEvents + LastEvent);
+        CHECK(it.gateway.lastLine("request")["outcome"] == "served");
+        CHECK(it.first.requests() == 1);
+        CHECK(it.other.requests() >= 1);
+        CHECK(runUntil([&] {
+            return it.otherClosed == it.other.requests() || failure.refusals > 0;
+        }));
+    }
+}
+
+// Guards against a 502 for a request whose server is about to answer: its call was ended when another server was asked, and that one didn't answer it.
+TEST_CASE("a plain request whose sound server falls silent is answered by it when the server that is asked next does not answer")
+{
+    for (const Failure &failure : {Refused, Closed, Unanswered}) {
+        CAPTURE(failure.name);
+        SilentServer it(false, Obstacle{"none", 4, true, {}});
+        it.refusals = failure.refusals;
+        it.respondOther = failure.respondOther;
+        const auto result = it.gateway.sendRequest("/safe/x");
+        CHECK(result.head.status == 200);
+        CHECK(result.body == "done");
+        CHECK(it.first.requests() == 1);
+        CHECK(it.other.requests() >= 1);
+    }
+}
