A silent server's attempt stays open until another server goes on

What callers saw: a stream was broken off with most of its time left, or a plain request got 502, though its sound server had only paused and went on a moment later.

Cause: when a server fell silent, the call to it was ended as soon as another server had been chosen. That one refused, closed, or stayed silent itself, and once the retries or servers were used up nothing was left to go on with: a sure way was given up before another one was there (break before make).

Now the silent attempt stays open beside the new one. The first of them that brings an event, or a whole answer, goes on, and the others are ended; an attempt that fails leaves the request to the others. Where none may be asked any more the request waits for the open ones until its deadline. An attempt that was not sent, or lacks a part of the body, is still ended at once. Open attempts count among the servers that a request has reached, and those that have not begun are taken back when their weights are outdated. A paused stream counts as its server's failure only once another server has taken over.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -34,6 +34,7 @@
     m_attempt->head = head;
     m_attempt->lastBytesAt = monotonicNow();
     m_weightsTimer.stop();
+    checkWeights();
     recordReached();
     if (m_attempt->isPassedOn()) {
         const RelayedAnswer answer = readRelayedAnswer(head.headers);
@@ -133,6 +134,9 @@
             retryOrConclude(true, Delivery::Delivered);
             return;
         }
+        if (head.status < 500 && !m_isStreaming) {
+            supersedeOtherAttempts(); // the request is at fault, so that no other server would do better
+        }
         concludeWithoutAnswer();
         return;
     }
@@ -181,28 +185,34 @@
     if (!m_attempt) {
         return;
     }
+    recordAttempt(*m_attempt, result);
+    m_attempt.reset();
+}
+
+void ForwardedRequest::recordAttempt(const ForwardAttempt &attempt, const char *result)
+{
     const Instant now = monotonicNow();
-    const auto silentFor = std::chrono::floor<milliseconds>(now - m_attempt->lastBytesAt);
-    m_record.attempts.push_back({.choice = m_attempt->choice,
+    const auto duration = now - attempt.sentAt;
+    const auto silentFor = std::chrono::floor<milliseconds>(now - attempt.lastBytesAt);
+    m_record.attempts.push_back({.choice = attempt.choice,
                                  .result = result,
-                                 .duration = std::chrono::floor<milliseconds>(now - m_attempt->sentAt),
-                                 .endedByClose = m_attempt->endedByClose,
-                                 .partialEventBytes = m_attempt->events.incompleteEventBytes(),
-                                 .limitPerSecond = m_attempt->metadata.limitPerSecond,
-                                 .sentAfter = std::chrono::floor<milliseconds>(m_attempt->sentAt - m_record.arrivedAt),
-                                 .unacknowledgedBytes = m_attempt->unacknowledgedBytes,
-                                 .foreignAnswers = m_attempt->foreignAnswers,
+                                 .duration = std::chrono::floor<milliseconds>(duration),
+                                 .endedByClose = attempt.endedByClose,
+                                 .partialEventBytes = attempt.events.incompleteEventBytes(),
+                                 .limitPerSecond = attempt.metadata.limitPerSecond,
+                                 .sentAfter = std::chrono::floor<milliseconds>(attempt.sentAt - m_record.arrivedAt),
+                                 .unacknowledgedBytes = attempt.unacknowledgedBytes,
+                                 .foreignAnswers = attempt.foreignAnswers,
                                  .refusal = {},
-                                 .isPassedOn = m_attempt->isPassedOn(),
-                                 .keptDespite = m_attempt->keptDespite,
-                                 .silentFor = m_attempt->head ? std::optional(silentFor) : std::nullopt});
-    m_state.chooser.onFinished(m_attempt->choice, m_attempt->hasResponded, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt));
-    if (m_attempt->isPassedOn()) {
-        m_state.peerRoutes.onFinished(m_attempt->vm);
+                                 .isPassedOn = attempt.isPassedOn(),
+                                 .keptDespite = attempt.keptDespite,
+                                 .silentFor = attempt.head ? std::optional(silentFor) : std::nullopt});
+    m_state.chooser.onFinished(attempt.choice, attempt.hasResponded, std::chrono::floor<std::chrono::microseconds>(duration));
+    if (attempt.isPassedOn()) {
+        m_state.peerRoutes.onFinished(attempt.vm);
     }
-    m_state.responseMemory.remove(m_attempt->memoryId);
-    m_state.giveUpResponse.erase(m_attempt->memoryId);
-    m_attempt.reset();
+    m_state.responseMemory.remove(attempt.memoryId);
+    m_state.giveUpResponse.erase(attempt.memoryId);
 }
 
 bool ForwardedRequest::canBeSentAgain(std::uint32_t deliveries) const
@@ -212,7 +222,7 @@
 
 bool ForwardedRequest::acquireRetry(Delivery delivery)
 {
-    if (!canBeSentAgain(m_deliveries)) {
+    if (!canBeSentAgain(otherDeliveries())) {
         return false;
     }
     // An attempt that reached no server adds no load, so it needs no retry permit.
@@ -225,6 +235,9 @@
     if (delivery == Delivery::Delivered) {
         ++m_deliveries;
     }
+    if (resumeSoundAttempt()) {
+        return; // it has taken over, or goes on
+    }
     const bool isAllowed = !m_mayHaveRun || m_route->isRepeatable();
     const bool isResumeAllowed = !m_isStreaming || m_route->isResumable;
     // A request that crashed its server would crash the next one.
--- a/src/auburndrum/gateway/forwardedend.cpp
+++ b/src/auburndrum/gateway/forwardedend.cpp
@@ -23,6 +23,7 @@
         endAttempt("out_of_time");
         call.cancel();
     }
+    endOtherAttempts("out_of_time");
     if (m_isStreaming) {
         abortStream("out of time");
         return;
@@ -41,6 +42,7 @@
         endAttempt("caller_gone");
         call.cancel();
     }
+    endOtherAttempts("caller_gone");
     conclude(Outcome::CallerGone, 0, "the caller closed its connection");
     m_exchange->abort();
 }
@@ -56,6 +58,9 @@
 
 void ForwardedRequest::concludeWithoutAnswer()
 {
+    if (resumeOtherAttempt()) {
+        return;
+    }
     if (m_isStreaming) {
         abortStream("the stream broke and can't be resumed");
         return;
@@ -101,6 +106,7 @@
 void ForwardedRequest::conclude(Outcome outcome, int status, const char *reason)
 {
     m_isConcluded = true;
+    supersedeOtherAttempts();
     m_state.openRequests.erase(this);
     if (outcome == Outcome::Served || outcome == Outcome::TimedOut) {
         m_state.routeDurations.add(m_record.route, std::chrono::ceil<milliseconds>(monotonicNow() - m_startedAt));
--- a/src/auburndrum/gateway/forwardedmove.cpp
+++ b/src/auburndrum/gateway/forwardedmove.cpp
@@ -1,18 +1,10 @@
 #include "auburndrum/decision/traffic/urgency.h"
 #include "forwardedrequest.h"
 
-// How a request leaves a server that may be sound: only once another one can take over.
+// How a request leaves a server that may be sound: only once another one goes on with it.
 
 namespace auburndrum::gateway {
 
-namespace {
-
-using std::chrono::milliseconds;
-
-constexpr milliseconds ReplacementCheckInterval{100}; // while a request stays at a silent server because no other one can take over
-
-} // namespace
-
 void ForwardedRequest::moveIfReplaceable(const char *result)
 {
     const auto self = shared_from_this();
@@ -23,21 +15,26 @@
     if (!replacement || !m_state.retryAllowance(m_service).tryAcquire(monotonicNow())) {
         m_attempt->keptDespite = result;
         if (!m_attempt->head && !m_state.serverPath.isCut()) {
-            recordSilence(); // it answers nobody; a stream's server may just pause
+            recordSilence(*m_attempt); // it answers nobody; a stream's server may just pause
         }
         m_silenceTimer.start(ReplacementCheckInterval);
         return;
     }
-    if (m_attempt->isPassedOn()) {
-        m_state.peerRoutes.onSilent(m_attempt->vm, suspendAwareNow());
+    if (!m_attempt->head) { // a stream's server may just pause
+        recordReplaced(*m_attempt);
     }
-    recordSilence();
     m_crashDecision = m_state.quarantine.decide(m_marks, suspendAwareNow());
-    net::HttpCallHandle call = m_attempt->call;
-    endAttempt(result);
-    call.cancel();
+    m_attempt->keptDespite = result;
     m_mayHaveRun = true;
-    ++m_deliveries;
+    // What has not been sent, or not to its end, can't be answered.
+    if (m_attempt->call.isSent() && m_exchange->isBodyComplete()) {
+        keepAttemptOpen();
+    } else {
+        net::HttpCallHandle call = m_attempt->call;
+        endAttempt(result);
+        call.cancel();
+        ++m_deliveries;
+    }
     if (replacement->vm) {
         sendToVm(*replacement->vm);
         return;
@@ -45,18 +42,26 @@
     send(*replacement->server);
 }
 
-void ForwardedRequest::recordSilence()
+void ForwardedRequest::recordSilence(ForwardAttempt &attempt)
+{
+    if (!std::exchange(attempt.isSilenceRecorded, true)) {
+        m_state.chooser.recordFailure(attempt.choice.id, monotonicNow(), m_state.random);
+    }
+}
+
+void ForwardedRequest::recordReplaced(ForwardAttempt &attempt)
 {
-    if (!std::exchange(m_attempt->isSilenceRecorded, true)) {
-        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
+    if (attempt.isPassedOn()) {
+        m_state.peerRoutes.onSilent(attempt.vm, suspendAwareNow());
     }
+    recordSilence(attempt);
 }
 
 bool ForwardedRequest::mayBeMoved() const
 {
     const bool isAllowed = m_route->isRepeatable() && (!m_isStreaming || m_route->isResumable);
     const bool isSuspect = m_wasLost && m_state.quarantine.isSuspect(m_marks);
-    return isAllowed && !isSuspect && canBeSentAgain(m_deliveries + 1) && m_state.retryAllowance(m_service).remaining(monotonicNow()) >= 1
+    return isAllowed && !isSuspect && canBeSentAgain(otherDeliveries() + 1) && m_state.retryAllowance(m_service).remaining(monotonicNow()) >= 1
         && m_state.quarantine.decide(m_marks, suspendAwareNow()).admission != decision::CrashAdmission::Refused;
 }
 
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -91,7 +91,7 @@
     call.headers = withoutRelayFields(m_state.wire.relayHeaders(m_exchange->head(), metadata));
     addFields(call.headers,
               RelayedRequest{.by = m_state.vmName,
-                             .deliveries = m_deliveries,
+                             .deliveries = otherDeliveries(),
                              .service = m_origin ? m_origin->service : "",
                              .softwareVersion = m_origin ? m_origin->softwareVersion : ""});
     call.freshConnection = true; // its answer needs no id then, and a connection that was idle may have died without notice
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -195,7 +195,7 @@
     m_record.noServerReason = choice ? "" : decision::toText(reason);
     m_record.serversKnown = m_state.servers.findByService(m_service).size();
     if (!choice) {
-        const bool isUnreachable = reason == decision::NoServerReason::AllFailing || (reason == decision::NoServerReason::AllTried && m_deliveries == 0);
+        const bool isUnreachable = reason == decision::NoServerReason::AllFailing || (reason == decision::NoServerReason::AllTried && otherDeliveries() == 0);
         const bool isUnread = reason == decision::NoServerReason::NoneListed; // by a VM that has just started
         if ((isUnreachable || isUnread) && m_source == Source::EntryVm) {
             refuseWithoutPath();
@@ -336,7 +336,9 @@
     m_isSilenceCertain = false;
     m_attempt->sentAt = monotonicNow();
     m_attempt->memoryId = m_state.responseMemory.add();
-    m_state.giveUpResponse[m_attempt->memoryId] = [this] {
+    const auto id = m_attempt->memoryId;
+    m_state.giveUpResponse[id] = [this, id] {
+        selectAttempt(id);
         m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
         takeBack("too_large");
     };
@@ -349,25 +351,31 @@
         self->setBodyPaused(false);
         return true;
     };
-    hooks.isForCall = [self](const net::HttpHead &head) {
+    hooks.isForCall = [self, id](const net::HttpHead &head) {
+        self->selectAttempt(id);
         return self->isOwnAnswer(head);
     };
-    hooks.onHead = [self](const net::HttpHead &head) {
+    hooks.onHead = [self, id](const net::HttpHead &head) {
         const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
+        self->selectAttempt(id);
         self->handleHead(head);
     };
-    hooks.onBody = [self](const QByteArray &part) {
+    hooks.onBody = [self, id](const QByteArray &part) {
         const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
-        self->handleBody(part);
+        if (self->selectAttempt(id)) {
+            self->handleBody(part);
+        }
     };
     hooks.onBytesSent = [self] {
         if (self->m_attempt && self->m_attempt->call.unsentBytes() <= PauseAboveBytes / 2) {
             self->setBodyPaused(false);
         }
     };
-    hooks.onDone = [self](const net::HttpResult &result) {
+    hooks.onDone = [self, id](const net::HttpResult &result) {
         const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
-        self->handleDone(result);
+        if (self->selectAttempt(id)) {
+            self->handleDone(result);
+        }
     };
     setBodyPaused(call.bodyFollows); // until the request is sent: what has not been read can still go elsewhere
     m_attempt->call = m_state.client.start(call, std::move(hooks));
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -26,7 +26,7 @@
     Instant lastBytesAt{}; ///< when a part of the response's body last arrived, or reading went on after a pause
     bool isReadingPaused = false; ///< while the caller takes the bytes slowly
     bool isSilenceRecorded = false; ///< whether the silence was counted as the server's failure
-    std::string keptDespite; ///< the silence for which the attempt would have ended if another server could have taken over
+    std::string keptDespite; ///< the silence for which another server was to take over; empty while there was none
     bool hasResponded = false; ///< whether the first event was reported to the chooser
     std::optional<net::HttpHead> head;
     AnswerMetadata metadata;
@@ -74,6 +74,8 @@
 
     static constexpr std::chrono::milliseconds MinAttemptTime{50}; ///< with less time left a further attempt can't complete
     static constexpr std::uint32_t MaxAttempts = 4; ///< attempts of one request, including those that reached no server
+    /// Between checks while a request stays at a silent server because no other one can be asked.
+    static constexpr std::chrono::milliseconds ReplacementCheckInterval{100};
 
     /// How far an attempt got.
     enum class Delivery {
@@ -176,6 +178,30 @@
     bool canBeSentAgain(std::uint32_t deliveries) const;
     bool acquireRetry(Delivery delivery);
     void endAttempt(const char *result);
+    void recordAttempt(const ForwardAttempt &attempt, const char *result);
+    /// @{ Attempts that are open at the same time, in forwardedattempts.cpp.
+    /// Makes the open attempt with this id the current one; false when that one has ended.
+    bool selectAttempt(decision::ResponseMemory::Id id);
+    /// Leaves the current attempt open while another server is asked.
+    void keepAttemptOpen();
+    /// Ends the other open attempts, because the current one goes on.
+    void supersedeOtherAttempts();
+    /// Ends the other open attempts, because the request ends.
+    void endOtherAttempts(const char *result);
+    /// Ends the other attempts that have not begun and must not begin any more, because their weights are outdated.
+    void endOutdatedAttempts();
+    /// Goes on with another open attempt, one that isn't silent if there is one; false when none is open.
+    bool resumeOtherAttempt();
+    /// Goes on with another open attempt that isn't silent; false when there is none.
+    bool resumeSoundAttempt();
+    void resumeAttempt(std::vector<ForwardAttempt>::iterator it);
+    void closeOtherAttempt(ForwardAttempt &attempt, const char *result);
+    /// Servers that the request was sent to, without that of the current attempt.
+    std::uint32_t otherDeliveries() const
+    {
+        return m_deliveries + static_cast<std::uint32_t>(m_otherAttempts.size());
+    }
+    /// @}
 
     /// @{ How the request ends for its caller, in forwardedend.cpp.
     /// Whether a status states to the caller that its request has not run.
@@ -194,7 +220,9 @@
     void checkSilence();
     void checkWeights();
     /// Why the attempt counts as silent: the result that it ends with if it is moved. Null while it doesn't.
-    const char *silence(Instant now) const;
+    const char *silence(const ForwardAttempt &attempt, Instant now) const;
+    /// Time until a request that has not begun must not begin on these weights any more; the longest time while they are current.
+    std::chrono::milliseconds timeToOutdated(std::uint64_t weightVersion) const;
     /// Pauses reading from the server while its caller takes the bytes slowly.
     void setReadingPaused(bool paused);
     /// Pauses reading the caller's body while its server takes the bytes slowly.
@@ -215,11 +243,13 @@
         std::optional<decision::ServerChoice> server;
         std::optional<decision::EntryVm> vm;
     };
-    /// Moves the request to another server. Without one the attempt goes on, as its server may be sound and answer yet.
+    /// Sends the request to another server. The silent attempt stays open until one of the two goes on, as its server may be sound and answer yet.
     void moveIfReplaceable(const char *result);
     bool mayBeMoved() const;
     /// Counts the silence as the server's failure, once for each attempt.
-    void recordSilence();
+    void recordSilence(ForwardAttempt &attempt);
+    /// The same for a server, or a VM, that another one is to replace or has replaced.
+    void recordReplaced(ForwardAttempt &attempt);
     std::optional<Replacement> findReplacement() const;
     /// @}
     std::chrono::milliseconds timeLeft() const;
@@ -241,13 +271,14 @@
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
     Instant m_startedAt{}; ///< when the request was passed to this object; its bytes may have taken longer to arrive
     Instant m_deadline{};
-    std::optional<ForwardAttempt> m_attempt;
+    std::optional<ForwardAttempt> m_attempt; ///< the current one
+    std::vector<ForwardAttempt> m_otherAttempts; ///< open beside the current one until the first of them goes on
     Source m_source;
     decision::ServerChoice m_answeringServer; ///< that sent the response which is passed on
     std::vector<std::string> m_triedServers;
     std::vector<std::string> m_triedVms; ///< entry VMs that the request was passed on to
     bool m_hasNoPath = false; ///< this VM reaches no server of the service
-    std::uint32_t m_deliveries = 0; ///< number of backend servers that the request reached
+    std::uint32_t m_deliveries = 0; ///< number of backend servers that the request reached by attempts that have ended
     std::uint32_t m_attemptCount = 0;
     decision::CrashDecision m_crashDecision; ///< whether a request with these marks may be sent
     decision::RequestMarks m_marks; ///< with the whole request's own once its body was read
--- a/src/auburndrum/gateway/forwardedstream.cpp
+++ b/src/auburndrum/gateway/forwardedstream.cpp
@@ -35,6 +35,7 @@
         m_state.chooser.onFirstEvent(m_attempt->choice, std::chrono::floor<std::chrono::microseconds>(monotonicNow() - m_attempt->sentAt), monotonicNow());
     }
     recordOrigin();
+    supersedeOtherAttempts();
     forwardToCaller(events);
     if (!areAll) {
         giveUpStream("out_of_order");
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -33,14 +33,14 @@
 
 void ForwardedRequest::checkSilence()
 {
-    if (m_isConcluded || !m_attempt || m_deliveries + 1 >= m_route->maxServers) {
+    if (m_isConcluded || !m_attempt || otherDeliveries() + 1 >= m_route->maxServers) {
         return;
     }
     if (m_attempt->head && (!m_route->isResumable || m_route->maxEventGap.count() == 0)) {
         return; // what has begun to arrive can't go on elsewhere, or may pause for any time
     }
     const Instant now = monotonicNow();
-    const char *result = silence(now);
+    const char *result = silence(*m_attempt, now);
     if (result != nullptr && !std::exchange(m_isSilenceCertain, true)) {
         m_silenceTimer.start(milliseconds(0)); // what arrived while the event loop was busy is handled first
         return;
@@ -58,19 +58,19 @@
     startSilenceTimer();
 }
 
-const char *ForwardedRequest::silence(Instant now) const
+const char *ForwardedRequest::silence(const ForwardAttempt &attempt, Instant now) const
 {
-    if (m_attempt->head) {
-        const bool isSilent = !m_attempt->isReadingPaused && now - m_attempt->lastBytesAt >= m_route->maxEventGap * MaxSilenceInEventGaps;
+    if (attempt.head) {
+        const bool isSilent = !attempt.isReadingPaused && now - attempt.lastBytesAt >= m_route->maxEventGap * MaxSilenceInEventGaps;
         return isSilent ? net::toText(net::HttpFailure::IdleTimeout) : nullptr;
     }
-    if (m_state.serverPath.isCut() && !m_attempt->isPassedOn()) {
+    if (m_state.serverPath.isCut() && !attempt.isPassedOn()) {
         return "cut_off";
     }
     // A server that responds to other requests is busy; sending the request to another one as well would only add load.
-    const auto lastAnswerAt = m_state.chooser.lastAnswerAt(m_attempt->choice.id);
+    const auto lastAnswerAt = m_state.chooser.lastAnswerAt(attempt.choice.id);
     const bool isBusy = lastAnswerAt && now - *lastAnswerAt < m_route->targetLatency * MaxSilenceInTargetLatencies;
-    const bool isEarly = now - m_attempt->sentAt < m_route->targetLatency * SilenceCheckInTargetLatencies;
+    const bool isEarly = now - attempt.sentAt < m_route->targetLatency * SilenceCheckInTargetLatencies;
     return isBusy || isEarly ? nullptr : "silent";
 }
 
@@ -94,23 +94,38 @@
 
 void ForwardedRequest::checkWeights()
 {
-    if (m_isConcluded || !m_metadata.prompt || !m_attempt || m_attempt->head) {
-        return; // the response's head says that the run has begun
+    if (m_isConcluded || !m_metadata.prompt || !m_attempt) {
+        return;
     }
-    const auto named = m_state.weights.find(m_metadata.prompt->model);
-    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(m_attempt->choice.weightVersion);
-    if (!replacedSince) {
-        m_weightsTimer.start(WeightsCheckInterval);
+    endOutdatedAttempts();
+    milliseconds timeLeft = m_attempt->head ? milliseconds::max() : timeToOutdated(m_attempt->choice.weightVersion);
+    if (timeLeft.count() <= 0) {
+        takeBack("outdated_weights");
         return;
     }
-    const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
-    const auto timeLeft = std::chrono::ceil<milliseconds>(latest - suspendAwareNow());
-    if (timeLeft.count() > 0) {
+    bool hasBegun = m_attempt->head.has_value(); // which the response's head says
+    for (const ForwardAttempt &it : m_otherAttempts) {
+        if (it.head) {
+            continue;
+        }
+        hasBegun = false;
+        timeLeft = std::min(timeLeft, timeToOutdated(it.choice.weightVersion));
+    }
+    if (!hasBegun) {
         // Checked again before that: the limit may change meanwhile, and timers don't count the time in which the VM is suspended.
         m_weightsTimer.start(std::min(timeLeft, WeightsCheckInterval));
-        return;
     }
-    takeBack("outdated_weights");
+}
+
+milliseconds ForwardedRequest::timeToOutdated(std::uint64_t weightVersion) const
+{
+    const auto named = m_state.weights.find(m_metadata.prompt->model);
+    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(weightVersion);
+    if (!replacedSince) {
+        return milliseconds::max();
+    }
+    const Instant latest = *replacedSince + m_state.outdatedWeightsLimit - TakeBackMargin;
+    return std::chrono::ceil<milliseconds>(latest - suspendAwareNow());
 }
 
 void ForwardedRequest::recordReached()
@@ -129,6 +144,9 @@
 
 void ForwardedRequest::waitOrConclude()
 {
+    if (resumeOtherAttempt()) {
+        return;
+    }
     const bool mayGoOn = m_isStreaming && m_route->isResumable && m_isBodyRepeatable && m_deliveries < m_route->maxServers;
     const milliseconds delay = std::max(m_retryAfter.value_or(milliseconds(0)), MinServerWait);
     const Instant triesAt = monotonicNow() + delay;
