A reset that a write meets is not taken for an orderly close

What callers got: a part of a body as the whole answer. A server answered an upload at once, without a length, and reset the connection while the upload was still being written.

Cause: after a reset the first call on the socket gets the error and clears it. When that was the write of a further part of the upload, the error was dropped, and the read that followed returned 0, which counts as an orderly close, and that ends a body without a length.

TcpSocket remembers the error of a write. A broken pipe means that the peer had closed in order before, so all its bytes have arrived: such an answer is still whole, which a second case holds.

--- a/src/auburndrum/net/tcpsocket.cpp
+++ b/src/auburndrum/net/tcpsocket.cpp
@@ -54,6 +54,7 @@
     int descriptor = -1;
     bool connected = false;
     bool paused = false;
+    bool wasReset = false; ///< a write has met the reset of the connection, which no read reports then
     QByteArray output;
     std::unique_ptr<QSocketNotifier> readable;
     std::unique_ptr<QSocketNotifier> writable;
@@ -126,6 +127,8 @@
             break;
         }
         if (n < 0) {
+            // A peer that closed in order before it reset the connection, so that all its bytes have arrived, is reported as a broken pipe.
+            wasReset = wasReset || errno != EPIPE;
             output.clear(); // handleReadable() reports how the connection ended, after the bytes that still arrived
             break;
         }
@@ -145,7 +148,7 @@
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    end(n == 0 ? TcpEnd::Closed : TcpEnd::Reset);
+    end(n == 0 && !wasReset ? TcpEnd::Closed : TcpEnd::Reset);
 }
 
 void TcpSocket::Private::end(TcpEnd how)
@@ -182,6 +185,7 @@
         descriptor = -1;
     }
     connected = false;
+    wasReset = false;
     output.clear();
 }
 
