An answer of no valid status is a failed one

What callers got: the server's bytes with status 600 or 999, or, for 000, 001, 099 and for interim statuses with a body, nothing until their time was over, and 504.

Cause: every status below 200 counted as interim, and every other one as final. The parser now rejects statuses below 100 and above 599, an interim response with a length or chunks, which has no body, and 101, since nobody asks for another protocol.

--- a/include/auburndrum/net/responseparser.h
+++ b/include/auburndrum/net/responseparser.h
@@ -31,7 +31,7 @@
     ResponseParser(HeadHook onHead, BodyHook onBody);
     ~ResponseParser();
 
-    /// Parses further bytes; returns false when they are not a well-formed response.
+    /// Parses further bytes; returns false when they are not a well-formed response, which has a status from 100 to 599 and, where it is interim, no body.
     bool feed(const QByteArray &bytes);
     /// Must be called when the peer has closed the connection; returns false when the response is incomplete.
     bool finishOnPeerClose();
--- a/src/auburndrum/net/responseparser.cpp
+++ b/src/auburndrum/net/responseparser.cpp
@@ -14,6 +14,10 @@
 namespace http = beast::http;
 
 constexpr std::uint32_t HeaderLimitBytes = 16 * 1024;
+constexpr int SmallestStatus = 100;
+constexpr int SmallestFinalStatus = 200; // those below are interim
+constexpr int LargestStatus = 599;
+constexpr int SwitchingProtocols = 101; // no request asks for another protocol
 constexpr qsizetype MaxUnparsedBytes = 16 * 1024; // of a header, a chunk's header or trailers that have not ended
 
 QByteArray toBytes(beast::string_view text)
@@ -74,9 +78,12 @@
     {
     }
 
-    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/, beast::error_code & /*ec*/) override
+    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/, beast::error_code &ec) override
     {
         m_head.status = code;
+        if (code < SmallestStatus || code > LargestStatus || code == SwitchingProtocols) {
+            ec = http::error::bad_status;
+        }
     }
 
     void on_field_impl(http::field /*field*/, beast::string_view name, beast::string_view value, beast::error_code & /*ec*/) override
@@ -84,8 +91,13 @@
         m_head.headers.push_back({toBytes(name), toBytes(value)});
     }
 
-    void on_header_impl(beast::error_code & /*ec*/) override
+    void on_header_impl(beast::error_code &ec) override
     {
+        const bool isInterim = m_head.status < SmallestFinalStatus;
+        if (isInterim && (!m_head.header("Content-Length").isEmpty() || !m_head.header("Transfer-Encoding").isEmpty())) {
+            ec = http::error::bad_status; // interim responses have no body
+            return;
+        }
         m_onHead(m_head);
     }
 
