A request that is passed on is not taken back for weights of a server

What callers saw: 502 for a prompt that another VM was about to answer, where their VM could not reach the servers.

Cause: the check of the weights at which a request waits went on after the attempt at a server had failed, and took the attempt at the other VM, which names no weights, for one on the oldest weights: 250 ms after the first attempt was sent, once any weights had been named for longer than their limit, the request was taken back. The VM that it is passed on to watches the weights itself.

--- a/src/auburndrum/gateway/forwardedattempts.cpp
+++ b/src/auburndrum/gateway/forwardedattempts.cpp
@@ -86,7 +86,7 @@
 void ForwardedRequest::endOutdatedAttempts()
 {
     for (ForwardAttempt &it : std::exchange(m_otherAttempts, {})) {
-        if (it.head || timeToOutdated(it.choice.weightVersion).count() > 0) {
+        if (it.head || timeToOutdated(it).count() > 0) {
             m_otherAttempts.push_back(std::move(it));
             continue;
         }
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -221,8 +221,8 @@
     void checkWeights();
     /// Why the attempt counts as silent: the result that it ends with if it is moved. Null while it doesn't.
     const char *silence(const ForwardAttempt &attempt, Instant now) const;
-    /// Time until a request that has not begun must not begin on these weights any more; the longest time while they are current.
-    std::chrono::milliseconds timeToOutdated(std::uint64_t weightVersion) const;
+    /// Time until a request that has not begun must not begin on its server's weights any more; the longest time while they are current.
+    std::chrono::milliseconds timeToOutdated(const ForwardAttempt &attempt) const;
     /// Pauses reading from the server while its caller takes the bytes slowly.
     void setReadingPaused(bool paused);
     /// Pauses reading the caller's body while its server takes the bytes slowly.
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -98,7 +98,7 @@
         return;
     }
     endOutdatedAttempts();
-    milliseconds timeLeft = m_attempt->head ? milliseconds::max() : timeToOutdated(m_attempt->choice.weightVersion);
+    milliseconds timeLeft = m_attempt->head ? milliseconds::max() : timeToOutdated(*m_attempt);
     if (timeLeft.count() <= 0) {
         takeBack("outdated_weights");
         return;
@@ -109,7 +109,7 @@
             continue;
         }
         hasBegun = false;
-        timeLeft = std::min(timeLeft, timeToOutdated(it.choice.weightVersion));
+        timeLeft = std::min(timeLeft, timeToOutdated(it));
     }
     if (!hasBegun) {
         // Checked again before that: the limit may change meanwhile, and timers don't count the time in which the VM is suspended.
@@ -117,10 +117,13 @@
     }
 }
 
-milliseconds ForwardedRequest::timeToOutdated(std::uint64_t weightVersion) const
+milliseconds ForwardedRequest::timeToOutdated(const ForwardAttempt &attempt) const
 {
+    if (attempt.isPassedOn()) {
+        return milliseconds::max(); // the other VM watches the weights of the server that it chooses
+    }
     const auto named = m_state.weights.find(m_metadata.prompt->model);
-    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(weightVersion);
+    const auto replacedSince = named == m_state.weights.end() ? std::nullopt : named->second.replacedSince(attempt.choice.weightVersion);
     if (!replacedSince) {
         return milliseconds::max();
     }
--- a/src/auburndrum/gateway/passedonstream_test.cpp
+++ b/src/auburndrum/gateway/passedonstream_test.cpp
@@ -173,3 +173,45 @@
         CHECK(attempts.back()["software"] == software);
     }
 }
+
+// Guards against a request that is taken back from the VM that it was passed on to: the check of the weights at the server that couldn't be reached went on,
+// and a VM has none (LOST).
+TEST_CASE("a prompt that is passed on stays with the other VM however old its first server's weights are")
+{
+    const DeadAddress dead{DeadAddress::Kind::Refusing};
+    int passedOn = 0;
+    RawServer other([&passedOn](QTcpSocket *socket, const QByteArray &request) {
+        if (!request.contains("Relayed-By: ")) { // news between VMs
+            socket->write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        ++passedOn;
+        QTimer::singleShot(600ms, socket, [socket] {
+            socket->write(Head + "Relayed-Server: c\r\nRelayed-Service: service\r\n" + Chunked + chunk(FirstEvents + LastEvents) + "0\r\n\r\n");
+        });
+    });
+    GatewayFixture it(
+        [](const std::shared_ptr<net::Exchange> &, int) {
+        },
+        true,
+        [&](GatewayFixture &fixture, GatewayOptions &options) {
+            options.retries = {.ratio = 2, .window = 10s};
+            options.outdatedWeightsLimit = 300ms;
+            options.startSettleTime = 0ms;
+            options.entryTopic = "entries";
+            options.peerAddress = {QHostAddress(QStringLiteral("127.0.0.1")), 0};
+            fixture.store.put("entries", "other", QByteArray::fromStdString(toJson(decision::EntryVm{"other", other.address().toStdString(), "zone", 10})));
+            fixture.store.put("operator", "weights", "1");
+            for (const char *id : {"a", "b"}) {
+                fixture.store.put("servers", id, dead.text() + " 1 v1");
+            }
+        });
+    REQUIRE(runUntil([&it] {
+        return it.hasLogged("entry_vms") && it.hasLogged("weights_named");
+    }));
+    it.extraHeaders = {{"Model", "m"}, {"Parts", "p,q"}};
+    const auto result = it.sendRequest("/stream/");
+    CHECK(result.head.status == 200);
+    CHECK(result.body == FirstEvents + LastEvents);
+    CHECK(passedOn == 1);
+}
