An interim answer may name a length of 0

The check of interim answers with a body rejected 'Content-Length: 0' as well, which a careless server may send with 100 Continue: its sound final answer would have ended as 502. Found by review; invalidstatus_test has the case now.

--- a/src/auburndrum/net/responseparser.cpp
+++ b/src/auburndrum/net/responseparser.cpp
@@ -93,8 +93,9 @@
 
     void on_header_impl(beast::error_code &ec) override
     {
-        const bool isInterim = m_head.status < SmallestFinalStatus;
-        if (isInterim && (!m_head.header("Content-Length").isEmpty() || !m_head.header("Transfer-Encoding").isEmpty())) {
+        const QByteArray length = m_head.header("Content-Length");
+        const bool hasBody = (!length.isEmpty() && length != "0") || !m_head.header("Transfer-Encoding").isEmpty();
+        if (m_head.status < SmallestFinalStatus && hasBody) {
             ec = http::error::bad_status; // interim responses have no body
             return;
         }
