Open attempts: when one counts as silent, which may be kept, who is asked again

From a review by someone who hadn't seen the work, by reading: - A response on a route without a longest event gap, or one that can't be resumed, counted as silent at once where open attempts are compared. - A third server could be asked while the second one, just asked, was sound. - A run that ends in a plain answer shows nothing before its end, so that two would be at work for long: its silent attempt is ended as before. - A VM without a path asked each other VM once only while an attempt stayed open; they are asked again after the time that they named. - Hooks of an attempt that has ended do nothing.

No case of its own covers the first, second and fourth point.

--- a/src/auburndrum/gateway/forwardedattempts.cpp
+++ b/src/auburndrum/gateway/forwardedattempts.cpp
@@ -23,6 +23,23 @@
     return true;
 }
 
+bool ForwardedRequest::selectSoundAttempt()
+{
+    const Instant now = monotonicNow();
+    const auto it = std::find_if(m_otherAttempts.begin(), m_otherAttempts.end(), [&](const ForwardAttempt &attempt) {
+        return silence(attempt, now) == nullptr;
+    });
+    return it != m_otherAttempts.end() && selectAttempt(it->memoryId);
+}
+
+bool ForwardedRequest::mayStayOpen() const
+{
+    // A run that ends with a plain answer shows nothing before, so that two of them would be at work for long.
+    const bool isPlainRun = m_metadata.prompt && m_route->kind != decision::RequestKind::Streaming;
+    // A server can't answer what has not been sent to it, or what the caller has not sent to its end.
+    return m_attempt->call.isSent() && m_exchange->isBodyComplete() && !isPlainRun;
+}
+
 void ForwardedRequest::keepAttemptOpen()
 {
     m_otherAttempts.push_back(std::move(*m_attempt));
--- a/src/auburndrum/gateway/forwardedmove.cpp
+++ b/src/auburndrum/gateway/forwardedmove.cpp
@@ -26,8 +26,7 @@
     m_crashDecision = m_state.quarantine.decide(m_marks, suspendAwareNow());
     m_attempt->keptDespite = result;
     m_mayHaveRun = true;
-    // What has not been sent, or not to its end, can't be answered.
-    if (m_attempt->call.isSent() && m_exchange->isBodyComplete()) {
+    if (mayStayOpen()) {
         keepAttemptOpen();
     } else {
         net::HttpCallHandle call = m_attempt->call;
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -338,9 +338,10 @@
     m_attempt->memoryId = m_state.responseMemory.add();
     const auto id = m_attempt->memoryId;
     m_state.giveUpResponse[id] = [this, id] {
-        selectAttempt(id);
-        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
-        takeBack("too_large");
+        if (selectAttempt(id)) {
+            m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
+            takeBack("too_large");
+        }
     };
     const auto self = shared_from_this();
     net::HttpHooks hooks;
@@ -352,13 +353,13 @@
         return true;
     };
     hooks.isForCall = [self, id](const net::HttpHead &head) {
-        self->selectAttempt(id);
-        return self->isOwnAnswer(head);
+        return self->selectAttempt(id) && self->isOwnAnswer(head);
     };
     hooks.onHead = [self, id](const net::HttpHead &head) {
         const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
-        self->selectAttempt(id);
-        self->handleHead(head);
+        if (self->selectAttempt(id)) {
+            self->handleHead(head);
+        }
     };
     hooks.onBody = [self, id](const QByteArray &part) {
         const LoopWork::Span span(self->m_state.work, LoopWork::Kind::Answers);
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -36,8 +36,8 @@
     if (m_isConcluded || !m_attempt || otherDeliveries() + 1 >= m_route->maxServers) {
         return;
     }
-    if (m_attempt->head && (!m_route->isResumable || m_route->maxEventGap.count() == 0)) {
-        return; // what has begun to arrive can't go on elsewhere, or may pause for any time
+    if (m_attempt->head && !hasSilenceLimit()) {
+        return;
     }
     const Instant now = monotonicNow();
     const char *result = silence(*m_attempt, now);
@@ -47,7 +47,9 @@
     }
     m_isSilenceCertain = false;
     if (result != nullptr) {
-        moveIfReplaceable(result);
+        if (!selectSoundAttempt()) {
+            moveIfReplaceable(result);
+        }
         return;
     }
     if (m_attempt->head && !m_attempt->isReadingPaused) {
@@ -60,6 +62,9 @@
 
 const char *ForwardedRequest::silence(const ForwardAttempt &attempt, Instant now) const
 {
+    if (attempt.head && !hasSilenceLimit()) {
+        return nullptr;
+    }
     if (attempt.head) {
         const bool isSilent = !attempt.isReadingPaused && now - attempt.lastBytesAt >= m_route->maxEventGap * MaxSilenceInEventGaps;
         return isSilent ? net::toText(net::HttpFailure::IdleTimeout) : nullptr;
@@ -147,11 +152,13 @@
 
 void ForwardedRequest::waitOrConclude()
 {
+    const milliseconds delay = std::max(m_retryAfter.value_or(milliseconds(0)), MinServerWait);
     if (resumeOtherAttempt()) {
+        m_triedVms.clear();
+        m_silenceTimer.start(std::min(delay, MaxServerWait));
         return;
     }
     const bool mayGoOn = m_isStreaming && m_route->isResumable && m_isBodyRepeatable && m_deliveries < m_route->maxServers;
-    const milliseconds delay = std::max(m_retryAfter.value_or(milliseconds(0)), MinServerWait);
     const Instant triesAt = monotonicNow() + delay;
     const Instant waitsSince = m_waitsSince.value_or(monotonicNow());
     const bool hasTime = m_retryAfter && triesAt - waitsSince <= MaxServerWait && timeLeft() >= delay + MinAttemptTime;
