A plain request runs at two servers for 400 ms at most

Plain servers that answer nobody for a while are mostly full; with their silent attempt kept for as long as another server worked on the request, each such request took two places.

A server that has not refused a plain request within 400 ms has taken it, and the silent attempt ends then. A refusal comes sooner, and the request goes on with the silent attempt as before.

No case covers the bound: the fixture's routes end before it.

--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -33,13 +33,22 @@
 
 void ForwardedRequest::checkSilence()
 {
-    if (m_isConcluded || !m_attempt || otherDeliveries() + 1 >= m_route->maxServers) {
+    if (m_isConcluded || !m_attempt) {
         return;
     }
-    if (m_attempt->head && !hasSilenceLimit()) {
+    const Instant now = monotonicNow();
+    if (m_route->kind != decision::RequestKind::Streaming && !m_otherAttempts.empty()) {
+        // A plain answer shows nothing before its end. A server that hasn't refused by then has taken the request, and two runs would cost others their places.
+        const auto left = std::chrono::ceil<milliseconds>(m_attempt->sentAt + SilenceCheckInterval - now);
+        if (left.count() > 0) {
+            m_silenceTimer.start(left);
+            return;
+        }
+        supersedeOtherAttempts();
+    }
+    if (otherDeliveries() + 1 >= m_route->maxServers || (m_attempt->head && !hasSilenceLimit())) {
         return;
     }
-    const Instant now = monotonicNow();
     const char *result = silence(*m_attempt, now);
     if (result != nullptr && !std::exchange(m_isSilenceCertain, true)) {
         m_silenceTimer.start(milliseconds(0)); // what arrived while the event loop was busy is handled first
