A request's line says when its answers began and why it was not sent again

Change: attempts log head_ms, requests not_sent_again. No change of behaviour: acquireRetry() and obstacleToRepeating() name the condition that they tested.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -33,6 +33,7 @@
 {
     m_attempt->head = head;
     m_attempt->lastBytesAt = monotonicNow();
+    m_attempt->answeredAt = m_attempt->lastBytesAt;
     m_weightsTimer.stop();
     checkWeights();
     recordReached();
@@ -194,6 +195,10 @@
     const Instant now = monotonicNow();
     const auto duration = now - attempt.sentAt;
     const auto silentFor = std::chrono::floor<milliseconds>(now - attempt.lastBytesAt);
+    std::optional<milliseconds> answeredAfter;
+    if (attempt.answeredAt) {
+        answeredAfter = std::chrono::floor<milliseconds>(*attempt.answeredAt - attempt.sentAt);
+    }
     m_record.attempts.push_back({.choice = attempt.choice,
                                  .result = result,
                                  .duration = std::chrono::floor<milliseconds>(duration),
@@ -206,7 +211,8 @@
                                  .refusal = {},
                                  .isPassedOn = attempt.isPassedOn(),
                                  .keptDespite = attempt.keptDespite,
-                                 .silentFor = attempt.head ? std::optional(silentFor) : std::nullopt});
+                                 .silentFor = attempt.head ? std::optional(silentFor) : std::nullopt,
+                                 .answeredAfter = answeredAfter});
     m_state.chooser.onFinished(attempt.choice, attempt.hasResponded, std::chrono::floor<std::chrono::microseconds>(duration));
     if (attempt.isPassedOn()) {
         m_state.peerRoutes.onFinished(attempt.vm);
@@ -220,13 +226,25 @@
     return m_attemptCount < MaxAttempts && m_isBodyRepeatable && timeLeft() >= MinAttemptTime && deliveries < m_route->maxServers;
 }
 
-bool ForwardedRequest::acquireRetry(Delivery delivery)
+const char *ForwardedRequest::obstacleToRepeating() const
+{
+    const bool isAllowed = !m_mayHaveRun || m_route->isRepeatable();
+    const bool isResumeAllowed = !m_isStreaming || m_route->isResumable;
+    if (!isAllowed || !isResumeAllowed) {
+        return "may run once only";
+    }
+    // A request that crashed its server would crash the next one.
+    return m_wasLost && m_state.quarantine.isSuspect(m_marks) ? "suspect of crashes" : "";
+}
+
+const char *ForwardedRequest::acquireRetry(Delivery delivery)
 {
     if (!canBeSentAgain(otherDeliveries())) {
-        return false;
+        return "limits of one request";
     }
     // An attempt that reached no server adds no load, so it needs no retry permit.
-    return delivery == Delivery::NotSent || m_state.retryAllowance(m_service).tryAcquire(monotonicNow());
+    const bool hasPermit = delivery == Delivery::NotSent || m_state.retryAllowance(m_service).tryAcquire(monotonicNow());
+    return hasPermit ? "" : "no retry left";
 }
 
 void ForwardedRequest::retryOrConclude(bool mayHaveRun, Delivery delivery)
@@ -238,16 +256,17 @@
     if (resumeSoundAttempt()) {
         return; // it has taken over, or goes on
     }
-    const bool isAllowed = !m_mayHaveRun || m_route->isRepeatable();
-    const bool isResumeAllowed = !m_isStreaming || m_route->isResumable;
-    // A request that crashed its server would crash the next one.
-    const bool isSuspect = m_wasLost && m_state.quarantine.isSuspect(m_marks);
-    if (isAllowed && isResumeAllowed && !isSuspect && acquireRetry(delivery)) {
+    m_record.notSentAgain = obstacleToRepeating();
+    const bool mayBeRepeated = m_record.notSentAgain.empty();
+    if (mayBeRepeated) {
+        m_record.notSentAgain = acquireRetry(delivery);
+    }
+    if (m_record.notSentAgain.empty()) {
         tryNextServer();
         return;
     }
     const bool isUnreached = delivery == Delivery::NotSent && m_isBodyRepeatable && timeLeft() >= MinAttemptTime;
-    if (isUnreached && isAllowed && isResumeAllowed && !isSuspect && passOn()) {
+    if (isUnreached && mayBeRepeated && passOn()) {
         return;
     }
     concludeWithoutAnswer();
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -332,6 +332,7 @@
 
 void ForwardedRequest::startCall(const net::HttpCall &call)
 {
+    m_record.notSentAgain.clear();
     m_attempt->goesOn = !lastEventId().empty();
     m_isSilenceCertain = false;
     m_attempt->sentAt = monotonicNow();
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -23,6 +23,7 @@
     Instant sentAtSuspendAware{};
     std::uint32_t ownRequests = 0; ///< of this VM at the server, this one included
     std::optional<Instant> firstEventAt;
+    std::optional<Instant> answeredAt; ///< when its answer began; a run has begun by then
     Instant lastBytesAt{}; ///< when a part of the response's body last arrived, or reading went on after a pause
     bool isReadingPaused = false; ///< while the caller takes the bytes slowly
     bool isSilenceRecorded = false; ///< whether the silence was counted as the server's failure
@@ -177,7 +178,10 @@
     void retryOrConclude(bool mayHaveRun, Delivery delivery);
     /// Whether limits other than the service's retry allowance let the request be sent once more after it has reached this many servers.
     bool canBeSentAgain(std::uint32_t deliveries) const;
-    bool acquireRetry(Delivery delivery);
+    /// Why the request must not run again, whatever its limits; an empty text when it may.
+    const char *obstacleToRepeating() const;
+    /// Takes a retry; returns which limit forbids that, or an empty text.
+    const char *acquireRetry(Delivery delivery);
     void endAttempt(const char *result);
     void recordAttempt(const ForwardAttempt &attempt, const char *result);
     /// @{ Attempts that are open at the same time, in forwardedattempts.cpp.
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -53,6 +53,9 @@
     if (it.silentFor) {
         object["silent_ms"] = it.silentFor->count();
     }
+    if (it.answeredAfter) {
+        object["head_ms"] = it.answeredAfter->count();
+    }
     if (it.choice.limitPerSecond) {
         object["limit"] = *it.choice.limitPerSecond;
     }
@@ -146,6 +149,7 @@
         line["no_server"] = record.noServerReason;
         line["servers_known"] = record.serversKnown;
         line["retries_left"] = record.retriesLeft;
+        line["not_sent_again"] = record.notSentAgain;
         if (!record.isBodyRepeatable) {
             line["body_repeatable"] = false;
         }
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -40,6 +40,7 @@
     bool isPassedOn = false; ///< it went to another entry VM, which `choice.id` names
     std::string keptDespite; ///< the silence after which it would have been moved if another server could have taken over; empty without one
     std::optional<std::chrono::milliseconds> silentFor; ///< since the last part of its answer, when it ended; empty when no part had come
+    std::optional<std::chrono::milliseconds> answeredAfter; ///< from when it was sent until its answer began; empty when none did
 };
 
 /// What the log states of one request.
@@ -62,6 +63,7 @@
     std::chrono::milliseconds callerTimeout{0};
     std::vector<AttemptRecord> attempts;
     double retriesLeft = 0;
+    std::string notSentAgain; ///< why no other server was asked after the last attempt; empty when one was, or when none had to be
     std::string noServerReason; ///< why the last choice found no backend server; empty when it found one
     std::optional<decision::CrashDecision>
         crashDecision; ///< set when the request or a part of its prompt is kept away, also for a request that is sent as a trial
