Two servers run a stream for 300 ms at most

What callers saw: nothing; the servers did. A stream whose sound server paused ran there and at the next one until that one had written a whole event. Cause: an open attempt yielded to an event only; a run begins with its answer's first byte. Change: limitOverlap(), a pure decision on the attempts that are open: once two of them have had an answer for 300 ms, the one whose bytes came last goes on. An attempt without an answer, or with a refusal, stays open. Why this works: the bound counts from the later answer's beginning, which this VM learns one way after the run has; 100 ms are left for both ways.

--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -8,11 +8,6 @@
 
 using std::chrono::milliseconds;
 
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 bool ForwardedRequest::isOwnAnswer(const net::HttpHead &head)
@@ -36,6 +31,7 @@
     m_attempt->answeredAt = m_attempt->lastBytesAt;
     m_weightsTimer.stop();
     checkWeights();
+    checkOverlap();
     recordReached();
     if (m_attempt->isPassedOn()) {
         const RelayedAnswer answer = readRelayedAnswer(head.headers);
--- a/src/auburndrum/gateway/forwardedattempts.cpp
+++ b/src/auburndrum/gateway/forwardedattempts.cpp
@@ -1,3 +1,4 @@
+#include "auburndrum/decision/traffic/openattempts.h"
 #include "forwardedrequest.h"
 
 #include <algorithm>
@@ -6,6 +7,21 @@
 
 namespace auburndrum::gateway {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+// Two servers may run a request for 400 ms; the end of the older run takes the way to its server, from another region too, off that.
+constexpr milliseconds MaxOverlap{300};
+
+decision::OpenAttempt toOpenAttempt(const ForwardAttempt &attempt)
+{
+    const bool isRunning = attempt.head && isSuccess(attempt.head->status); // a refusal shows no run
+    return {isRunning ? attempt.answeredAt : std::nullopt, attempt.lastBytesAt};
+}
+
+} // namespace
+
 bool ForwardedRequest::selectAttempt(decision::ResponseMemory::Id id)
 {
     if (m_attempt && m_attempt->memoryId == id) {
@@ -82,13 +98,58 @@
 void ForwardedRequest::supersedeOtherAttempts()
 {
     const auto self = shared_from_this();
+    for (ForwardAttempt &it : std::exchange(m_otherAttempts, {})) {
+        supersede(it);
+    }
+}
+
+void ForwardedRequest::supersede(ForwardAttempt &attempt)
+{
+    const char *result = silence(attempt, monotonicNow());
+    if (result != nullptr) {
+        recordReplaced(attempt);
+    }
+    closeOtherAttempt(attempt, result != nullptr ? result : "superseded");
+}
+
+void ForwardedRequest::checkOverlap()
+{
+    if (m_isConcluded || !m_attempt || m_otherAttempts.empty()) {
+        m_isOverlapCertain = false;
+        return;
+    }
     const Instant now = monotonicNow();
+    std::vector<decision::OpenAttempt> open = {toOpenAttempt(*m_attempt)};
+    std::transform(m_otherAttempts.begin(), m_otherAttempts.end(), std::back_inserter(open), toOpenAttempt);
+    const decision::OverlapDecision decision = decision::limitOverlap(open, MaxOverlap, now);
+    if (!decision.ending.empty() && !std::exchange(m_isOverlapCertain, true)) {
+        m_overlapTimer.start(milliseconds(0)); // what arrived while the event loop was busy is handled first
+        return;
+    }
+    m_isOverlapCertain = false;
+    if (decision.checkAt) {
+        m_overlapTimer.start(std::chrono::ceil<milliseconds>(*decision.checkAt - now));
+    }
+    std::vector<decision::ResponseMemory::Id> ending;
+    for (const std::size_t it : decision.ending) {
+        ending.push_back(it == 0 ? m_attempt->memoryId : m_otherAttempts[it - 1].memoryId);
+    }
+    const auto isEnding = [&ending](const ForwardAttempt &attempt) {
+        return std::find(ending.begin(), ending.end(), attempt.memoryId) != ending.end();
+    };
+    if (isEnding(*m_attempt)) {
+        const auto latest = std::max_element(m_otherAttempts.begin(), m_otherAttempts.end(), [&](const ForwardAttempt &a, const ForwardAttempt &b) {
+            return std::pair(!isEnding(a), a.lastBytesAt) < std::pair(!isEnding(b), b.lastBytesAt);
+        });
+        selectAttempt(latest->memoryId);
+    }
+    const auto self = shared_from_this();
     for (ForwardAttempt &it : std::exchange(m_otherAttempts, {})) {
-        const char *result = silence(it, now);
-        if (result != nullptr) {
-            recordReplaced(it);
+        if (isEnding(it)) {
+            supersede(it);
+            continue;
         }
-        closeOtherAttempt(it, result != nullptr ? result : "superseded");
+        m_otherAttempts.push_back(std::move(it));
     }
 }
 
--- a/src/auburndrum/gateway/forwardedrequest.cpp
+++ b/src/auburndrum/gateway/forwardedrequest.cpp
@@ -108,28 +108,9 @@
             self->setReadingPaused(false);
         }
     });
-    m_deadlineTimer.setSingleShot(true);
-    m_deadlineTimer.setTimerType(Qt::PreciseTimer); // a coarse timer is off by up to 5%
-    QObject::connect(&m_deadlineTimer, &QTimer::timeout, &m_deadlineTimer, [this] {
-        handleTimeout();
-    });
+    connectTimers();
     m_deadlineTimer.start(std::max(milliseconds(0), timeLeft()));
     endWithStop();
-    m_silenceTimer.setSingleShot(true);
-    QObject::connect(&m_silenceTimer, &QTimer::timeout, &m_silenceTimer, [this] {
-        checkSilence();
-    });
-    m_weightsTimer.setSingleShot(true);
-    m_weightsTimer.setTimerType(Qt::PreciseTimer);
-    QObject::connect(&m_weightsTimer, &QTimer::timeout, &m_weightsTimer, [this] {
-        checkWeights();
-    });
-    m_waitTimer.setSingleShot(true);
-    m_waitTimer.setTimerType(Qt::PreciseTimer);
-    QObject::connect(&m_waitTimer, &QTimer::timeout, &m_waitTimer, [this] {
-        const auto self = shared_from_this();
-        tryNextServer();
-    });
     startFingerprint();
     if (isTakeUp()) {
         seekOrigin();
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -13,6 +13,11 @@
 
 namespace auburndrum::gateway {
 
+inline bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// One attempt of a request at one backend server.
 struct ForwardAttempt
 {
@@ -23,7 +28,7 @@
     Instant sentAtSuspendAware{};
     std::uint32_t ownRequests = 0; ///< of this VM at the server, this one included
     std::optional<Instant> firstEventAt;
-    std::optional<Instant> answeredAt; ///< when its answer began; a run has begun by then
+    std::optional<Instant> answeredAt; ///< when its answer began
     Instant lastBytesAt{}; ///< when a part of the response's body last arrived, or reading went on after a pause
     bool isReadingPaused = false; ///< while the caller takes the bytes slowly
     bool isSilenceRecorded = false; ///< whether the silence was counted as the server's failure
@@ -193,6 +198,8 @@
     void keepAttemptOpen();
     /// Ends the other open attempts, because the current one goes on.
     void supersedeOtherAttempts();
+    /// Ends attempts where two servers have run the request for long enough, and sets the timer for the next check.
+    void checkOverlap();
     /// Ends the other open attempts, because the request ends.
     void endOtherAttempts(const char *result);
     /// Ends the other attempts that have not begun and must not begin any more, because their weights are outdated.
@@ -204,6 +211,8 @@
     /// Goes on with another open attempt that isn't silent, as one that has just been sent; false when there is none.
     bool resumeSoundAttempt();
     void resumeAttempt(std::vector<ForwardAttempt>::iterator it);
+    /// Ends one of the other open attempts, because another server goes on.
+    void supersede(ForwardAttempt &attempt);
     void closeOtherAttempt(ForwardAttempt &attempt, const char *result);
     /// Servers that the request was sent to, without that of the current attempt.
     std::uint32_t otherDeliveries() const
@@ -225,6 +234,7 @@
     void conclude(Outcome outcome, int status, const char *reason);
     /// @}
     /// @{ Waiting for the response, in forwardedwait.cpp.
+    void connectTimers();
     void startSilenceTimer();
     void checkSilence();
     void checkWeights();
@@ -280,6 +290,8 @@
     QTimer m_deadlineTimer; ///< ends the request at its deadline
     QTimer m_silenceTimer; ///< checks for a server that gives no response
     bool m_isSilenceCertain = false; ///< whether all that had arrived was handled before the next check
+    QTimer m_overlapTimer; ///< ends all but one of the attempts whose servers run the request
+    bool m_isOverlapCertain = false; ///< whether all that had arrived was handled before the next check
     QTimer m_waitTimer; ///< tries again to send a stream on that has begun
     std::optional<Instant> m_waitsSince; ///< when a stream that has begun found no server first since its last event
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -26,6 +26,24 @@
 
 } // namespace
 
+void ForwardedRequest::connectTimers()
+{
+    const auto connect = [this](QTimer &timer, Qt::TimerType type, void (ForwardedRequest::*handle)()) {
+        timer.setSingleShot(true);
+        timer.setTimerType(type);
+        QObject::connect(&timer, &QTimer::timeout, &timer, [this, handle] {
+            const auto self = shared_from_this();
+            (this->*handle)();
+        });
+    };
+    // A coarse timer is off by up to 5%.
+    connect(m_deadlineTimer, Qt::PreciseTimer, &ForwardedRequest::handleTimeout);
+    connect(m_silenceTimer, Qt::CoarseTimer, &ForwardedRequest::checkSilence);
+    connect(m_weightsTimer, Qt::PreciseTimer, &ForwardedRequest::checkWeights);
+    connect(m_waitTimer, Qt::PreciseTimer, &ForwardedRequest::tryNextServer);
+    connect(m_overlapTimer, Qt::PreciseTimer, &ForwardedRequest::checkOverlap);
+}
+
 void ForwardedRequest::startSilenceTimer()
 {
     m_silenceTimer.start(SilenceCheckInterval);
