What a VM loses with its own path counts against no server and no prompt

Cause: a connection that ended under a request was put down to its server and to the request at once. Connections that a VM loses together made the parts that their prompts share suspect of crashes, so that the streams were not sent again; and a second one, lost over the same path, used max_attempts up. Workers that are cut off meanwhile don't count (BUDGET). If the VM is then found to be cut off, what it lost since just before counts neither as a crash (the reports are withdrawn, for other VMs, too) nor as a server that the request reached, and the request goes on through another VM. A probe must hold its connection for 30 ms, as a cut may accept connections and reset them.

--- a/include/auburndrum/decision/traffic/crashquarantine.h
+++ b/include/auburndrum/decision/traffic/crashquarantine.h
@@ -72,6 +72,8 @@
     /// The connection to a server ended before the response did. A request whose events had been arriving for a while is not to be reported: a mark that
     /// crashes its server does so when the server begins to write.
     void onLost(const std::string &server, const RequestMarks &marks, Instant sentAt, Instant now);
+    /// This VM turns out to have been cut off from all servers: what it lost since then says nothing about requests.
+    void withdrawLosses(Instant since);
     /// The server refused a connection.
     void onRefusedConnection(const std::string &server, Instant now);
     /// A response of the server began. Refutes a crash that was reported before the request was sent.
@@ -135,6 +137,7 @@
 
     CrashQuarantineOptions m_options;
     std::map<std::string, CrashReport> m_crashes; ///< by incarnation
+    std::map<std::string, Instant> m_ownLosses; ///< by incarnation: when this VM last lost a connection there
     std::map<std::string, Verdict, std::less<>> m_verdicts; ///< by mark
     std::map<std::string, std::map<std::string, MarkSuccess>> m_successes; ///< of marks that crashes name: by mark and VM
     RecentResponses m_responses; ///< of all marks, this VM's own
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -94,6 +94,7 @@
     std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
     /// @{ Called with each server that can't be connected to, and when one responds while serverPath is cut.
     std::function<void(const std::string &server)> onServerUnreachable;
+    std::function<void(const std::string &server)> onConnectionLost; ///< the same with each whose connection ends under a request
     std::function<void()> onPathRegained;
     /// @}
     decision::ServerChooser chooser;
--- a/include/auburndrum/gateway/pathprobe.h
+++ b/include/auburndrum/gateway/pathprobe.h
@@ -7,6 +7,7 @@
 #include <QTimer>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,8 +15,8 @@
 
 /// @brief Finds out when a VM is cut off from all backend servers, and when it reaches one again, and logs both changes.
 ///
-/// After a server was out of reach it opens connections to some others, without a request, and while the VM is cut off to a random one now and then. Lives on
-/// the event loop's thread.
+/// After a server was out of reach, or a connection under a request was lost, it opens connections to some servers, without a request, and while the VM is cut
+/// off to a random one now and then. A connection that is reset at once shows no path either. Lives on the event loop's thread.
 class PathProbe : public QObject
 {
     Q_OBJECT
@@ -29,9 +30,12 @@
         std::string server;
         std::unique_ptr<net::TcpSocket> socket;
         Instant begunAt{};
+        std::optional<Instant> connectedAt;
     };
 
     void handleUnreachable(const std::string &server);
+    /// Tries connections to some servers.
+    void connectToSome(std::vector<std::string> servers);
     void handleRegained();
     void tick();
     void connectToServer(const std::string &server);
--- a/src/auburndrum/decision/traffic/crashquarantine.cpp
+++ b/src/auburndrum/decision/traffic/crashquarantine.cpp
@@ -103,6 +103,7 @@
         return;
     }
     m_responses.drop(server);
+    m_ownLosses[server] = now;
     CrashReport &crash = m_crashes[server];
     const bool isNew = crash.server.empty() || crash.isRefuted || (!crash.isConfirmed && now - crash.at > OneCrashTime);
     if (isNew) {
@@ -340,6 +341,9 @@
 
 void CrashQuarantine::forgetOld(Instant now)
 {
+    std::erase_if(m_ownLosses, [&](const auto &it) {
+        return now - it.second > m_options.settleTime;
+    });
     std::erase_if(m_crashes, [&](const auto &it) {
         return now - it.second.at > m_options.evidenceLifetime;
     });
--- a/src/auburndrum/decision/traffic/crashquarantineexchange.cpp
+++ b/src/auburndrum/decision/traffic/crashquarantineexchange.cpp
@@ -111,6 +111,18 @@
     return shared;
 }
 
+void CrashQuarantine::withdrawLosses(Instant since)
+{
+    for (const auto &[server, at] : m_ownLosses) {
+        const auto it = m_crashes.find(server);
+        if (at < since || it == m_crashes.end()) {
+            continue;
+        }
+        it->second.isRefuted = true;
+        it->second.isConfirmed = false;
+    }
+}
+
 bool CrashQuarantine::mergeCrash(const CrashReport &crash)
 {
     const auto [known, isNew] = m_crashes.try_emplace(crash.server, crash);
--- a/src/auburndrum/decision/traffic/serverpath_test.cpp
+++ b/src/auburndrum/decision/traffic/serverpath_test.cpp
@@ -86,3 +86,58 @@
     CHECK_FALSE(it.takeTrial(false, now + 5400ms));
     CHECK(it.takeTrial(false, now + 5500ms));
 }
+
+// Guards against streams that are cut, and prompt parts that are kept away, because a VM's own cut was put down to its servers (LOST).
+TEST_CASE("connections that were lost just before a cut was found, or in it, ended with the VM's path")
+{
+    ServerPath it;
+    CHECK(it.takeLossCheck(Begin));
+    CHECK_FALSE(it.takeLossCheck(Begin + 199ms));
+    CHECK(it.takeLossCheck(Begin + 200ms));
+    it.onUnreachable("a", 12, Begin + 205ms);
+    it.onUnreachable("b", 12, Begin + 210ms);
+    CHECK_FALSE(it.isPathLoss(Begin + 200ms)); // it may be the servers' end
+    CHECK(it.onUnreachable("c", 12, Begin + 260ms));
+    CHECK(it.isPathLoss(Begin + 200ms));
+    CHECK(it.isPathLoss(Begin + 5s));
+    CHECK_FALSE(it.isPathLoss(Begin));
+    CHECK_FALSE(it.takeLossCheck(Begin + 1s)); // the probes of the cut go on
+    CHECK(it.onReached());
+    CHECK_FALSE(it.isPathLoss(Begin + 200ms));
+}
+
+// Guards against a request that is sent on and on although its servers end under it: on a VM with few servers, or with few requests, that looks like a cut
+// (BUDGET).
+TEST_CASE("connections that were lost before a probe was accepted, or to the only server, ended with their servers")
+{
+    ServerPath it = cutPath();
+    CHECK(it.isPathLoss(Begin));
+    it.onProbeConnected(Begin + 50ms);
+    CHECK(it.isCut());
+    CHECK_FALSE(it.isPathLoss(Begin));
+    CHECK(it.isPathLoss(Begin + 60ms));
+    ServerPath one;
+    CHECK(one.onUnreachable("only", 1, Begin));
+    CHECK_FALSE(one.isPathLoss(Begin));
+}
+
+// Guards against the same where the entries of servers that ended under earlier requests are still listed (BUDGET).
+TEST_CASE("servers that were lost earlier and don't respond are no sign that the path was lost with the next one")
+{
+    ServerPath it;
+    it.onLost("a", Begin);
+    it.onLost("b", Begin + 1s);
+    it.onLost("c", Begin + 2s);
+    it.onUnreachable("a", 3, Begin + 2s);
+    it.onUnreachable("b", 3, Begin + 2s);
+    CHECK(it.onUnreachable("c", 3, Begin + 2s));
+    CHECK_FALSE(it.isPathLoss(Begin + 2s));
+    it.onReached("a");
+    it.onReached("b");
+    it.onReached("c");
+    it.onLost("c", Begin + 5s);
+    it.onUnreachable("a", 3, Begin + 5s);
+    it.onUnreachable("b", 3, Begin + 5s);
+    CHECK(it.onUnreachable("c", 3, Begin + 5s));
+    CHECK(it.isPathLoss(Begin + 5s));
+}
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -4,12 +4,8 @@
 
 namespace auburndrum::gateway {
 
-namespace {
-
 using std::chrono::milliseconds;
 
-} // namespace
-
 bool ForwardedRequest::isOwnAnswer(const net::HttpHead &head)
 {
     const std::string id = m_state.wire.readAnswer(head).requestId;
@@ -159,18 +155,22 @@
         return;
     }
     const bool wasResetUnanswered = result.failure == net::HttpFailure::Closed && !result.reused && !m_attempt->head;
-    if (!result.sent || wasResetUnanswered) {
+    // A request that ends its servers looks like a cut from here, so that only its first reset is a sign of one.
+    const bool isFurtherReset = wasResetUnanswered && std::exchange(m_wasResetUnanswered, true);
+    if ((!result.sent || wasResetUnanswered) && !isFurtherReset) {
         recordUnreachable();
     }
-    // A reused connection that the server closed before responding says nothing about the server's health.
     if (!result.sent) {
         m_state.chooser.recordUnreachable(m_attempt->choice.id, monotonicNow(), m_state.random);
-    } else if (!(result.reused && result.failure == net::HttpFailure::Closed && !m_attempt->head)) {
-        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
     }
     if (result.failure == net::HttpFailure::Closed && result.sent) {
-        recordLost();
-    } else if (result.failure == net::HttpFailure::ConnectFailed) {
+        handleLostConnection(result);
+        return;
+    }
+    if (result.sent) {
+        m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
+    }
+    if (result.failure == net::HttpFailure::ConnectFailed) {
         recordRefusedConnection();
     }
     endAttempt(net::toText(result.failure));
@@ -249,6 +249,7 @@
     if (delivery == Delivery::Delivered) {
         ++m_deliveries;
     }
+    excusePathLosses();
     if (resumeSoundAttempt()) {
         return; // it has taken over, or goes on
     }
--- a/src/auburndrum/gateway/forwardedcrash.cpp
+++ b/src/auburndrum/gateway/forwardedcrash.cpp
@@ -88,16 +88,18 @@
     }
 }
 
-void ForwardedRequest::recordLost()
+void ForwardedRequest::recordCrash()
 {
+    const Instant now = suspendAwareNow();
     m_wasLost = true;
+    m_lossTimes.push_back(now);
     const auto *server = m_state.servers.find(m_attempt->choice.id);
     const bool isLeaving = server == nullptr || server->server.isDraining;
     const bool wasWriting = m_attempt->firstEventAt && monotonicNow() - *m_attempt->firstEventAt >= WritingTime;
-    if (m_attempt->incarnation.empty() || isLeaving || wasWriting) {
+    if (m_attempt->incarnation.empty() || isLeaving || wasWriting || m_state.serverPath.isPathLoss(now)) {
         return;
     }
-    m_state.quarantine.onLost(m_attempt->incarnation, m_marks, m_attempt->sentAtSuspendAware, suspendAwareNow());
+    m_state.quarantine.onLost(m_attempt->incarnation, m_marks, m_attempt->sentAtSuspendAware, now);
     if (m_state.onNewsForPeers) {
         m_state.onNewsForPeers();
     }
--- a/src/auburndrum/gateway/forwardedend.cpp
+++ b/src/auburndrum/gateway/forwardedend.cpp
@@ -117,6 +117,7 @@
     m_weightsTimer.stop();
     m_waitTimer.stop();
     m_overlapTimer.stop();
+    m_pathCheckTimer.stop();
     m_record.retriesLeft = m_service.empty() ? 0 : m_state.retryAllowance(m_service).remaining(monotonicNow());
     m_record.isBodyRepeatable = m_isBodyRepeatable;
     recordRequest(m_state, m_record, outcome, status, reason);
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -88,6 +88,7 @@
     enum class Delivery {
         NotSent, ///< no byte was sent
         WrongServer, ///< reached a server that refused it, and that doesn't count as one it was sent to
+        Uncounted, ///< the servers that it may have reached have been counted, where they count
         Delivered,
     };
 
@@ -148,9 +149,17 @@
     bool isKeptAway();
     void recordResponse();
     void recordWholeResponse();
-    void recordLost();
+    /// Counts the end of the attempt's connection as its server's, for the time being.
+    void recordCrash();
     void recordRefusedConnection();
     /// @}
+    /// @{ Connections that end under the request, in forwardedloss.cpp.
+    /// Has this VM's path checked, and sends the request again after that where it may be.
+    void handleLostConnection(const net::HttpResult &result);
+    void retryAfterPathCheck();
+    /// Takes losses that turn out to be of this VM's path off the servers that the request reached.
+    void excusePathLosses();
+    /// @}
     /// @{ Limits that servers name, in forwardedlimit.cpp.
     void recordLimit();
     /// Whether the server is brittle, and what its answer shows of its room.
@@ -292,6 +301,7 @@
     bool m_isSilenceCertain = false; ///< whether all that had arrived was handled before the next check
     QTimer m_overlapTimer; ///< ends all but one of the attempts whose servers run the request
     bool m_isOverlapCertain = false; ///< whether all that had arrived was handled before the next check
+    QTimer m_pathCheckTimer; ///< sends the request again after a lost connection
     QTimer m_waitTimer; ///< tries again to send a stream on that has begun
     std::optional<Instant> m_waitsSince; ///< when a stream that has begun found no server first since its last event
     QTimer m_weightsTimer; ///< checks the server's weights while the request waits there
@@ -310,7 +320,9 @@
     decision::RequestMarks m_marks; ///< with the whole request's own once its body was read
     std::optional<decision::RequestFingerprint> m_fingerprint;
     std::optional<QByteArray> m_heldBody; ///< body of a request that is not sent before it was read
-    bool m_wasLost = false; ///< the last attempt's connection ended before the response
+    bool m_wasLost = false; ///< a connection to a server ended before the response
+    std::vector<Instant> m_lossTimes; ///< of the connections that ended under the request and are put down to their servers
+    bool m_wasResetUnanswered = false; ///< a new connection to a server ended before a response began
     bool m_mayHaveRun = false;
     bool m_isBodyRepeatable = true;
     bool m_isBodyPaused = false; ///< for the server's sake
--- a/src/auburndrum/gateway/forwardedstream.cpp
+++ b/src/auburndrum/gateway/forwardedstream.cpp
@@ -95,7 +95,7 @@
     if (isStreamBrokenOff()) {
         const bool isWholeAnswer = !m_attempt->endedByClose && m_attempt->events.incompleteEventBytes() == 0;
         if (!isWholeAnswer) {
-            recordLost();
+            recordCrash();
         }
         m_state.chooser.recordFailure(m_attempt->choice.id, monotonicNow(), m_state.random);
         endAttempt(isWholeAnswer ? "no_events" : "broken_stream");
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -42,6 +42,7 @@
     connect(m_weightsTimer, Qt::PreciseTimer, &ForwardedRequest::checkWeights);
     connect(m_waitTimer, Qt::PreciseTimer, &ForwardedRequest::tryNextServer);
     connect(m_overlapTimer, Qt::PreciseTimer, &ForwardedRequest::checkOverlap);
+    connect(m_pathCheckTimer, Qt::PreciseTimer, &ForwardedRequest::retryAfterPathCheck);
 }
 
 void ForwardedRequest::startSilenceTimer()
@@ -165,7 +166,9 @@
 
 void ForwardedRequest::recordReached()
 {
-    if (!m_attempt->isPassedOn() && m_state.serverPath.onReached() && m_state.onPathRegained) {
+    const bool isOtherServer = m_attempt->head && m_attempt->head->status == 421; // which has the address now
+    const std::string_view server = isOtherServer ? std::string_view() : std::string_view(m_attempt->choice.id);
+    if (!m_attempt->isPassedOn() && m_state.serverPath.onReached(server) && m_state.onPathRegained) {
         m_state.onPathRegained();
     }
 }
--- a/src/auburndrum/gateway/pathprobe.cpp
+++ b/src/auburndrum/gateway/pathprobe.cpp
@@ -10,8 +10,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds TickInterval{50};
+constexpr milliseconds TickInterval{25};
 constexpr milliseconds ProbeTimeout{300}; // several times the round trip between regions
+constexpr milliseconds ProbeHoldTime{30}; // a cut may accept connections and reset them a moment later
 // A cut that ends sooner was a wrong guess, from several servers that have gone: what failed in it is theirs.
 constexpr milliseconds MinCutTime{500};
 constexpr std::size_t SuspicionProbes = 3; // servers that are tried after one was out of reach
@@ -26,6 +27,13 @@
     m_state.onServerUnreachable = [this](const std::string &server) {
         handleUnreachable(server);
     };
+    m_state.onConnectionLost = [this](const std::string &server) {
+        const Instant now = suspendAwareNow();
+        m_state.serverPath.onLost(server, now);
+        if (m_state.serverPath.takeLossCheck(now)) {
+            connectToSome(m_state.servers.ids());
+        }
+    };
     m_state.onPathRegained = [this] {
         handleRegained();
     };
@@ -34,7 +42,11 @@
 void PathProbe::handleUnreachable(const std::string &server)
 {
     const Instant now = suspendAwareNow();
-    if (m_state.serverPath.onUnreachable(server, m_state.servers.size(), now)) {
+    const bool isNewCut = m_state.serverPath.onUnreachable(server, m_state.servers.size(), now);
+    if (const auto since = m_state.serverPath.pathLostSince()) {
+        m_state.quarantine.withdrawLosses(*since);
+    }
+    if (isNewCut) {
         m_lostAt = now;
         m_state.metrics.stateChanges.with({"server_path"}).Increment();
         m_state.log.write(LinePriority::Notable, "server_path", {{"change", "lost"}, {"server", server}, {"servers_known", m_state.servers.size()}});
@@ -46,9 +58,14 @@
     }
     auto others = m_state.servers.ids();
     std::erase(others, server);
-    std::shuffle(others.begin(), others.end(), m_state.random);
-    others.resize(std::min(others.size(), SuspicionProbes));
-    for (const std::string &it : others) {
+    connectToSome(std::move(others));
+}
+
+void PathProbe::connectToSome(std::vector<std::string> servers)
+{
+    std::shuffle(servers.begin(), servers.end(), m_state.random);
+    servers.resize(std::min(servers.size(), SuspicionProbes));
+    for (const std::string &it : servers) {
         connectToServer(it);
     }
 }
@@ -67,14 +84,15 @@
 void PathProbe::tick()
 {
     const Instant now = suspendAwareNow();
-    std::vector<std::string> silent;
+    std::vector<std::pair<std::string, bool>> ended;
     for (const Probe &it : m_probes) {
-        if (now - it.begunAt >= ProbeTimeout) {
-            silent.push_back(it.server);
+        const bool isOver = it.connectedAt ? now - *it.connectedAt >= ProbeHoldTime : now - it.begunAt >= ProbeTimeout;
+        if (isOver) {
+            ended.emplace_back(it.server, it.connectedAt.has_value());
         }
     }
-    for (const std::string &it : silent) {
-        handleProbeEnd(it, false);
+    for (const auto &[server, isConnected] : ended) {
+        handleProbeEnd(server, isConnected);
     }
     if (m_state.serverPath.takeProbe(now)) {
         const auto ids = m_state.servers.ids();
@@ -91,17 +109,24 @@
 {
     const auto *entry = m_state.servers.find(server);
     const auto address = entry == nullptr ? std::nullopt : net::parseAddress(entry->server.address);
-    if (!address) {
+    const bool isTried = std::any_of(m_probes.begin(), m_probes.end(), [&](const Probe &it) {
+        return it.server == server;
+    });
+    if (!address || isTried) {
         return;
     }
     net::TcpHooks hooks;
     hooks.onConnected = [this, server] {
-        handleProbeEnd(server, true);
+        for (Probe &it : m_probes) {
+            if (it.server == server && !it.connectedAt) {
+                it.connectedAt = suspendAwareNow();
+            }
+        }
     };
     hooks.onEnd = [this, server](net::TcpEnd) {
         handleProbeEnd(server, false);
     };
-    m_probes.push_back({server, std::make_unique<net::TcpSocket>(std::move(hooks)), suspendAwareNow()});
+    m_probes.push_back({.server = server, .socket = std::make_unique<net::TcpSocket>(std::move(hooks)), .begunAt = suspendAwareNow(), .connectedAt = {}});
     m_probes.back().socket->connectTo(*address, ProbeTimeout);
     if (!m_timer.isActive()) {
         m_timer.start(TickInterval);
--- a/src/auburndrum/gateway/requestrecord.cpp
+++ b/src/auburndrum/gateway/requestrecord.cpp
@@ -139,6 +139,9 @@
         attempts.push_back(toJson(it));
     }
     line["attempts"] = std::move(attempts);
+    if (record.pathLosses > 0) {
+        line["path_losses"] = record.pathLosses;
+    }
     if (outcome != Outcome::Served) {
         line["parts"] = record.parts;
         line["request_mark"] = record.requestMark;
--- a/src/auburndrum/gateway/requestrecord.h
+++ b/src/auburndrum/gateway/requestrecord.h
@@ -63,6 +63,7 @@
     std::chrono::milliseconds callerTimeout{0};
     std::vector<AttemptRecord> attempts;
     double retriesLeft = 0;
+    std::size_t pathLosses = 0; ///< connections under it that ended with this VM's path to the servers
     std::string notSentAgain; ///< why no other server was asked after the last attempt; empty when one was, or when none had to be
     std::string noServerReason; ///< why the last choice found no backend server; empty when it found one
     std::optional<decision::CrashDecision>
