A request that may be repeated goes on when another VM could not serve it

Cause: "it may have run, so that it can't go on" is true of a request that runs once only, and was applied to those that may be repeated. Change: after 502 or 504 of another VM such a request is sent on within its limits. So that these hold over several VMs, a VM tells how many servers the request reached (Relayed-Deliveries, also in the answer now); a time that ends counts the server that has the request. An answer of a version before, which doesn't tell, counts as one server.

--- a/include/auburndrum/gateway/relayedrequest.h
+++ b/include/auburndrum/gateway/relayedrequest.h
@@ -24,6 +24,7 @@
 {
     std::string vm; ///< the VM whose own answer it is; empty for a backend server's answer, and from VMs of versions that don't say it
     bool hasNoPath = false; ///< the VM reaches no server of the service either; the request has not run there
+    std::optional<std::uint32_t> deliveries; ///< backend servers that the request reached, those before it was passed on included; not set by earlier versions
     std::string server; ///< that answered; empty when the VM itself answered
     std::string service;
     std::string softwareVersion;
--- a/src/auburndrum/gateway/forwardedend.cpp
+++ b/src/auburndrum/gateway/forwardedend.cpp
@@ -20,6 +20,7 @@
     if (m_attempt) {
         net::HttpCallHandle call = m_attempt->call;
         m_mayHaveRun = m_mayHaveRun || call.isSent();
+        m_deliveries += call.isSent() ? 1 : 0;
         endAttempt("out_of_time");
         call.cancel();
     }
@@ -94,7 +95,7 @@
         headers.push_back({"Retry-After", QByteArray::number(std::chrono::duration<double>(*m_retryAfter).count())});
     }
     if (m_source == Source::EntryVm) {
-        addFields(headers, RelayedAnswer{.vm = m_state.vmName, .hasNoPath = m_hasNoPath && status == 503});
+        addFields(headers, RelayedAnswer{.vm = m_state.vmName, .hasNoPath = m_hasNoPath && status == 503, .deliveries = m_deliveries});
     }
     const nlohmann::json body = {{"error", reason}};
     m_exchange->respondJson(status, QByteArray::fromStdString(body.dump()), headers);
--- a/src/auburndrum/gateway/forwardedpeer.cpp
+++ b/src/auburndrum/gateway/forwardedpeer.cpp
@@ -129,8 +129,12 @@
     endAttempt("refused");
     m_record.attempts.back().refusalStatus = head.status;
     m_record.attempts.back().refusal = reason;
-    const bool hasRun = head.status >= 500 && head.status != 503;
-    m_mayHaveRun = m_mayHaveRun || hasRun;
+    const bool mayHaveRun = head.status >= 500 && head.status != 503;
+    if (mayHaveRun && m_route->isRepeatable()) {
+        retryAfterVm(answer);
+        return true;
+    }
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     bool isDelay = false;
     const double delay = head.header("Retry-After").toDouble(&isDelay);
     m_retryAfter = isDelay ? std::optional(milliseconds(static_cast<std::int64_t>(delay * 1000))) : std::nullopt;
@@ -147,6 +151,18 @@
     return true;
 }
 
+void ForwardedRequest::retryAfterVm(const RelayedAnswer &answer)
+{
+    if (!answer.deliveries) {
+        retryOrConclude(true, Delivery::Delivered);
+        return;
+    }
+    // The VM was told of the servers before, those of the other open attempts included.
+    const auto others = static_cast<std::uint32_t>(m_otherAttempts.size());
+    m_deliveries = std::max(m_deliveries, *answer.deliveries - std::min(others, *answer.deliveries));
+    retryOrConclude(true, Delivery::Uncounted);
+}
+
 void ForwardedRequest::handleFailedVm(const net::HttpResult &result)
 {
     // A VM that closes the connection inside its answer was there to pass on the break of its server's.
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -181,6 +181,8 @@
     net::HttpCall makeCallTo(const decision::EntryVm &vm) const;
     /// Handles what the other VM itself answers; false for the answer of a backend server.
     bool handleVmAnswer();
+    /// Sends a request on that the VM which it was passed on to could not serve, and that may have run there.
+    void retryAfterVm(const RelayedAnswer &answer);
     void handleFailedVm(const net::HttpResult &result);
     void refuseWithoutPath();
     std::vector<net::Header> answerHeaders(const net::HttpHead &head) const;
--- a/src/auburndrum/gateway/passedonstream_test.cpp
+++ b/src/auburndrum/gateway/passedonstream_test.cpp
@@ -22,6 +22,9 @@
 const QByteArray Chunked = "Transfer-Encoding: chunked\r\n\r\n";
 const QByteArray Refusal = "HTTP/1.1 503 Service Unavailable\r\nRelayed-Vm: other\r\nRetry-After: 0.2\r\nContent-Length: 16\r\n\r\n{\"error\":\"test\"}";
 
+const QByteArray Failure = "HTTP/1.1 502 Bad Gateway\r\nRelayed-Vm: other\r\n";
+const QByteArray FailureBody = "Content-Length: 16\r\n\r\n{\"error\":\"test\"}";
+
 QByteArray event(int n)
 {
     return "id: " + QByteArray::number(n) + "\ndata: piece " + QByteArray::number(n) + "\n\n";
@@ -38,8 +41,8 @@
 /// A VM whose server ends inside a stream, while no other one can be reached, and the VMs that the rest is passed on to: the first requests are refused.
 struct LostPath
 {
-    LostPath(int vms, int refusals)
-        : others([this, refusals](QTcpSocket *socket, const QByteArray &request) {
+    LostPath(int vms, int refusals, const QByteArray &refusal = Refusal)
+        : others([this, refusals, refusal](QTcpSocket *socket, const QByteArray &request) {
             if (!request.contains("Relayed-By: ")) { // news between VMs
                 socket->write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
                 return;
@@ -47,7 +50,7 @@
             passedOn.push_back(request);
             const QByteArray fields = "Relayed-Server: a\r\nRelayed-Service: service\r\nRelayed-Software: v1\r\n";
             const bool isRefused = static_cast<int>(passedOn.size()) <= refusals;
-            socket->write(isRefused ? Refusal : Head + fields + Chunked + chunk(LastEvents) + "0\r\n\r\n");
+            socket->write(isRefused ? refusal : Head + fields + Chunked + chunk(LastEvents) + "0\r\n\r\n");
         })
         , gateway(
               [](const std::shared_ptr<net::Exchange> &, int) {
@@ -136,6 +139,27 @@
     CHECK(it.passedOn.size() <= 4);
 }
 
+// Guards against a stream that is broken off since it may have run, which matters to requests that run once only: the VM that it was passed on to had lost its
+// path as well, or its servers (LOST).
+TEST_CASE("a stream that has begun goes on through another VM when the first one's answer says that it may have run there")
+{
+    for (const QByteArray &told : {QByteArray(), QByteArray("Relayed-Deliveries: 0\r\n"), QByteArray("Relayed-Deliveries: 1\r\n")}) {
+        CAPTURE(told.toStdString());
+        LostPath it(2, 1, Failure + told + FailureBody);
+        checkWhole(it, 2);
+    }
+}
+
+// Guards against a stream that is sent to more servers than its route allows, one VM after the other (BUDGET).
+TEST_CASE("servers that a stream reached through another VM count against its limit")
+{
+    LostPath it(3, 100, Failure + "Relayed-Deliveries: 2\r\n" + FailureBody);
+    const auto result = it.gateway.sendRequest("/stream/");
+    CHECK(result.failure != net::HttpFailure::None);
+    CHECK(it.passedOn.size() == 1);
+    CHECK(it.gateway.lastLine("request")["not_sent_again"] == "limits of one request");
+}
+
 TEST_CASE("a VM that passes a stream on tells which software began it")
 {
     LostPath it(1, 0);
@@ -174,6 +198,76 @@
     }
 }
 
+namespace {
+
+/// A VM that requests are passed on to, with its address among VMs.
+struct RelayingVm
+{
+    explicit RelayingVm(const GatewayFixture::Preparation &prepare)
+        : gateway(
+            [](const std::shared_ptr<net::Exchange> &, int) {
+            },
+            true,
+            [&prepare](GatewayFixture &it, GatewayOptions &options) {
+                options.entryTopic = "entries";
+                options.peerAddress = {QHostAddress(QStringLiteral("127.0.0.1")), 0};
+                it.store.put("servers", "b", std::nullopt);
+                prepare(it, options);
+            })
+    {
+        REQUIRE(runUntil([this] {
+            return gateway.hasLogged("entry_vms");
+        }));
+        const auto vm = entryVmFrom(gateway.store.records("entries").front().value->toStdString());
+        REQUIRE(vm);
+        address = *net::parseAddress(vm.value().address);
+    }
+
+    GatewayFixture gateway;
+    net::Address address;
+};
+
+const std::vector<net::Header> GoesOn = {{"Last", "2"}, {"Resumes", "begun"}, {"Relayed-By", "x"}, {"Relayed-Service", "service"}, {"Relayed-Software", "v1"}};
+
+} // namespace
+
+// Guards against a stream that ends since the servers which a VM lost with its own path use its limit up (LOST).
+TEST_CASE("a VM that loses its path under a stream that was passed on to it doesn't count the servers that it lost")
+{
+    const DeadAddress dead{DeadAddress::Kind::Refusing};
+    std::optional<RawServer> server;
+    QObject context;
+    server.emplace([&](QTcpSocket *, const QByteArray &) {
+        QTimer::singleShot(0, &context, [&server] {
+            server.reset();
+        });
+    });
+    RelayingVm it([&](GatewayFixture &fixture, GatewayOptions &) {
+        fixture.store.put("servers", "a", server->address() + " 0 v1");
+        for (const char *id : {"c", "d", "e", "f"}) {
+            fixture.store.put("servers", id, dead.text() + " 0 v2");
+        }
+    });
+    it.gateway.extraHeaders = GoesOn;
+    const auto result = it.gateway.sendRequestTo(it.address, "/stream/");
+    CHECK(result.head.status == 502);
+    CHECK(result.head.header("Relayed-Deliveries") == "0");
+}
+
+// Guards against a request that is sent to more servers than its route allows: the VM that it was passed on to forgot the one at which its time ended (BUDGET).
+TEST_CASE("a VM whose time for a request ends counts the server that has it")
+{
+    RawServer server([](QTcpSocket *, const QByteArray &) {
+    });
+    RelayingVm it([&](GatewayFixture &fixture, GatewayOptions &) {
+        fixture.store.put("servers", "a", server.address() + " 0 v1");
+    });
+    it.gateway.extraHeaders = {{"Relayed-By", "x"}, {"Relayed-Deliveries", "1"}, {"Patience", "200"}};
+    const auto result = it.gateway.sendRequestTo(it.address, "/safe/");
+    CHECK(result.head.status == 504);
+    CHECK(result.head.header("Relayed-Deliveries") == "2");
+}
+
 // Guards against a request that is taken back from the VM that it was passed on to: the check of the weights at the server that couldn't be reached went on,
 // and a VM has none (LOST).
 TEST_CASE("a prompt that is passed on stays with the other VM however old its first server's weights are")
--- a/src/auburndrum/gateway/relayedrequest.cpp
+++ b/src/auburndrum/gateway/relayedrequest.cpp
@@ -36,6 +36,9 @@
     if (answer.hasNoPath) {
         headers.push_back({NoPath, "1"});
     }
+    if (answer.deliveries) {
+        headers.push_back({Deliveries, QByteArray::number(*answer.deliveries)});
+    }
     if (!answer.server.empty()) {
         headers.push_back({Server, QByteArray::fromStdString(answer.server)});
         headers.push_back({Service, QByteArray::fromStdString(answer.service)});
@@ -53,8 +56,11 @@
 
 RelayedAnswer readRelayedAnswer(const std::vector<net::Header> &headers)
 {
+    bool isNumber = false;
+    const std::uint32_t deliveries = net::headerValue(headers, Deliveries).toUInt(&isNumber);
     return {net::headerValue(headers, Vm).toStdString(),
             !net::headerValue(headers, NoPath).isEmpty(),
+            isNumber ? std::optional(deliveries) : std::nullopt,
             net::headerValue(headers, Server).toStdString(),
             net::headerValue(headers, Service).toStdString(),
             net::headerValue(headers, Software).toStdString()};
--- a/src/auburndrum/gateway/upgrade_test.cpp
+++ b/src/auburndrum/gateway/upgrade_test.cpp
@@ -144,6 +144,8 @@
     const RelayedAnswer answer = readRelayedAnswer(sampleFields("relayed-answer.txt"));
     CHECK(answer.server == "i-1");
     CHECK(answer.softwareVersion == "v1");
+    CHECK_FALSE(answer.deliveries); // which versions before 7 December 2026 don't tell
+    CHECK(readRelayedAnswer(sampleFields("relayed-failure.txt")).deliveries == 2);
     for (const auto &[name, written] : std::map<std::string, std::vector<net::Header>>{{"relayed-request.txt",
                                                                                         [&] {
                                                                                             std::vector<net::Header> fields;
