Cases cover several open attempts, their bounds and a loss at the deadline

Change: severalattempts_test, one case each; the fixture has three further routes with a timeout of 3 s.

--- a/src/auburndrum/gateway/gatewayfixture.cpp
+++ b/src/auburndrum/gateway/gatewayfixture.cpp
@@ -105,6 +105,15 @@
     return it;
 }
 
+/// For requests that outlast the silence of more than one server: /several/, /gapless/ (without a longest event gap) and /patient/.
+decision::Route longRoute(const std::string &name, decision::RequestKind kind, std::uint32_t maxServers, std::chrono::milliseconds maxEventGap)
+{
+    decision::Route it = route(name, kind, maxServers, kind == decision::RequestKind::Streaming);
+    it.timeout = 3s;
+    it.maxEventGap = maxEventGap;
+    return it;
+}
+
 RecordReaders readers(const decision::CallerLimits &limits)
 {
     RecordReaders it;
@@ -126,6 +135,9 @@
                                 route("safe", decision::RequestKind::Safe, 2),
                                 route("stream", decision::RequestKind::Streaming, 2, true),
                                 slowRoute(),
+                                longRoute("several", decision::RequestKind::Streaming, 3, 100ms),
+                                longRoute("gapless", decision::RequestKind::Streaming, 2, 0ms),
+                                longRoute("patient", decision::RequestKind::Safe, 2, 100ms),
                                 route("brief", decision::RequestKind::Streaming, 2)};
         if (configuration.version >= 5) {
             configuration.routes.pop_back();
