A lease record that is ignored, and records that were missed, have log lines

Two VMs may order the same engines for several reasons: each follows leases of its own after one of them missed records, a VM adopts a lease that never counted, or an order leaves after the lease had ended. No line told a lease that a VM ignores from one that it never read, and a gap in the topic of orders was logged only by a VM that had read nothing yet.

order_lease_ignored names the record's predecessor and the lease in force as this VM knows it; orders_missed names the records that were dropped before a VM that had read a part of the topic read them. No decision changes.

--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -103,6 +103,8 @@
         // The store dropped its history before this process read any. The dropped records may include recent orders and a lease in force.
         m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
         m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", result.value().nextOffset}});
+    } else if (result.value().hasGap) {
+        m_state.log.write(LinePriority::Notable, "orders_missed", {{"topic", m_options.topic}, {"from", m_nextOffset}, {"first", result.value().nextOffset}});
     }
     for (const StoreRecord &it : result.value().records) {
         applyRecord(it);
@@ -186,7 +188,14 @@
         }
         m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
         m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset, object)}});
+        return;
     }
+    m_state.log.write(LinePriority::Notable,
+                      "order_lease_ignored",
+                      {{"holder", lease.holder},
+                       {"fencing", fencingOf(record.offset, object)},
+                       {"replaces", lease.replaces},
+                       {"in_force", before == nullptr ? decision::Offset{0} : before->offset}});
 }
 
 void WeightUpdater::addLeaseTime(milliseconds time)
