An append may carry several records and name the end of its topic

The platform's append takes `at` and answers 412 unless the partition ends there; nothing here used it. The call now takes a list of records, all written or none, and the end that the writer knows. It returns the store's era beside the offset. The stand-ins of the tests and of the soak check the end as the platform does.

No caller names an end yet.

--- a/include/auburndrum/gateway/recordstore.h
+++ b/include/auburndrum/gateway/recordstore.h
@@ -80,6 +80,21 @@
     bool hasMore = false;
 };
 
+/// A write to the end of a topic: all of its records, in this order, or none.
+struct RecordAppend
+{
+    std::string topic;
+    std::vector<QByteArray> records;
+    std::optional<std::uint64_t> at; ///< StoreError::Conflict unless the topic ends at this offset
+};
+
+/// Where the store wrote the records of a RecordAppend.
+struct AppendedRecords
+{
+    std::uint64_t offset = 0; ///< of the first one
+    std::uint64_t era = 0; ///< as in RecordBatch
+};
+
 /// Calls of the gateway to the platform's store. Each call invokes its callback exactly once, asynchronously.
 struct RecordStore
 {
@@ -90,8 +105,7 @@
     std::function<std::optional<Instant>(const std::string &topic)> lastBytesAt;
     /// Optional. The calls that follow open new connections, as the idle ones may have gone silent.
     std::function<void()> closeIdleConnections;
-    /// Appends one record; returns its offset.
-    std::function<void(const std::string &topic, const QByteArray &record, std::function<void(StoreResult<std::uint64_t>)>)> append;
+    std::function<void(const RecordAppend &, std::function<void(StoreResult<AppendedRecords>)>)> append;
     /// Sets the value of a key; returns the record's offset.
     std::function<void(const std::string &topic, const std::string &key, const QByteArray &value, std::function<void(StoreResult<std::uint64_t>)>)> put;
 };
--- a/src/auburndrum/gateway/fakestore.cpp
+++ b/src/auburndrum/gateway/fakestore.cpp
@@ -49,18 +49,17 @@
             completeReads(topic);
         });
     };
-    it.append = [this](const std::string &topic, const QByteArray &record, auto done) {
+    it.append = [this](const RecordAppend &records, auto done) {
         ++m_calls;
-        QTimer::singleShot(0, &m_context, [this, topic, record, done] {
+        QTimer::singleShot(0, &m_context, [this, records, done] {
             if (m_error) {
                 done(failure(*m_error));
                 return;
             }
-            const std::uint64_t offset = m_topics[topic].endOffset;
-            put(topic, {}, record);
+            const auto result = append(records);
             if (!m_losesAnswers) {
-                QTimer::singleShot(m_appendAnswerDelay, &m_context, [done, offset] {
-                    done(offset);
+                QTimer::singleShot(m_appendAnswerDelay, &m_context, [done, result] {
+                    done(result);
                 });
                 return;
             }
@@ -84,6 +83,18 @@
     return it;
 }
 
+StoreResult<AppendedRecords> FakeStore::append(const RecordAppend &records)
+{
+    const std::uint64_t offset = m_topics[records.topic].endOffset;
+    if (records.at.value_or(offset) != offset) {
+        return failure(StoreError::Conflict);
+    }
+    for (const QByteArray &it : records.records) {
+        put(records.topic, {}, it);
+    }
+    return AppendedRecords{offset, m_era};
+}
+
 void FakeStore::put(const std::string &topic, const std::string &key, const std::optional<QByteArray> &value)
 {
     Topic &it = m_topics[topic];
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -74,6 +74,7 @@
         bool isLost = false; ///< never answered
     };
 
+    StoreResult<AppendedRecords> append(const RecordAppend &records);
     RecordBatch batch(const RecordQuery &query);
     void completeReads(const std::string &topic);
 
--- a/src/auburndrum/gateway/upgrade_test.cpp
+++ b/src/auburndrum/gateway/upgrade_test.cpp
@@ -169,7 +169,7 @@
     FakeEngines engines;
     const auto append = [&fake](const std::string &name) {
         bool isDone = false;
-        fake.hooks().append(UpdaterVm::options("one").topic, QByteArray::fromStdString(sample(name)).trimmed(), [&](const auto &) {
+        fake.hooks().append({UpdaterVm::options("one").topic, {QByteArray::fromStdString(sample(name)).trimmed()}, {}}, [&](const auto &) {
             isDone = true;
         });
         CHECK(runUntil([&] {
--- a/src/auburndrum/gateway/weightupdater_test.cpp
+++ b/src/auburndrum/gateway/weightupdater_test.cpp
@@ -186,7 +186,7 @@
                                     "[[[",
                                     ""}) {
         bool isAppended = false;
-        fake.hooks().append(UpdaterVm::options("one").topic, record, [&](const StoreResult<std::uint64_t> &) {
+        fake.hooks().append({UpdaterVm::options("one").topic, {record}, {}}, [&](const StoreResult<AppendedRecords> &) {
             isAppended = true;
         });
         CHECK(runUntil([&] {
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -214,7 +214,7 @@
 
 void WeightUpdater::append(const QByteArray &record, std::function<void(bool)> done)
 {
-    m_store.append(m_options.topic, record, guarded([this, done = std::move(done)](const StoreResult<std::uint64_t> &result) {
+    m_store.append({m_options.topic, {record}, {}}, guarded([this, done = std::move(done)](const StoreResult<AppendedRecords> &result) {
                        if (!result) {
                            m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(result.error())}});
                        }
