The newest lease record is in force for every VM, and none is written without reading it

What engines saw: orders of two VMs within microseconds of each other, with fencing numbers that go up and down, from some lost records on for good.

Cause: whether a lease record counted depended on the records that its reader had read before (it had to replace the one that this process had in force). Processes that had missed different records (dropped history, a relay's part, a restart, a wait in which a record that never counted was adopted) followed different chains, and nothing brought them together again. The class: agreement by a fold over a log whose beginning can vanish.

Change: the newest lease record is in force for every reader. Leases and announcements name the topic's end (`at`), so that the store refuses them unless their writer has read everything; the answer tells a loser at once, and an order leaves only if its announcement landed there. Whoever misses records, at any offset, gives up its lease and writes nothing until what they allowed has ended; each VM reads the topic to its end once after a roll-out, so that a later drop leaves no gap. A lease runs to its end whatever another process writes after it. The rule is a class of its own without I/O (LeaseLog). The records keep their form, and `replaces` is filled in for earlier builds.

--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -32,7 +32,8 @@
 public:
     LeaseHolder(LeaseHolderOptions options, Instant now);
 
-    /// Handles a change of the lease in the fold. @p current is the record in force, null for none.
+    /// Handles a change of the lease in the fold. @p current is the record in force, null for none. It counts as running no shorter than the lease of another
+    /// process that it replaced.
     void onLeaseChanged(Instant now, const LeaseState *current);
 
     /// Forgets all leases, an own one too: the log lost records. A successor waits as after one that has just been renewed.
@@ -41,6 +42,9 @@
     /// Returns the lease record to append now, if any.
     std::optional<LeaseRecord> tick(Instant now);
 
+    /// Forgets the appended record that the fold hasn't shown yet: it was refused and will never be there.
+    void cancelAppend();
+
     /// Lets other processes request a lease that ended this much earlier.
     void addTakeoverDelay(std::chrono::milliseconds delay);
 
@@ -70,12 +74,11 @@
 
     bool isOwnRecord() const;
     bool isAppendDue(Instant now) const;
-    Instant currentLeaseEnd() const;
     LeaseRecord requestLease(Instant now);
 
     LeaseHolderOptions m_options;
     std::optional<LeaseState> m_current;
-    Instant m_currentSeenAt; ///< when this process first saw the record in force
+    Instant m_currentEnd; ///< end of the lease in force, counted from when this process first saw its record
     std::optional<PendingAppend> m_pendingAppend;
     std::optional<HeldLease> m_heldLease;
 };
--- a/include/auburndrum/gateway/gatewaymetrics.h
+++ b/include/auburndrum/gateway/gatewaymetrics.h
@@ -25,6 +25,8 @@
     Counters &streamOrigins; ///< streams that callers take up, by whether it is known who began them
     Counters &unfinishedCloses; ///< by reason: connections that this VM closed while a request, or a part of one, lay on them unanswered
     Counters &closes; ///< by reason and whether it was announced: connections that this VM closed between two requests
+    Counters &orderRecordsMissed; ///< gaps in the topic of leases and announced loads, as this VM read it
+    Counters &orderLeasesSuperseded; ///< leases of this VM that another VM's replaced before their end
     Gauges &outdatedServers; ///< listed backend servers that don't have the newest named weights
 };
 
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "auburndrum/decision/leaseholder.h"
-#include "auburndrum/decision/leasetable.h"
+#include "auburndrum/decision/leaselog.h"
 #include "auburndrum/decision/orderplanner.h"
 #include "auburndrum/gateway/enginecontrol.h"
 #include "auburndrum/gateway/gatewaystate.h"
@@ -13,9 +12,11 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace auburndrum::gateway {
 
@@ -48,8 +49,9 @@
 /// @brief Orders engines to load the weights that the operator named, from one entry VM at a time.
 ///
 /// The VM that holds the lease in the store sends the orders; the offset of its lease record is the fencing number. Each order is announced in
-/// the same topic before it leaves: other VMs send no requests to that engine, and a successor knows which engines it must wait for. The topic
-/// is read only while some engine has outdated weights, so that the store has no load from it at other times.
+/// the same topic before it leaves: other VMs send no requests to that engine, and a successor knows which engines it must wait for. Leases and announcements
+/// are written only where the topic ends as this VM knows it (LeaseLog), so that an order leaves only if no other VM had the lease when it was announced. The
+/// topic is read only while some engine has outdated weights, and once more after that, so that the store has no load from it at other times.
 class WeightUpdater : public QObject
 {
     Q_OBJECT
@@ -74,6 +76,20 @@
         bool isInEffect = false; ///< the engine's answer or report shows that it received the order
     };
 
+    /// An order that is due, and the model whose weights it names.
+    struct PlannedOrder
+    {
+        std::string model;
+        decision::Order order;
+    };
+
+    /// A write to the topic that wasn't answered yet.
+    struct PendingWrite
+    {
+        std::uint64_t at = 0; ///< the end of the topic that it names
+        Instant startedAt;
+    };
+
     /// A callback that does nothing once this updater was deleted.
     template<class Function>
     auto guarded(Function function)
@@ -92,13 +108,22 @@
     void handleBatch(const StoreResult<RecordBatch> &result);
     /// Notes the era of a response. Returns whether the response can be used; when a new era has begun, the topic is read anew.
     bool acceptEra(std::uint64_t era);
+    /// Records before this offset can't be read, or were never there.
+    void skipTo(std::uint64_t offset);
     void applyRecord(const StoreRecord &record);
+    void applyLoad(const std::string &server, std::uint64_t version, const std::string &holder);
+    void applyLease(std::uint64_t offset, std::uint64_t era, const decision::LeaseRecord &lease);
     void addLeaseTime(std::chrono::milliseconds time);
     void resign(const std::function<void()> &done);
     void appendLease(const decision::LeaseRecord &lease);
-    void append(const QByteArray &record, std::function<void(bool isWritten)> done);
-    void planOrders();
-    void announceOrders(const std::string &model, const std::vector<decision::Order> &orders);
+    /// Writes records at the end of the topic, where it still is the one that this VM knows. `done` receives Conflict when it isn't.
+    void append(const std::vector<QByteArray> &records, std::function<void(std::optional<StoreError>)> done);
+    /// Applies records that this VM wrote at `at`, unless they were read meanwhile.
+    void onAppended(std::uint64_t at, const std::vector<QByteArray> &records);
+    /// Whether a write is under way that may still be made.
+    bool isWriting() const;
+    std::vector<PlannedOrder> planOrders();
+    void announceOrders(const std::vector<PlannedOrder> &orders);
     void prepareOrder(const std::string &model, const decision::Order &order, Instant announcedAt);
     void sendOrder(const std::string &model, const decision::Order &order, const EngineReport &report, Instant announcedAt);
     void pollLoads();
@@ -118,8 +143,7 @@
     const RecordStore &m_store;
     const EngineControl &m_engines;
     std::string m_incarnation;
-    decision::LeaseTable m_leaseTable;
-    decision::LeaseHolder m_leaseHolder;
+    decision::LeaseLog m_leaseLog;
     std::map<std::string, decision::OrderPlanner> m_planners; ///< by model
     std::map<std::string, OrderedLoad> m_loads; ///< loads that this process ordered, by server
     /// Least time that passed between the first lease read and the last, as renewals of one holder follow each other at a known least distance.
@@ -128,12 +152,12 @@
     std::map<std::string, Instant> m_orderAllowedAt; ///< by server: earliest time of an order from this process after one from another process
     std::set<std::string> m_ordersInProgress; ///< servers whose order is being announced, prepared or sent
     std::map<std::string, std::string> m_heldOrders; ///< by server: the last logged reason for which its order isn't sent
+    std::vector<QByteArray> m_callOffs; ///< records that call off announced loads, to be written with the next announcements
+    std::optional<PendingWrite> m_pendingWrite;
     QTimer m_timer;
-    std::uint64_t m_nextOffset = 0; ///< next offset to read
-    std::uint64_t m_era = 0; ///< of the store's last response; 0 when unknown
     bool m_isReading = false;
     Instant m_lastReadAt{}; ///< when the last read began
-    bool m_isCaughtUp = false;
+    std::optional<Instant> m_finalReadAt; ///< when the topic is read to its end after the last roll-out
 };
 
 } // namespace auburndrum::gateway
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -7,7 +7,7 @@
 
 LeaseHolder::LeaseHolder(LeaseHolderOptions options, Instant now)
     : m_options(std::move(options))
-    , m_currentSeenAt(now)
+    , m_currentEnd(now)
 {
 }
 
@@ -18,8 +18,10 @@
     }
     const bool isPendingAppend = m_pendingAppend && m_pendingAppend->nonce == current->lease.nonce;
     const bool isRenewal = m_heldLease && current->lease.replaces == m_heldLease->offset;
+    const bool isSameHolder = m_current && m_current->lease.holder == current->lease.holder;
+    const Instant end = now + current->lease.duration;
+    m_currentEnd = isSameHolder ? end : std::max(end, m_currentEnd);
     m_current = *current;
-    m_currentSeenAt = now;
     if (!isPendingAppend) {
         m_heldLease.reset();
         return;
@@ -34,7 +36,12 @@
     m_current.reset();
     m_heldLease.reset();
     m_pendingAppend.reset();
-    m_currentSeenAt = now + m_options.duration;
+    m_currentEnd = now + m_options.duration;
+}
+
+void LeaseHolder::cancelAppend()
+{
+    m_pendingAppend.reset();
 }
 
 std::optional<LeaseRecord> LeaseHolder::tick(Instant now)
@@ -82,18 +89,13 @@
         return now >= m_heldLease->end - m_options.duration / 2;
     }
     // An own record that does not count as held, such as one that was folded too late, is replaced at once.
-    return isOwnRecord() || now >= currentLeaseEnd() + m_options.takeoverDelay;
-}
-
-Instant LeaseHolder::currentLeaseEnd() const
-{
-    return m_current ? m_currentSeenAt + m_current->lease.duration : m_currentSeenAt;
+    return isOwnRecord() || now >= m_currentEnd + m_options.takeoverDelay;
 }
 
 LeaseRecord LeaseHolder::requestLease(Instant now)
 {
     const Offset replaces = m_current ? m_current->offset : 0;
-    m_pendingAppend = PendingAppend{m_options.newNonce(), now, currentLeaseEnd()};
+    m_pendingAppend = PendingAppend{m_options.newNonce(), now, m_currentEnd};
     return {m_options.resource, m_options.incarnation, m_pendingAppend->nonce, replaces, m_options.duration};
 }
 
--- /dev/null
+++ b/src/auburndrum/decision/leaselog.cpp
@@ -0,0 +1,82 @@
+#include "auburndrum/decision/leaselog.h"
+
+#include <utility>
+
+namespace auburndrum::decision {
+
+namespace {
+
+constexpr std::uint64_t LatestFirstEra = 2; // eras may begin at 0 or 1, which are 1 and 2 here; a later one shows that the log has lost records before
+
+} // namespace
+
+LeaseLog::LeaseLog(LeaseLogOptions options, Instant now)
+    : m_options(std::move(options))
+    , m_holder(m_options.holder, now)
+    , m_recoveredAt(now)
+{
+}
+
+bool LeaseLog::acceptEra(Instant now, std::uint64_t era)
+{
+    if (era <= m_era) {
+        return era == m_era; // an older response says nothing about the present records
+    }
+    const bool isFirstKnown = std::exchange(m_era, era) == 0;
+    if (isFirstKnown && era > LatestFirstEra) {
+        m_recoveredAt = now + m_options.recoveryTime; // records may have been lost just before this process started
+    }
+    if (isFirstKnown) {
+        return true;
+    }
+    m_nextOffset = 0;
+    forget(now);
+    return false;
+}
+
+bool LeaseLog::acceptRecord(Instant now, std::uint64_t offset)
+{
+    if (offset < m_nextOffset) {
+        return false;
+    }
+    skipTo(now, offset);
+    m_nextOffset = offset + 1;
+    return true;
+}
+
+bool LeaseLog::skipTo(Instant now, std::uint64_t offset)
+{
+    if (offset <= m_nextOffset) {
+        return false;
+    }
+    m_nextOffset = offset;
+    forget(now);
+    return true;
+}
+
+LeaseEffect LeaseLog::onLease(Instant now, Offset fencing, const LeaseRecord &lease)
+{
+    if (lease.duration > MaxLeaseDuration) {
+        return LeaseEffect::Ignored;
+    }
+    const bool isForeign = lease.holder != m_options.holder.incarnation;
+    const bool isHeld = m_holder.fencingNumber(now).has_value();
+    m_inForce = LeaseState{lease, fencing};
+    m_holder.onLeaseChanged(now, &*m_inForce);
+    return isForeign && isHeld ? LeaseEffect::Superseded : LeaseEffect::InForce;
+}
+
+std::optional<LeaseRecord> LeaseLog::tick(Instant now)
+{
+    return isCurrent(now) ? m_holder.tick(now) : std::nullopt;
+}
+
+void LeaseLog::forget(Instant now)
+{
+    m_isAtEnd = false;
+    m_inForce.reset();
+    m_holder.forget(now);
+    m_recoveredAt = now + m_options.recoveryTime;
+}
+
+} // namespace auburndrum::decision
--- a/src/auburndrum/gateway/gatewaymetrics.cpp
+++ b/src/auburndrum/gateway/gatewaymetrics.cpp
@@ -54,6 +54,10 @@
     , closes(metrics.counters({.name = "auburndrum_gateway_closes_total",
                                .help = "Connections that were closed between two requests, by reason and whether their callers had been told.",
                                .labels = {"peers", "reason", "announced"}}))
+    , orderRecordsMissed(
+          metrics.counters({.name = "auburndrum_gateway_order_records_missed_total", .help = "Gaps in the topic of leases and announced loads.", .labels = {}}))
+    , orderLeasesSuperseded(metrics.counters(
+          {.name = "auburndrum_gateway_order_leases_superseded_total", .help = "Leases of this VM that another VM's replaced before their end.", .labels = {}}))
     , outdatedServers(metrics.gauges({.name = "auburndrum_gateway_outdated_servers", .help = "Backend servers without the newest named weights."}))
 {
 }
--- a/src/auburndrum/gateway/upgrade_test.cpp
+++ b/src/auburndrum/gateway/upgrade_test.cpp
@@ -1,3 +1,4 @@
+#include "auburndrum/decision/leasetable.h"
 #include "auburndrum/entry/jsonrpc.h"
 #include "auburndrum/gateway/exchangemessages.h"
 #include "auburndrum/gateway/originmessages.h"
@@ -204,3 +205,26 @@
     CHECK(leases > 1);
     CHECK(loads > 1);
 }
+
+TEST_CASE("builds before this one count every lease that a VM writes while it is the only one")
+{
+    // Guards against two holders in a fleet that is being replaced: earlier builds ignore a lease unless it replaces the one that they have in force.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.isSilent = true; // so that the roll-out goes on
+    UpdaterVm one("one", fake, engines);
+    one.nameWeights(2);
+    runFor(1s);
+    decision::LeaseTable table;
+    int leases = 0;
+    for (const StoreRecord &record : fake.records(UpdaterVm::options("one").topic)) {
+        const auto written = nlohmann::json::parse(record.value->toStdString());
+        if (written.contains("loading")) {
+            continue;
+        }
+        ++leases;
+        const auto fencing = (written["era"].get<std::uint64_t>() << 40U) + record.offset + 1;
+        CHECK(table.apply(fencing, {"weights", written["holder"], written["nonce"], written["replaces"], std::chrono::milliseconds(written["duration_ms"])}));
+    }
+    CHECK(leases > 3);
+}
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -19,9 +19,11 @@
 constexpr milliseconds RepeatInterval{1500}; // between repeats of an order that had no effect; a load takes less than a second
 constexpr milliseconds LoadTimeout{4000}; // after this time a load that has no effect frees its slot
 
-decision::LeaseHolderOptions holderOptions(const WeightUpdaterOptions &options, const std::string &incarnation, absl::BitGenRef random)
+decision::LeaseLogOptions leaseOptions(const WeightUpdaterOptions &options, const std::string &incarnation, absl::BitGenRef random)
 {
-    decision::LeaseHolderOptions it;
+    decision::LeaseLogOptions all;
+    all.recoveryTime = std::max(options.maxOrderDelay + options.orderInterval, options.leaseDuration);
+    decision::LeaseHolderOptions &it = all.holder;
     it.resource = WeightUpdater::LeaseResource;
     it.incarnation = incarnation;
     it.newNonce = randomId;
@@ -30,7 +32,14 @@
     it.orderTimeout = milliseconds(0); // the order interval is enforced per engine
     it.appendTimeout = options.appendTimeout;
     it.takeoverDelay = options.minStandbyDelay + milliseconds(absl::Uniform<std::int64_t>(random, 0, options.standbySpread.count()));
-    return it;
+    return all;
+}
+
+/// A record that announces a load, or calls one off with version 0.
+QByteArray announcementText(const std::string &server, std::uint64_t version, const std::string &holder)
+{
+    const json object = {{"loading", server}, {"version", version}, {"holder", holder}};
+    return QByteArray::fromStdString(object.dump());
 }
 
 } // namespace
@@ -42,7 +51,7 @@
     , m_store(store)
     , m_engines(engines)
     , m_incarnation(m_options.vm + "/" + randomId())
-    , m_leaseHolder(holderOptions(m_options, m_incarnation, state.random), suspendAwareNow())
+    , m_leaseLog(leaseOptions(m_options, m_incarnation, state.random), suspendAwareNow())
 {
     connect(&m_timer, &QTimer::timeout, this, &WeightUpdater::tick);
 }
@@ -95,34 +104,41 @@
     const LoopWork::Span span(m_state.work, LoopWork::Kind::WeightOrders);
     const std::size_t outdatedServers = countOutdatedServers();
     m_state.metrics.outdatedServers.with().Set(static_cast<double>(outdatedServers));
+    const Instant now = suspendAwareNow();
     if (outdatedServers == 0) {
-        m_isCaughtUp = false;
+        m_leaseLog.onBehind();
         m_loads.clear();
         m_heldOrders.clear();
+        if (m_finalReadAt && now >= *m_finalReadAt && !m_isReading) {
+            m_finalReadAt.reset();
+            readTopic(); // so that the next roll-out needn't wait for orders of this one that it learns of only then
+        }
         return;
     }
+    m_finalReadAt = now + m_options.maxOrderDelay + m_options.orderInterval;
     if (!m_isReading && monotonicNow() - m_lastReadAt >= currentReadInterval()) {
         readTopic();
     }
-    if (!m_isCaughtUp) {
+    const bool isLeaseCandidate = !m_options.mayHoldLease || m_options.mayHoldLease() || m_leaseLog.fencingNumber(now);
+    if (!m_leaseLog.isCurrent(now) || !isLeaseCandidate) {
         return;
     }
-    const bool isLeaseCandidate = !m_options.mayHoldLease || m_options.mayHoldLease() || m_leaseHolder.fencingNumber(suspendAwareNow());
-    if (!isLeaseCandidate) {
-        return;
-    }
-    if (const auto lease = m_leaseHolder.tick(suspendAwareNow())) {
-        appendLease(*lease);
+    if (!isWriting()) {
+        if (const auto lease = m_leaseLog.tick(now)) {
+            appendLease(*lease);
+        } else {
+            announceOrders(planOrders());
+        }
     }
-    planOrders();
     pollLoads();
 }
 
-void WeightUpdater::planOrders()
+std::vector<WeightUpdater::PlannedOrder> WeightUpdater::planOrders()
 {
-    const auto fencing = m_leaseHolder.fencingNumber(suspendAwareNow());
+    std::vector<PlannedOrder> due;
+    const auto fencing = m_leaseLog.fencingNumber(suspendAwareNow());
     if (!fencing) {
-        return;
+        return due;
     }
     for (const auto &[model, named] : m_state.weights) {
         auto servers = observedStates(model);
@@ -144,32 +160,38 @@
         }
         const auto loads = std::lround(m_options.maxLoadingShare * static_cast<double>(servers.size()));
         planner->second.setMaxConcurrentLoads(std::max<std::size_t>(1, static_cast<std::size_t>(loads)));
-        const auto orders = planner->second.plan(suspendAwareNow(), *fencing, desired, servers);
+        for (const Order &it : planner->second.plan(suspendAwareNow(), *fencing, desired, servers)) {
+            due.push_back({model, it});
+        }
         for (const auto &[server, reason] : planner->second.heldBack()) {
             logHeldOrder(server, reason);
         }
-        if (!orders.empty()) {
-            announceOrders(model, orders);
-        }
     }
+    return due;
 }
 
-void WeightUpdater::announceOrders(const std::string &model, const std::vector<Order> &orders)
+void WeightUpdater::announceOrders(const std::vector<PlannedOrder> &orders)
 {
-    for (const Order &order : orders) {
+    std::vector<QByteArray> records = std::exchange(m_callOffs, {});
+    for (const auto &[model, order] : orders) {
         m_ordersInProgress.insert(order.server);
-        const json announcement = {{"loading", order.server}, {"version", std::stoull(order.value)}, {"holder", m_incarnation}};
-        // Other VMs may read the record before the store's response arrives here.
-        append(QByteArray::fromStdString(announcement.dump()), [this, model, order, announcedAt = suspendAwareNow()](bool isWritten) {
-            if (!isWritten) {
+        records.push_back(announcementText(order.server, std::stoull(order.value), m_incarnation));
+    }
+    if (records.empty() || !m_leaseLog.fencingNumber(suspendAwareNow())) {
+        return; // a successor may have announced a load of the same server meanwhile
+    }
+    // Other VMs may read the records before the store's response arrives here.
+    append(records, [this, orders, announcedAt = suspendAwareNow()](std::optional<StoreError> error) {
+        for (const auto &[model, order] : orders) {
+            if (error) {
                 skipOrder(order, model, "not announced"); // no other VM would know of it
-                return;
+                continue;
             }
-            QTimer::singleShot(m_options.announceLeadTime, this, [this, model, order, announcedAt] {
+            QTimer::singleShot(m_options.announceLeadTime, this, [this, model = model, order = order, announcedAt] {
                 prepareOrder(model, order, announcedAt);
             });
-        });
-    }
+        }
+    });
 }
 
 void WeightUpdater::prepareOrder(const std::string &model, const Order &order, Instant announcedAt)
@@ -201,7 +223,7 @@
     const auto newest = m_state.weights.find(model);
     const bool isCurrent = newest != m_state.weights.end() && newest->second.newestVersion() == version;
     // Checked again just before the order leaves: the process may have been paused since the order was planned.
-    const auto fencing = m_leaseHolder.fencingNumber(suspendAwareNow());
+    const auto fencing = m_leaseLog.fencingNumber(suspendAwareNow());
     const bool isLate = suspendAwareNow() - announcedAt > m_options.maxOrderDelay;
     if (report.isExecutingOrder) {
         m_ordersInProgress.erase(order.server);
@@ -287,13 +309,9 @@
 void WeightUpdater::callOff(const std::string &model, const std::string &server)
 {
     m_planners.at(model).onNoEffect(server);
-    if (!m_leaseHolder.fencingNumber(suspendAwareNow())) {
-        return; // a successor may have announced a load of the same server meanwhile
+    if (m_leaseLog.fencingNumber(suspendAwareNow())) {
+        m_callOffs.push_back(announcementText(server, 0, m_incarnation)); // without it the announcement times out
     }
-    const json announcement = {{"loading", server}, {"version", 0}, {"holder", m_incarnation}};
-    append(QByteArray::fromStdString(announcement.dump()), [](bool /*isWritten*/) {
-        // Without it the announcement times out.
-    });
 }
 
 bool WeightUpdater::isOrderAllowed(const std::string &server) const
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -16,8 +16,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr char AnyServer[] = ""; // in m_orderAllowedAt: all servers, while it is not known which were ordered
-constexpr std::uint64_t LatestFirstEra = 2; // eras may begin at 0 or 1, which are 1 and 2 here; a later one shows that the store returned from a copy
 constexpr milliseconds ResignCheckInterval{10};
 constexpr milliseconds ResignTimeout{200}; // less than what a stopping process keeps in reserve
 constexpr milliseconds MaxLeaseDuration{60000};
@@ -62,17 +60,17 @@
 }
 
 /// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none. A new era gives offsets out again, so it counts first.
-decision::Offset fencingOf(std::uint64_t offset, const json &record)
+decision::Offset fencingOf(std::uint64_t offset, std::uint64_t era)
 {
     constexpr unsigned OffsetBits = 40; // leaves 13 bits for the era in the integers that JSON carries exactly
-    return static_cast<decision::Offset>((record.value("era", std::uint64_t{0}) << OffsetBits) + offset + 1);
+    return static_cast<decision::Offset>((era << OffsetBits) + offset + 1);
 }
 
 } // namespace
 
 milliseconds WeightUpdater::currentReadInterval() const
 {
-    if (m_leaseHolder.fencingNumber(suspendAwareNow()) || m_leaseHolder.hasPendingAppend()) {
+    if (m_leaseLog.fencingNumber(suspendAwareNow()) || m_leaseLog.hasPendingAppend()) {
         return m_options.readInterval;
     }
     // A lease must be read well before it expires, its own by a new holder too.
@@ -85,7 +83,8 @@
     m_isReading = true;
     m_lastReadAt = monotonicNow();
     // The first read returns what is there, the next ones wait for new records.
-    m_store.read({m_options.topic, m_nextOffset, m_isCaughtUp ? LongPollTimeout : milliseconds(0)}, guarded([this](const StoreResult<RecordBatch> &result) {
+    const milliseconds wait = m_leaseLog.isCurrent(suspendAwareNow()) ? LongPollTimeout : milliseconds(0);
+    m_store.read({m_options.topic, m_leaseLog.nextOffset(), wait}, guarded([this](const StoreResult<RecordBatch> &result) {
                      handleBatch(result);
                  }));
 }
@@ -93,54 +92,43 @@
 void WeightUpdater::handleBatch(const StoreResult<RecordBatch> &result)
 {
     m_isReading = false;
-    if (!result) {
+    if (!result || !acceptEra(result.value().era)) {
         return; // the next tick reads again
     }
-    if (!acceptEra(result.value().era)) {
-        return;
-    }
-    if (result.value().hasGap && m_nextOffset == 0) {
-        // The store dropped its history before this process read any. The dropped records may include recent orders and a lease in force.
-        m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
-        m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", result.value().nextOffset}});
-    } else if (result.value().hasGap) {
-        m_state.log.write(LinePriority::Notable, "orders_missed", {{"topic", m_options.topic}, {"from", m_nextOffset}, {"first", result.value().nextOffset}});
-    }
-    for (const StoreRecord &it : result.value().records) {
-        applyRecord(it);
+    const RecordBatch &batch = result.value();
+    for (const StoreRecord &it : batch.records) {
+        skipTo(it.offset);
+        if (m_leaseLog.acceptRecord(suspendAwareNow(), it.offset)) {
+            applyRecord(it);
+        }
     }
-    m_nextOffset = std::max(m_nextOffset, result.value().nextOffset);
-    const bool isEnd = result.value().records.empty() && !result.value().hasGap;
-    if (!m_isCaughtUp && !isEnd) {
+    skipTo(batch.nextOffset);
+    if (batch.records.empty() && !batch.hasGap) {
+        m_leaseLog.onEndRead();
+    } else if (!m_leaseLog.isCurrent(suspendAwareNow())) {
         readTopic();
     }
-    const auto allowedAt = m_orderAllowedAt.find(AnyServer);
-    const bool isWaiting = allowedAt != m_orderAllowedAt.end() && suspendAwareNow() < allowedAt->second;
-    m_isCaughtUp = m_isCaughtUp || (isEnd && !isWaiting);
 }
 
 bool WeightUpdater::acceptEra(std::uint64_t era)
 {
-    if (era <= m_era) {
-        return era == m_era; // an older response says nothing about the present records
+    const std::uint64_t before = m_leaseLog.era();
+    const bool isUsable = m_leaseLog.acceptEra(suspendAwareNow(), era);
+    if (!isUsable && m_leaseLog.era() != before) {
+        // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
+        m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", 0}, {"era", era}});
     }
-    const bool isFirstKnown = std::exchange(m_era, era) == 0;
-    if (isFirstKnown && era <= LatestFirstEra) {
-        return true;
-    }
-    if (isFirstKnown) {
-        // The copy may lack orders that were sent just before this process started.
-        m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
-        return true;
+    return isUsable;
+}
+
+void WeightUpdater::skipTo(std::uint64_t offset)
+{
+    const std::uint64_t from = m_leaseLog.nextOffset();
+    if (m_leaseLog.skipTo(suspendAwareNow(), offset)) {
+        // The missed records may include recent orders and a lease in force.
+        m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"from", from}, {"first", offset}});
+        m_state.metrics.orderRecordsMissed.with().Increment();
     }
-    // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
-    m_nextOffset = 0;
-    m_isCaughtUp = false;
-    m_leaseTable = {};
-    m_leaseHolder.forget(suspendAwareNow());
-    m_orderAllowedAt[AnyServer] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
-    m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", 0}, {"era", era}});
-    return false;
 }
 
 void WeightUpdater::applyRecord(const StoreRecord &record)
@@ -154,14 +142,7 @@
         return;
     }
     if (object.contains("loading")) {
-        const auto server = object.value("loading", std::string());
-        const auto version = object.value("version", std::uint64_t{0});
-        // Version 0 calls off an announced load. Its order may still be under way.
-        if (version != 0 && object.value("holder", std::string()) != m_incarnation) {
-            m_orderAllowedAt[server] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
-            m_announcedAtLeaseTime[server] = m_leaseTime;
-        }
-        m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, version);
+        applyLoad(object.value("loading", std::string()), object.value("version", std::uint64_t{0}), object.value("holder", std::string()));
         return;
     }
     LeaseRecord lease;
@@ -170,32 +151,41 @@
     lease.nonce = object.value("nonce", std::string());
     lease.replaces = object.value("replaces", decision::Offset{0});
     lease.duration = milliseconds(object.value("duration_ms", std::int64_t{0}));
-    const auto allowedAt = m_orderAllowedAt.find(AnyServer);
-    if (allowedAt != m_orderAllowedAt.end() && suspendAwareNow() < allowedAt->second) {
-        // The lease that it replaces may be among the dropped records. A holder renews its lease several times in this wait, so the last lease read is
-        // in force.
-        decision::SnapshotRecord snapshot;
-        snapshot.leases.push_back({lease, fencingOf(record.offset, object)});
-        m_leaseTable.loadFrom(snapshot);
-        m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
-        return;
+    applyLease(record.offset, object.value("era", std::uint64_t{0}), lease);
+}
+
+void WeightUpdater::applyLoad(const std::string &server, std::uint64_t version, const std::string &holder)
+{
+    // Version 0 calls off an announced load. Its order may still be under way.
+    if (version != 0 && holder != m_incarnation) {
+        m_orderAllowedAt[server] = suspendAwareNow() + m_options.maxOrderDelay + m_options.orderInterval;
+        m_announcedAtLeaseTime[server] = m_leaseTime;
     }
-    const auto *before = m_leaseTable.find(LeaseResource);
+    m_state.chooser.setLoading(server, monotonicNow() + m_options.announcedLoadTimeout, version);
+}
+
+void WeightUpdater::applyLease(std::uint64_t offset, std::uint64_t era, const LeaseRecord &lease)
+{
+    const auto *before = m_leaseLog.leaseInForce();
     const bool isRenewal = before != nullptr && before->lease.holder == lease.holder;
-    if (m_leaseTable.apply(fencingOf(record.offset, object), lease)) {
-        if (isRenewal) {
-            addLeaseTime(lease.duration / 2 - m_options.leaseMargin);
-        }
-        m_leaseHolder.onLeaseChanged(suspendAwareNow(), m_leaseTable.find(LeaseResource));
-        m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencingOf(record.offset, object)}});
+    const decision::Offset replaced = before == nullptr ? decision::Offset{0} : before->offset;
+    const decision::Offset fencing = fencingOf(offset, era);
+    const decision::LeaseEffect effect = m_leaseLog.onLease(suspendAwareNow(), fencing, lease);
+    if (effect == decision::LeaseEffect::Ignored) {
+        m_state.log.write(LinePriority::Notable,
+                          "order_lease_ignored",
+                          {{"holder", lease.holder}, {"fencing", fencing}, {"replaces", lease.replaces}, {"in_force", replaced}});
         return;
     }
-    m_state.log.write(LinePriority::Notable,
-                      "order_lease_ignored",
-                      {{"holder", lease.holder},
-                       {"fencing", fencingOf(record.offset, object)},
-                       {"replaces", lease.replaces},
-                       {"in_force", before == nullptr ? decision::Offset{0} : before->offset}});
+    if (effect == decision::LeaseEffect::Superseded) {
+        m_state.log.write(
+            LinePriority::Notable, "order_lease_superseded", {{"holder", lease.holder}, {"fencing", fencing}, {"replaces", lease.replaces}, {"own", replaced}});
+        m_state.metrics.orderLeasesSuperseded.with().Increment();
+    }
+    if (isRenewal) {
+        addLeaseTime(lease.duration / 2 - m_options.leaseMargin);
+    }
+    m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencing}});
 }
 
 void WeightUpdater::addLeaseTime(milliseconds time)
@@ -212,19 +202,53 @@
     });
 }
 
-void WeightUpdater::append(const QByteArray &record, std::function<void(bool)> done)
+bool WeightUpdater::isWriting() const
 {
-    m_store.append({m_options.topic, {record}, {}}, guarded([this, done = std::move(done)](const StoreResult<AppendedRecords> &result) {
-                       if (!result) {
-                           m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(result.error())}});
+    return m_pendingWrite && m_pendingWrite->at == m_leaseLog.nextOffset() && suspendAwareNow() < m_pendingWrite->startedAt + m_options.appendTimeout;
+}
+
+void WeightUpdater::append(const std::vector<QByteArray> &records, std::function<void(std::optional<StoreError>)> done)
+{
+    const std::uint64_t at = m_leaseLog.nextOffset();
+    const std::uint64_t era = m_leaseLog.era();
+    const Instant startedAt = suspendAwareNow();
+    m_pendingWrite = PendingWrite{at, startedAt};
+    m_store.append({m_options.topic, records, at},
+                   guarded([this, at, era, startedAt, records, done = std::move(done)](const StoreResult<AppendedRecords> &result) {
+                       if (m_pendingWrite && m_pendingWrite->startedAt == startedAt) {
+                           m_pendingWrite.reset();
+                       }
+                       const bool isOfThisEra = result && acceptEra(result.value().era) && m_leaseLog.era() == era;
+                       const bool isInPlace = isOfThisEra && result.value().offset == at;
+                       if (isInPlace) {
+                           onAppended(at, records);
+                           done(std::nullopt);
+                           return;
+                       }
+                       const StoreError error = result ? StoreError::Conflict : result.error();
+                       m_state.log.write(LinePriority::Notable, "order_append_failed", {{"error", toText(error)}, {"at", at}});
+                       done(error);
+                       if (error == StoreError::Conflict) {
+                           m_leaseLog.onBehind();
+                           readTopic();
                        }
-                       done(result.has_value());
                    }));
 }
 
+void WeightUpdater::onAppended(std::uint64_t at, const std::vector<QByteArray> &records)
+{
+    std::uint64_t offset = at;
+    for (const QByteArray &it : records) {
+        if (offset == m_leaseLog.nextOffset() && m_leaseLog.acceptRecord(suspendAwareNow(), offset)) {
+            applyRecord({offset, {}, it});
+        }
+        ++offset;
+    }
+}
+
 void WeightUpdater::beginStop()
 {
-    m_leaseHolder.addTakeoverDelay(m_options.stoppingDelay);
+    m_leaseLog.addTakeoverDelay(m_options.stoppingDelay);
 }
 
 void WeightUpdater::finishStop(std::function<void()> done)
@@ -242,9 +266,9 @@
 
 void WeightUpdater::resign(const std::function<void()> &done)
 {
-    const bool mayHold = m_leaseHolder.fencingNumber(suspendAwareNow()).has_value();
-    if (mayHold && m_leaseHolder.hasPendingAppend()) {
-        // The resignation replaces the renewal that is under way, so its offset must be known first.
+    const bool mayHold = m_leaseLog.fencingNumber(suspendAwareNow()).has_value();
+    if (mayHold && (m_leaseLog.hasPendingAppend() || isWriting())) {
+        // The resignation follows the write that is under way, so its offset must be known first.
         if (!m_isReading) {
             readTopic();
         }
@@ -253,20 +277,23 @@
         });
         return;
     }
-    const auto lease = m_leaseHolder.resign();
+    const auto lease = m_leaseLog.resign();
     if (!lease) {
         done();
         return;
     }
-    append(leaseText(*lease, m_era), [done](bool /*isWritten*/) {
+    append({leaseText(*lease, m_leaseLog.era())}, [done](std::optional<StoreError> /*error*/) {
         done();
     });
 }
 
 void WeightUpdater::appendLease(const LeaseRecord &lease)
 {
-    append(leaseText(lease, m_era), [](bool /*isWritten*/) {
-        // The topic shows whether the record is there and in force.
+    append({leaseText(lease, m_leaseLog.era())}, [this](std::optional<StoreError> error) {
+        if (error == StoreError::Conflict) {
+            m_leaseLog.onWriteRefused();
+        }
+        // After any other error the topic shows whether the record is there.
     });
 }
 
