The lease is looked at again when an order's connection has opened

Change: the engine client asks the order when its connection has opened; an order without a lease, or too late after its announcement, ends there unsent.

--- a/include/auburndrum/gateway/enginecontrol.h
+++ b/include/auburndrum/gateway/enginecontrol.h
@@ -31,6 +31,7 @@
     std::string holder; ///< this entry VM
     std::uint64_t fencing = 0;
     std::uint64_t expectedOrders = 0; ///< the engine refuses the order when it has accepted another number of orders
+    std::function<bool()> mayLeave; ///< optional; asked when the connection has opened, false ends the order with OrderAnswer::Refused before it is sent
 };
 
 /// Result of an order to an engine.
--- a/src/auburndrum/gateway/weightrollout_test.cpp
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -268,6 +268,23 @@
         5s));
 }
 
+TEST_CASE("no order leaves on a connection that opens later than allowed after its announcement")
+{
+    // Guards against orders of two VMs within the order interval: the lease was last looked at before the connection was opened.
+    FakeStore fake;
+    FakeEngines engines;
+    const auto options = UpdaterVm::options("one");
+    engines.connectTime = options.maxOrderDelay + 50ms;
+    UpdaterVm one(options, fake, engines);
+    one.nameWeights(2);
+    runFor(1s);
+    CHECK(engines.receivedOrders.empty());
+    engines.connectTime = 1ms;
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
+
 TEST_CASE("no order leaves later than allowed after its announcement was sent")
 {
     // Guards against orders of two VMs within the order interval: others count from the announcement's record, which they may read before its sender gets the
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -222,7 +222,6 @@
     }
     const auto newest = m_state.weights.find(model);
     const bool isCurrent = newest != m_state.weights.end() && newest->second.newestVersion() == version;
-    // Checked again just before the order leaves: the process may have been paused since the order was planned.
     const auto fencing = m_leaseLog.fencingNumber(suspendAwareNow());
     const bool isLate = suspendAwareNow() - announcedAt > m_options.maxOrderDelay;
     if (report.isExecutingOrder) {
@@ -245,6 +244,11 @@
     it.holder = m_options.vm;
     it.fencing = static_cast<std::uint64_t>(*fencing);
     it.expectedOrders = report.ordersAccepted;
+    // Checked again just before the order leaves: opening the connection takes time, and the process may be paused.
+    it.mayLeave = [self = QPointer<WeightUpdater>(this), announcedAt] {
+        const Instant now = suspendAwareNow();
+        return self && self->m_leaseLog.fencingNumber(now) && now - announcedAt <= self->m_options.maxOrderDelay;
+    };
     m_loads[order.server] = OrderedLoad{model, version, monotonicNow()};
     QTimer::singleShot(m_options.orderAnswerTimeout, this, [this, it] {
         checkEffect(it);
--- a/src/auburndrum/gateway/weightupdaterfixture.h
+++ b/src/auburndrum/gateway/weightupdaterfixture.h
@@ -34,7 +34,11 @@
             });
         };
         it.sendOrder = [this](const WeightOrder &order, auto done) {
-            QTimer::singleShot(std::chrono::milliseconds(1), &m_context, [this, order, done] {
+            QTimer::singleShot(connectTime, &m_context, [this, order, done] {
+                if (order.mayLeave && !order.mayLeave()) {
+                    done(OrderAnswer::Refused);
+                    return;
+                }
                 receivedOrders.push_back({suspendAwareNow(), order});
                 if (order.expectedOrders != accepted[order.address]) {
                     done(OrderAnswer::Conflict);
@@ -65,6 +69,7 @@
     bool losesAnswers = false;
     std::set<std::string> lostOrders; ///< addresses whose orders have neither an effect nor an answer
     std::chrono::milliseconds loadTime{0};
+    std::chrono::milliseconds connectTime{1}; ///< until an order leaves
 
 private:
     QObject m_context;
