--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -78,7 +78,8 @@
 
     LeaseHolderOptions m_options;
     std::optional<LeaseState> m_current;
-    Instant m_currentEnd; ///< end of the lease in force, counted from when this process first saw its record
+    Instant m_currentEnd; ///< end of the lease in force, counted from when this process first saw its record, and no earlier than m_othersEnd
+    Instant m_othersEnd; ///< the latest end of leases that other processes held before the one that holds the lease in force
     std::optional<PendingAppend> m_pendingAppend;
     std::optional<HeldLease> m_heldLease;
 };
--- a/include/auburndrum/decision/leaselog.h
+++ b/include/auburndrum/decision/leaselog.h
@@ -16,13 +16,6 @@
     std::chrono::milliseconds recoveryTime{20000};
 };
 
-/// What a lease record did.
-enum class LeaseEffect {
-    Ignored, ///< it is longer than MaxLeaseDuration
-    InForce,
-    Superseded, ///< in force, in place of this process's own lease, which had not ended
-};
-
 /// @brief One process's lease in a log that may drop its history and lose its newest records.
 ///
 /// The newest lease record is in force for every reader, whatever it read before. Each write names nextOffset() as the log's end and is refused by the log
@@ -53,8 +46,10 @@
     bool acceptEra(Instant now, std::uint64_t era);
     /// The record at this offset is next. Returns whether it is new.
     bool acceptRecord(Instant now, std::uint64_t offset);
-    /// Records before this offset can't be read. Returns whether any of them is unknown.
-    bool skipTo(Instant now, std::uint64_t offset);
+    /// Records before this offset can't be read any more. Returns whether any of them is unknown.
+    bool onGap(Instant now, std::uint64_t offset);
+    /// The log ends before nextOffset(), so that what is known isn't this log's: it is read anew.
+    void restart(Instant now);
     void onEndRead()
     {
         m_isAtEnd = true;
@@ -65,8 +60,9 @@
         m_isAtEnd = false;
     }
 
-    /// Handles a lease record that was read or written. @p fencing rises with the record's offset and, before that, with the era in which it was written.
-    LeaseEffect onLease(Instant now, Offset fencing, const LeaseRecord &lease);
+    /// Handles a lease record that was read or written, which is in force from now on. @p fencing rises with the record's offset and, before that, with the era
+    /// in which it was written. Returns whether it takes the place of this process's own lease, which had not ended.
+    bool onLease(Instant now, Offset fencing, const LeaseRecord &lease);
     /// The lease in force; null when none is known.
     const LeaseState *leaseInForce() const
     {
@@ -75,7 +71,7 @@
 
     /// Returns the lease record to write at nextOffset() now, if any.
     std::optional<LeaseRecord> tick(Instant now);
-    /// The log refused the record that tick() returned, so that it will never be there.
+    /// The record that tick() returned is not where it was to be written; should it be elsewhere, it doesn't count as held.
     void onWriteRefused()
     {
         m_holder.cancelAppend();
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -105,17 +105,20 @@
     std::size_t countOutdatedServers() const;
     void readTopic();
     std::chrono::milliseconds currentReadInterval() const;
-    void handleBatch(const StoreResult<RecordBatch> &result);
+    /// The answer to a read from this offset.
+    void handleBatch(std::uint64_t from, const StoreResult<RecordBatch> &result);
+    /// The answer to a read that is under way counts no longer.
+    void dropRead();
     /// Notes the era of a response. Returns whether the response can be used; when a new era has begun, the topic is read anew.
     bool acceptEra(std::uint64_t era);
-    /// Records before this offset can't be read, or were never there.
-    void skipTo(std::uint64_t offset);
+    /// Records before this offset can't be read any more.
+    void recordGap(std::uint64_t offset);
     void applyRecord(const StoreRecord &record);
     void applyLoad(const std::string &server, std::uint64_t version, const std::string &holder);
     void applyLease(std::uint64_t offset, std::uint64_t era, const decision::LeaseRecord &lease);
     void addLeaseTime(std::chrono::milliseconds time);
     void resign(const std::function<void()> &done);
-    void appendLease(const decision::LeaseRecord &lease);
+    QByteArray leaseText(const decision::LeaseRecord &lease) const;
     /// Writes records at the end of the topic, where it still is the one that this VM knows. `done` receives Conflict when it isn't.
     void append(const std::vector<QByteArray> &records, std::function<void(std::optional<StoreError>)> done);
     /// Applies records that this VM wrote at `at`, unless they were read meanwhile.
@@ -123,7 +126,10 @@
     /// Whether a write is under way that may still be made.
     bool isWriting() const;
     std::vector<PlannedOrder> planOrders();
-    void announceOrders(const std::vector<PlannedOrder> &orders);
+    /// Writes the lease, call-offs and the announcements of orders in one append, so that a slow store doesn't make them wait for each other.
+    void writeDue(const std::optional<decision::LeaseRecord> &lease, const std::vector<PlannedOrder> &orders);
+    void onDueWritten(
+        bool hasLease, const std::vector<QByteArray> &callOffs, const std::vector<PlannedOrder> &orders, Instant startedAt, std::optional<StoreError> error);
     void prepareOrder(const std::string &model, const decision::Order &order, Instant announcedAt);
     void sendOrder(const std::string &model, const decision::Order &order, const EngineReport &report, Instant announcedAt);
     void pollLoads();
@@ -156,6 +162,7 @@
     std::optional<PendingWrite> m_pendingWrite;
     QTimer m_timer;
     bool m_isReading = false;
+    std::uint64_t m_readNumber = 0; ///< of the read whose answer counts; an older one may have been from another era, or from before a write
     Instant m_lastReadAt{}; ///< when the last read began
     std::optional<Instant> m_finalReadAt; ///< when the topic is read to its end after the last roll-out
 };
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -8,6 +8,7 @@
 LeaseHolder::LeaseHolder(LeaseHolderOptions options, Instant now)
     : m_options(std::move(options))
     , m_currentEnd(now)
+    , m_othersEnd(now)
 {
 }
 
@@ -19,8 +20,10 @@
     const bool isPendingAppend = m_pendingAppend && m_pendingAppend->nonce == current->lease.nonce;
     const bool isRenewal = m_heldLease && current->lease.replaces == m_heldLease->offset;
     const bool isSameHolder = m_current && m_current->lease.holder == current->lease.holder;
-    const Instant end = now + current->lease.duration;
-    m_currentEnd = isSameHolder ? end : std::max(end, m_currentEnd);
+    if (!isSameHolder) {
+        m_othersEnd = m_currentEnd;
+    }
+    m_currentEnd = std::max(now + current->lease.duration, m_othersEnd);
     m_current = *current;
     if (!isPendingAppend) {
         m_heldLease.reset();
@@ -37,6 +40,7 @@
     m_heldLease.reset();
     m_pendingAppend.reset();
     m_currentEnd = now + m_options.duration;
+    m_othersEnd = m_currentEnd;
 }
 
 void LeaseHolder::cancelAppend()
--- a/src/auburndrum/decision/leaselog.cpp
+++ b/src/auburndrum/decision/leaselog.cpp
@@ -29,9 +29,14 @@
     if (isFirstKnown) {
         return true;
     }
+    restart(now);
+    return false;
+}
+
+void LeaseLog::restart(Instant now)
+{
     m_nextOffset = 0;
     forget(now);
-    return false;
 }
 
 bool LeaseLog::acceptRecord(Instant now, std::uint64_t offset)
@@ -39,12 +44,12 @@
     if (offset < m_nextOffset) {
         return false;
     }
-    skipTo(now, offset);
+    onGap(now, offset);
     m_nextOffset = offset + 1;
     return true;
 }
 
-bool LeaseLog::skipTo(Instant now, std::uint64_t offset)
+bool LeaseLog::onGap(Instant now, std::uint64_t offset)
 {
     if (offset <= m_nextOffset) {
         return false;
@@ -54,16 +59,13 @@
     return true;
 }
 
-LeaseEffect LeaseLog::onLease(Instant now, Offset fencing, const LeaseRecord &lease)
+bool LeaseLog::onLease(Instant now, Offset fencing, const LeaseRecord &lease)
 {
-    if (lease.duration > MaxLeaseDuration) {
-        return LeaseEffect::Ignored;
-    }
     const bool isForeign = lease.holder != m_options.holder.incarnation;
     const bool isHeld = m_holder.fencingNumber(now).has_value();
     m_inForce = LeaseState{lease, fencing};
     m_holder.onLeaseChanged(now, &*m_inForce);
-    return isForeign && isHeld ? LeaseEffect::Superseded : LeaseEffect::InForce;
+    return isForeign && isHeld;
 }
 
 std::optional<LeaseRecord> LeaseLog::tick(Instant now)
--- a/src/auburndrum/gateway/leasegap_test.cpp
+++ b/src/auburndrum/gateway/leasegap_test.cpp
@@ -159,3 +159,38 @@
         return allHave(engines, 2);
     }));
 }
+
+TEST_CASE("an answer to a read from before a new era of the store tells nothing of the present records")
+{
+    // Guards against a VM that takes records of the new era for read: its writes named an end that the topic doesn't have.
+    FakeStore fake;
+    FakeEngines engines;
+    UpdaterVm one("one", fake, engines);
+    engines.isSilent = true; // so that the roll-out goes on
+    one.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return fake.records(Topic).size() >= 5;
+    }));
+    std::function<void(StoreResult<RecordBatch>)> kept;
+    const auto read = one.store.read;
+    one.store.read = [&](const RecordQuery &query, auto done) {
+        if (kept) {
+            read(query, done);
+        } else {
+            kept = done;
+        }
+    };
+    REQUIRE(runUntil([&] {
+        return kept != nullptr;
+    }));
+    fake.restoreCopy(); // of the empty store
+    runFor(100ms); // the refusal of the next renewal tells of the new era
+    RecordBatch older;
+    older.nextOffset = 1000;
+    older.era = 2;
+    kept(older);
+    engines.isSilent = false;
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
--- a/src/auburndrum/gateway/weightrollout_test.cpp
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -268,6 +268,28 @@
         5s));
 }
 
+TEST_CASE("a holder whose appends take as long as its renewals are apart still orders")
+{
+    // Guards against a roll-out that stands still while the store is slow: the lease was renewed without end, and no order was announced in between.
+    FakeStore fake;
+    FakeEngines engines;
+    constexpr auto Latency = 80ms; // a renewal is due 50 ms after the one before
+    fake.setAppendAnswerDelay(Latency);
+    UpdaterVm one("one", fake, engines);
+    const auto read = one.store.read;
+    one.store.read = [&](const RecordQuery &query, auto done) {
+        read(query, [done, Latency](const StoreResult<RecordBatch> &result) {
+            QTimer::singleShot(Latency, [done, result] {
+                done(result);
+            });
+        });
+    };
+    one.nameWeights(2);
+    CHECK(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+}
+
 TEST_CASE("no order leaves on a connection that opens later than allowed after its announcement")
 {
     // Guards against orders of two VMs within the order interval: the lease was last looked at before the connection was opened.
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -105,18 +105,19 @@
     const std::size_t outdatedServers = countOutdatedServers();
     m_state.metrics.outdatedServers.with().Set(static_cast<double>(outdatedServers));
     const Instant now = suspendAwareNow();
+    const bool isReadDue = !m_isReading && monotonicNow() - m_lastReadAt >= currentReadInterval();
     if (outdatedServers == 0) {
         m_leaseLog.onBehind();
         m_loads.clear();
         m_heldOrders.clear();
-        if (m_finalReadAt && now >= *m_finalReadAt && !m_isReading) {
-            m_finalReadAt.reset();
+        m_callOffs.clear();
+        if (m_finalReadAt && now >= *m_finalReadAt && isReadDue) {
             readTopic(); // so that the next roll-out needn't wait for orders of this one that it learns of only then
         }
         return;
     }
     m_finalReadAt = now + m_options.maxOrderDelay + m_options.orderInterval;
-    if (!m_isReading && monotonicNow() - m_lastReadAt >= currentReadInterval()) {
+    if (isReadDue) {
         readTopic();
     }
     const bool isLeaseCandidate = !m_options.mayHoldLease || m_options.mayHoldLease() || m_leaseLog.fencingNumber(now);
@@ -124,11 +125,7 @@
         return;
     }
     if (!isWriting()) {
-        if (const auto lease = m_leaseLog.tick(now)) {
-            appendLease(*lease);
-        } else {
-            announceOrders(planOrders());
-        }
+        writeDue(m_leaseLog.tick(now), planOrders());
     }
     pollLoads();
 }
@@ -170,30 +167,52 @@
     return due;
 }
 
-void WeightUpdater::announceOrders(const std::vector<PlannedOrder> &orders)
+void WeightUpdater::writeDue(const std::optional<decision::LeaseRecord> &lease, const std::vector<PlannedOrder> &orders)
 {
-    std::vector<QByteArray> records = std::exchange(m_callOffs, {});
+    const Instant now = suspendAwareNow();
+    std::vector<QByteArray> records;
+    if (lease) {
+        records.push_back(leaseText(*lease));
+    }
+    std::vector<QByteArray> callOffs;
+    if (m_leaseLog.fencingNumber(now)) { // else a successor may have announced a load of the same server meanwhile
+        callOffs = std::exchange(m_callOffs, {});
+        records.insert(records.end(), callOffs.begin(), callOffs.end());
+    }
     for (const auto &[model, order] : orders) {
         m_ordersInProgress.insert(order.server);
         records.push_back(announcementText(order.server, std::stoull(order.value), m_incarnation));
     }
-    if (records.empty() || !m_leaseLog.fencingNumber(suspendAwareNow())) {
-        return; // a successor may have announced a load of the same server meanwhile
+    if (records.empty()) {
+        return;
     }
     // Other VMs may read the records before the store's response arrives here.
-    append(records, [this, orders, announcedAt = suspendAwareNow()](std::optional<StoreError> error) {
-        for (const auto &[model, order] : orders) {
-            if (error) {
-                skipOrder(order, model, "not announced"); // no other VM would know of it
-                continue;
-            }
-            QTimer::singleShot(m_options.announceLeadTime, this, [this, model = model, order = order, announcedAt] {
-                prepareOrder(model, order, announcedAt);
-            });
-        }
+    append(records, [this, hasLease = lease.has_value(), callOffs, orders, now](std::optional<StoreError> error) {
+        onDueWritten(hasLease, callOffs, orders, now, error);
     });
 }
 
+void WeightUpdater::onDueWritten(
+    bool hasLease, const std::vector<QByteArray> &callOffs, const std::vector<PlannedOrder> &orders, Instant startedAt, std::optional<StoreError> error)
+{
+    if (error == StoreError::Conflict) {
+        m_callOffs.insert(m_callOffs.begin(), callOffs.begin(), callOffs.end());
+        if (hasLease) {
+            m_leaseLog.onWriteRefused();
+        }
+    }
+    // After any other error the topic shows whether the lease is there.
+    for (const auto &[model, order] : orders) {
+        if (error) {
+            skipOrder(order, model, "not announced"); // no other VM would know of it
+            continue;
+        }
+        QTimer::singleShot(m_options.announceLeadTime, this, [this, model = model, order = order, startedAt] {
+            prepareOrder(model, order, startedAt);
+        });
+    }
+}
+
 void WeightUpdater::prepareOrder(const std::string &model, const Order &order, Instant announcedAt)
 {
     const auto *entry = m_state.servers.find(order.server);
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -21,13 +21,6 @@
 constexpr milliseconds MaxLeaseDuration{60000};
 constexpr milliseconds LongPollTimeout{2000}; // limited so that a silent connection is noticed
 
-/// @p era of the store as the writer knows it.
-QByteArray leaseText(const LeaseRecord &lease, std::uint64_t era)
-{
-    const json object = {{"holder", lease.holder}, {"nonce", lease.nonce}, {"replaces", lease.replaces}, {"duration_ms", lease.duration.count()}, {"era", era}};
-    return QByteArray::fromStdString(object.dump());
-}
-
 bool isText(const json &object, const char *field)
 {
     return object.contains(field) && object[field].is_string();
@@ -84,27 +77,46 @@
     m_lastReadAt = monotonicNow();
     // The first read returns what is there, the next ones wait for new records.
     const milliseconds wait = m_leaseLog.isCurrent(suspendAwareNow()) ? LongPollTimeout : milliseconds(0);
-    m_store.read({m_options.topic, m_leaseLog.nextOffset(), wait}, guarded([this](const StoreResult<RecordBatch> &result) {
-                     handleBatch(result);
+    const std::uint64_t from = m_leaseLog.nextOffset();
+    m_store.read({m_options.topic, from, wait}, guarded([this, from, number = ++m_readNumber](const StoreResult<RecordBatch> &result) {
+                     if (number == m_readNumber) {
+                         handleBatch(from, result);
+                     }
                  }));
 }
 
-void WeightUpdater::handleBatch(const StoreResult<RecordBatch> &result)
+void WeightUpdater::dropRead()
+{
+    ++m_readNumber;
+    m_isReading = false;
+}
+
+void WeightUpdater::handleBatch(std::uint64_t from, const StoreResult<RecordBatch> &result)
 {
     m_isReading = false;
     if (!result || !acceptEra(result.value().era)) {
         return; // the next tick reads again
     }
     const RecordBatch &batch = result.value();
+    if (batch.hasGap && batch.nextOffset <= from && from == m_leaseLog.nextOffset()) {
+        m_leaseLog.restart(suspendAwareNow());
+        m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"from", from}, {"first", batch.nextOffset}});
+        return;
+    }
+    if (batch.hasGap) {
+        recordGap(batch.nextOffset);
+    }
     for (const StoreRecord &it : batch.records) {
-        skipTo(it.offset);
+        recordGap(it.offset);
         if (m_leaseLog.acceptRecord(suspendAwareNow(), it.offset)) {
             applyRecord(it);
         }
     }
-    skipTo(batch.nextOffset);
     if (batch.records.empty() && !batch.hasGap) {
         m_leaseLog.onEndRead();
+        if (m_finalReadAt && suspendAwareNow() >= *m_finalReadAt) {
+            m_finalReadAt.reset();
+        }
     } else if (!m_leaseLog.isCurrent(suspendAwareNow())) {
         readTopic();
     }
@@ -116,15 +128,16 @@
     const bool isUsable = m_leaseLog.acceptEra(suspendAwareNow(), era);
     if (!isUsable && m_leaseLog.era() != before) {
         // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
+        dropRead();
         m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", 0}, {"era", era}});
     }
     return isUsable;
 }
 
-void WeightUpdater::skipTo(std::uint64_t offset)
+void WeightUpdater::recordGap(std::uint64_t offset)
 {
     const std::uint64_t from = m_leaseLog.nextOffset();
-    if (m_leaseLog.skipTo(suspendAwareNow(), offset)) {
+    if (m_leaseLog.onGap(suspendAwareNow(), offset)) {
         // The missed records may include recent orders and a lease in force.
         m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"from", from}, {"first", offset}});
         m_state.metrics.orderRecordsMissed.with().Increment();
@@ -170,14 +183,7 @@
     const bool isRenewal = before != nullptr && before->lease.holder == lease.holder;
     const decision::Offset replaced = before == nullptr ? decision::Offset{0} : before->offset;
     const decision::Offset fencing = fencingOf(offset, era);
-    const decision::LeaseEffect effect = m_leaseLog.onLease(suspendAwareNow(), fencing, lease);
-    if (effect == decision::LeaseEffect::Ignored) {
-        m_state.log.write(LinePriority::Notable,
-                          "order_lease_ignored",
-                          {{"holder", lease.holder}, {"fencing", fencing}, {"replaces", lease.replaces}, {"in_force", replaced}});
-        return;
-    }
-    if (effect == decision::LeaseEffect::Superseded) {
+    if (m_leaseLog.onLease(suspendAwareNow(), fencing, lease)) {
         m_state.log.write(
             LinePriority::Notable, "order_lease_superseded", {{"holder", lease.holder}, {"fencing", fencing}, {"replaces", lease.replaces}, {"own", replaced}});
         m_state.metrics.orderLeasesSuperseded.with().Increment();
@@ -230,7 +236,7 @@
                        done(error);
                        if (error == StoreError::Conflict) {
                            m_leaseLog.onBehind();
-                           readTopic();
+                           readTopic(); // the answer to one that is under way may be older than the refusal
                        }
                    }));
 }
@@ -277,24 +283,26 @@
         });
         return;
     }
-    const auto lease = m_leaseLog.resign();
+    const auto lease = mayHold ? m_leaseLog.resign() : std::nullopt; // a lease that has ended needs no record
     if (!lease) {
         done();
         return;
     }
-    append({leaseText(*lease, m_leaseLog.era())}, [done](std::optional<StoreError> /*error*/) {
+    append({leaseText(*lease)}, [done](std::optional<StoreError> /*error*/) {
         done();
     });
 }
 
-void WeightUpdater::appendLease(const LeaseRecord &lease)
+QByteArray WeightUpdater::leaseText(const LeaseRecord &lease) const
 {
-    append({leaseText(lease, m_leaseLog.era())}, [this](std::optional<StoreError> error) {
-        if (error == StoreError::Conflict) {
-            m_leaseLog.onWriteRefused();
-        }
-        // After any other error the topic shows whether the record is there.
-    });
+    const json object = {
+        {"holder", lease.holder},
+        {"nonce", lease.nonce},
+        {"replaces", lease.replaces}, // for earlier builds, which ignore a lease that doesn't replace the one that they have in force
+        {"duration_ms", lease.duration.count()},
+        {"era", m_leaseLog.era()},
+    };
+    return QByteArray::fromStdString(object.dump());
 }
 
 } // namespace auburndrum::gateway
