A lease tells whether it renews one, and only renewals count as time that went by

A lease of a holder's own that it didn't count as held is replaced at once, so that such leases can follow each other much faster, and an order was forgotten too early.

Change: a lease record says whether it renews a held lease ("renews"); others don't count. Records of earlier builds, which don't say, count as before.

--- a/include/auburndrum/decision/leaselog.h
+++ b/include/auburndrum/decision/leaselog.h
@@ -85,6 +85,10 @@
     {
         m_holder.addTakeoverDelay(delay);
     }
+    bool isRenewal(const LeaseRecord &record) const
+    {
+        return m_holder.isRenewal(record);
+    }
     bool hasPendingAppend() const
     {
         return m_holder.hasPendingAppend();
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -18,7 +18,7 @@
         return;
     }
     const bool isPendingAppend = m_pendingAppend && m_pendingAppend->nonce == current->lease.nonce;
-    const bool isRenewal = m_heldLease && current->lease.replaces == m_heldLease->offset;
+    const bool renews = isRenewal(current->lease);
     const bool isSameHolder = m_current && m_current->lease.holder == current->lease.holder;
     if (!isSameHolder) {
         m_othersEnd = m_currentEnd;
@@ -29,7 +29,7 @@
         m_heldLease.reset();
         return;
     }
-    const Instant ordersFrom = isRenewal ? m_heldLease->ordersFrom : m_pendingAppend->previousEnd + m_options.orderTimeout;
+    const Instant ordersFrom = renews ? m_heldLease->ordersFrom : m_pendingAppend->previousEnd + m_options.orderTimeout;
     m_heldLease = HeldLease{current->offset, m_pendingAppend->startedAt + m_options.duration - m_options.safetyMargin, ordersFrom};
     m_pendingAppend.reset();
 }
@@ -77,6 +77,11 @@
     return mayOrder ? std::optional(m_heldLease->offset) : std::nullopt;
 }
 
+bool LeaseHolder::isRenewal(const LeaseRecord &record) const
+{
+    return m_heldLease && record.replaces == m_heldLease->offset;
+}
+
 bool LeaseHolder::hasPendingAppend() const
 {
     return m_pendingAppend.has_value();
--- a/src/auburndrum/gateway/weightrollout_test.cpp
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -30,15 +30,15 @@
     return most;
 }
 
-/// Writes what a holder wrote that announced a load of e0 and then renewed its lease this often.
-void writeHistory(FakeStore &fake, int renewals)
+/// Writes what a holder wrote that announced a load of e0 and then renewed its lease this often. `more`: further fields of the leases.
+void writeHistory(FakeStore &fake, int renewals, const QByteArray &more = {})
 {
     const std::string topic = WeightUpdaterOptions().topic;
     fake.put(topic, {}, R"({"loading":"e0","version":2,"holder":"x"})");
     for (int n = 0; n <= renewals; ++n) {
         // The announcement has offset 0, so that the first lease has fencing number 2.
         const QByteArray replaced = QByteArray::number(n == 0 ? 0 : n + 1);
-        fake.put(topic, {}, R"({"holder":"x","duration_ms":300,"nonce":"n)" + QByteArray::number(n) + R"(","replaces":)" + replaced + "}");
+        fake.put(topic, {}, R"({"holder":"x","duration_ms":300,"nonce":"n)" + QByteArray::number(n) + R"(","replaces":)" + replaced + more + "}");
     }
 }
 
@@ -252,6 +252,24 @@
     CHECK(suspendAwareNow() - startedAt > 2500ms);
 }
 
+TEST_CASE("a VM that starts waits the order interval at an engine whose last order was followed by leases that renewed none")
+{
+    // Guards against orders of two VMs within the order interval: leases that follow each other at once, as their writer held none, passed for time that went
+    // by.
+    FakeStore fake;
+    FakeEngines engines;
+    writeHistory(fake, 80, R"(,"renews":false)");
+    auto options = UpdaterVm::options("two");
+    options.orderInterval = 3s;
+    const Instant startedAt = suspendAwareNow();
+    UpdaterVm two(options, fake, engines);
+    two.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return orderedAddresses(engines).contains("e0:1");
+    }));
+    CHECK(suspendAwareNow() - startedAt > 2500ms);
+}
+
 TEST_CASE("a VM gets the lease however many servers are listed")
 {
     // Guards against a large fleet without any roll-out: the interval between two reads grew beyond the lease, so each VM read its lease after it had expired.
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -49,7 +49,8 @@
     if (object.contains("loading")) {
         return isText(object, "loading") && isCount(object, "version");
     }
-    return isText(object, "nonce") && isCount(object, "replaces") && isLeaseDuration(object, "duration_ms");
+    const bool hasRenews = object.contains("renews"); // earlier builds don't tell
+    return (!hasRenews || object["renews"].is_boolean()) && isText(object, "nonce") && isCount(object, "replaces") && isLeaseDuration(object, "duration_ms");
 }
 
 /// Fencing numbers are offsets plus 1, because offsets begin at 0 and the fencing number 0 means none. A new era gives offsets out again, so it counts first.
@@ -164,6 +165,10 @@
     lease.nonce = object.value("nonce", std::string());
     lease.replaces = object.value("replaces", decision::Offset{0});
     lease.duration = milliseconds(object.value("duration_ms", std::int64_t{0}));
+    const auto *before = m_leaseLog.leaseInForce();
+    if (before != nullptr && before->lease.holder == lease.holder && object.value("renews", true)) {
+        addLeaseTime(lease.duration / 2 - m_options.leaseMargin);
+    }
     applyLease(record.offset, object.value("era", std::uint64_t{0}), lease);
 }
 
@@ -180,7 +185,6 @@
 void WeightUpdater::applyLease(std::uint64_t offset, std::uint64_t era, const LeaseRecord &lease)
 {
     const auto *before = m_leaseLog.leaseInForce();
-    const bool isRenewal = before != nullptr && before->lease.holder == lease.holder;
     const decision::Offset replaced = before == nullptr ? decision::Offset{0} : before->offset;
     const decision::Offset fencing = fencingOf(offset, era);
     if (m_leaseLog.onLease(suspendAwareNow(), fencing, lease)) {
@@ -188,9 +192,6 @@
             LinePriority::Notable, "order_lease_superseded", {{"holder", lease.holder}, {"fencing", fencing}, {"replaces", lease.replaces}, {"own", replaced}});
         m_state.metrics.orderLeasesSuperseded.with().Increment();
     }
-    if (isRenewal) {
-        addLeaseTime(lease.duration / 2 - m_options.leaseMargin);
-    }
     m_state.log.write(LinePriority::Notable, "order_lease", {{"holder", lease.holder}, {"fencing", fencing}});
 }
 
@@ -300,6 +301,7 @@
         {"nonce", lease.nonce},
         {"replaces", lease.replaces}, // for earlier builds, which ignore a lease that doesn't replace the one that they have in force
         {"duration_ms", lease.duration.count()},
+        {"renews", m_leaseLog.isRenewal(lease)},
         {"era", m_leaseLog.era()},
     };
     return QByteArray::fromStdString(object.dump());
