--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -51,7 +51,8 @@
     /// Gives up the lease early. Returns the record to append; none when this process does not hold the lease.
     std::optional<LeaseRecord> resign();
 
-    /// Whether a record that tick() returned renews the lease that this process holds: it follows the last one by half a duration less the safety margin at least.
+    /// Whether a record that tick() returned renews the lease that this process holds: it follows the last one by half a duration less the safety margin at
+    /// least.
     bool isRenewal(const LeaseRecord &record) const;
 
     /// Whether a record was appended that the fold hasn't shown yet.
