A VM reads the records of orders that it wrote, and what a refusal leaves is kept

A relay's cache is fed by reads only: a hole empties it, and every VM that polls the relay reads the store itself. Reads follow each other again; what was applied already is passed over. - A refusal of an earlier write cancelled the request for the lease that had followed it; it now names the record that was refused. - Call-offs were lost with an append that the store refused as busy, and stayed when another VM had become the holder. - A topic that ends before the offset read from is read anew, whatever was written since.

Result: weightrollout_test, a new case (reads without a hole).

--- a/include/auburndrum/decision/leaseholder.h
+++ b/include/auburndrum/decision/leaseholder.h
@@ -42,8 +42,8 @@
     /// Returns the lease record to append now, if any.
     std::optional<LeaseRecord> tick(Instant now);
 
-    /// Forgets the appended record that the fold hasn't shown yet: it was refused and will never be there.
-    void cancelAppend();
+    /// Forgets the appended record with this nonce, unless the fold has shown it: it was refused and will never be there.
+    void cancelAppend(const std::string &nonce);
 
     /// Lets other processes request a lease that ended this much earlier.
     void addTakeoverDelay(std::chrono::milliseconds delay);
--- a/include/auburndrum/decision/leaselog.h
+++ b/include/auburndrum/decision/leaselog.h
@@ -71,10 +71,10 @@
 
     /// Returns the lease record to write at nextOffset() now, if any.
     std::optional<LeaseRecord> tick(Instant now);
-    /// The record that tick() returned is not where it was to be written; should it be elsewhere, it doesn't count as held.
-    void onWriteRefused()
+    /// A record that tick() returned is not where it was to be written; should it be elsewhere, it doesn't count as held.
+    void onWriteRefused(const LeaseRecord &record)
     {
-        m_holder.cancelAppend();
+        m_holder.cancelAppend(record.nonce);
     }
     /// @{ As those of @ref LeaseHolder.
     std::optional<LeaseRecord> resign()
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -128,8 +128,11 @@
     std::vector<PlannedOrder> planOrders();
     /// Writes the lease, call-offs and the announcements of orders in one append, so that a slow store doesn't make them wait for each other.
     void writeDue(const std::optional<decision::LeaseRecord> &lease, const std::vector<PlannedOrder> &orders);
-    void onDueWritten(
-        bool hasLease, const std::vector<QByteArray> &callOffs, const std::vector<PlannedOrder> &orders, Instant startedAt, std::optional<StoreError> error);
+    void onDueWritten(const std::optional<decision::LeaseRecord> &lease,
+                      const std::vector<QByteArray> &callOffs,
+                      const std::vector<PlannedOrder> &orders,
+                      Instant startedAt,
+                      std::optional<StoreError> error);
     void prepareOrder(const std::string &model, const decision::Order &order, Instant announcedAt);
     void sendOrder(const std::string &model, const decision::Order &order, const EngineReport &report, Instant announcedAt);
     void pollLoads();
@@ -162,6 +165,8 @@
     std::optional<PendingWrite> m_pendingWrite;
     QTimer m_timer;
     bool m_isReading = false;
+    /// Next offset to read, before LeaseLog::nextOffset() where this VM wrote since: VMs that read through this one get what it read, without a hole.
+    std::uint64_t m_readOffset = 0;
     std::uint64_t m_readNumber = 0; ///< of the read whose answer counts; an older one may have been from another era, or from before a write
     Instant m_lastReadAt{}; ///< when the last read began
     std::optional<Instant> m_finalReadAt; ///< when the topic is read to its end after the last roll-out
--- a/src/auburndrum/decision/leaseholder.cpp
+++ b/src/auburndrum/decision/leaseholder.cpp
@@ -43,9 +43,11 @@
     m_othersEnd = m_currentEnd;
 }
 
-void LeaseHolder::cancelAppend()
+void LeaseHolder::cancelAppend(const std::string &nonce)
 {
-    m_pendingAppend.reset();
+    if (m_pendingAppend && m_pendingAppend->nonce == nonce) {
+        m_pendingAppend.reset();
+    }
 }
 
 std::optional<LeaseRecord> LeaseHolder::tick(Instant now)
--- a/src/auburndrum/decision/leaselog_test.cpp
+++ b/src/auburndrum/decision/leaselog_test.cpp
@@ -148,7 +148,7 @@
             return;
         }
         if (!isInPlace) {
-            writer.log->onWriteRefused();
+            writer.log->onWriteRefused(write.entry.lease);
             writer.log->onBehind();
         } else if (writer.log->nextOffset() == write.at) {
             apply(write.writer, write.at, write.entry);
--- a/src/auburndrum/gateway/weightrollout_test.cpp
+++ b/src/auburndrum/gateway/weightrollout_test.cpp
@@ -308,6 +308,31 @@
     }));
 }
 
+TEST_CASE("a holder reads what it wrote, so that its reads follow each other without a hole")
+{
+    // Guards against calls to the store by every VM that reads through a relay: a hole in what the relay read empties its cache.
+    FakeStore fake;
+    FakeEngines engines;
+    engines.loadTime = 30ms;
+    UpdaterVm one("one", fake, engines);
+    std::uint64_t next = 0;
+    int holes = 0;
+    const auto read = one.store.read;
+    one.store.read = [&](const RecordQuery &query, auto done) {
+        holes += query.from > next ? 1 : 0;
+        read(query, [&next, done](const StoreResult<RecordBatch> &result) {
+            next = result ? std::max(next, result.value().nextOffset) : next;
+            done(result);
+        });
+    };
+    one.nameWeights(2);
+    REQUIRE(runUntil([&] {
+        return allHave(engines, 2);
+    }));
+    CHECK(next > 5);
+    CHECK(holes == 0);
+}
+
 TEST_CASE("no order leaves on a connection that opens later than allowed after its announcement")
 {
     // Guards against orders of two VMs within the order interval: the lease was last looked at before the connection was opened.
--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -187,19 +187,22 @@
         return;
     }
     // Other VMs may read the records before the store's response arrives here.
-    append(records, [this, hasLease = lease.has_value(), callOffs, orders, now](std::optional<StoreError> error) {
-        onDueWritten(hasLease, callOffs, orders, now, error);
+    append(records, [this, lease, callOffs, orders, now](std::optional<StoreError> error) {
+        onDueWritten(lease, callOffs, orders, now, error);
     });
 }
 
-void WeightUpdater::onDueWritten(
-    bool hasLease, const std::vector<QByteArray> &callOffs, const std::vector<PlannedOrder> &orders, Instant startedAt, std::optional<StoreError> error)
+void WeightUpdater::onDueWritten(const std::optional<decision::LeaseRecord> &lease,
+                                 const std::vector<QByteArray> &callOffs,
+                                 const std::vector<PlannedOrder> &orders,
+                                 Instant startedAt,
+                                 std::optional<StoreError> error)
 {
-    if (error == StoreError::Conflict) {
+    if (error == StoreError::Conflict || error == StoreError::Refused) {
         m_callOffs.insert(m_callOffs.begin(), callOffs.begin(), callOffs.end());
-        if (hasLease) {
-            m_leaseLog.onWriteRefused();
-        }
+    }
+    if (error == StoreError::Conflict && lease) {
+        m_leaseLog.onWriteRefused(*lease);
     }
     // After any other error the topic shows whether the lease is there.
     for (const auto &[model, order] : orders) {
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -78,7 +78,7 @@
     m_lastReadAt = monotonicNow();
     // The first read returns what is there, the next ones wait for new records.
     const milliseconds wait = m_leaseLog.isCurrent(suspendAwareNow()) ? LongPollTimeout : milliseconds(0);
-    const std::uint64_t from = m_leaseLog.nextOffset();
+    const std::uint64_t from = m_readOffset;
     m_store.read({m_options.topic, from, wait}, guarded([this, from, number = ++m_readNumber](const StoreResult<RecordBatch> &result) {
                      if (number == m_readNumber) {
                          handleBatch(from, result);
@@ -99,11 +99,15 @@
         return; // the next tick reads again
     }
     const RecordBatch &batch = result.value();
-    if (batch.hasGap && batch.nextOffset <= from && from == m_leaseLog.nextOffset()) {
+    if (batch.hasGap && batch.nextOffset <= from) {
         m_leaseLog.restart(suspendAwareNow());
+        m_readOffset = 0;
         m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"from", from}, {"first", batch.nextOffset}});
         return;
     }
+    if (batch.hasGap || !batch.records.empty()) {
+        m_readOffset = batch.nextOffset;
+    }
     if (batch.hasGap) {
         recordGap(batch.nextOffset);
     }
@@ -130,6 +134,7 @@
     if (!isUsable && m_leaseLog.era() != before) {
         // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
         dropRead();
+        m_readOffset = 0;
         m_state.log.write(LinePriority::Notable, "orders_forgotten", {{"topic", m_options.topic}, {"first", 0}, {"era", era}});
     }
     return isUsable;
@@ -187,6 +192,9 @@
     const auto *before = m_leaseLog.leaseInForce();
     const decision::Offset replaced = before == nullptr ? decision::Offset{0} : before->offset;
     const decision::Offset fencing = fencingOf(offset, era);
+    if (lease.holder != m_incarnation) {
+        m_callOffs.clear(); // the other holder may have announced loads of the same servers
+    }
     if (m_leaseLog.onLease(suspendAwareNow(), fencing, lease)) {
         m_state.log.write(
             LinePriority::Notable, "order_lease_superseded", {{"holder", lease.holder}, {"fencing", fencing}, {"replaces", lease.replaces}, {"own", replaced}});
