--- a/src/auburndrum/gateway/weightupdaterfixture.h
+++ b/src/auburndrum/gateway/weightupdaterfixture.h
@@ -29,7 +29,7 @@
     {
         EngineControl it;
         it.readReport = [this](const std::string &address, auto done) {
-            QTimer::singleShot(std::chrono::milliseconds(1), &m_context, [this, address, done] {
+            QTimer::singleShot(reportTime, &m_context, [this, address, done] {
                 done(isSilent ? std::nullopt : std::optional(EngineReport{{{"m", versions[address]}}, false, accepted[address]}));
             });
         };
@@ -69,6 +69,7 @@
     bool losesAnswers = false;
     std::set<std::string> lostOrders; ///< addresses whose orders have neither an effect nor an answer
     std::chrono::milliseconds loadTime{0};
+    std::chrono::milliseconds reportTime{1}; ///< until a report arrives
     std::chrono::milliseconds connectTime{1}; ///< until an order leaves
 
 private:
