A cut in which new connections hang is counted from when they were tried

Callers saw streams broken off in a cut of their VM: the server that a stream lost with the path counted against its limit, and reports of crashes from the cut stayed. Cause: losses counted as the path's from 200 ms before the first connection had failed. A connection that hangs fails 300 ms after it was tried, so that the loss which had it tried lay before that. Change: a failed connection tells for how long it was tried, and the 200 ms count back from its beginning; no time before a server's last response counts, and a connection that was open and reset counts from its end, as before.

--- a/include/auburndrum/decision/traffic/serverpath.h
+++ b/include/auburndrum/decision/traffic/serverpath.h
@@ -18,7 +18,7 @@
     std::size_t minServers = 3; ///< backend servers that must be out of reach, one after the other, until this VM counts as cut off
     std::chrono::milliseconds suspicionInterval{1000}; ///< least time between two checks of other servers after one was out of reach
     std::chrono::milliseconds lossCheckInterval{200}; ///< least time between two checks of servers after connections were lost
-    std::chrono::milliseconds detectionTime{200}; ///< from the beginning of a cut until a new connection has failed
+    std::chrono::milliseconds detectionTime{200}; ///< from the beginning of a cut until a new connection is tried that fails
     std::chrono::milliseconds probeInterval{250}; ///< between attempts to connect while it is cut off; doubles with each trial that fails
     std::chrono::milliseconds maxProbeInterval{2000};
     std::chrono::milliseconds trialTimeout{600}; ///< a trial without a result is over after this time
@@ -38,9 +38,9 @@
     explicit ServerPath(ServerPathOptions options = {});
 
     /// This server responded, or an unknown one at its address. Returns true when this ends the cut.
-    bool onReached(std::string_view server = {});
-    /// No connection to the server, out of `listed` ones, could be opened. Returns true when the VM counts as cut off from now on.
-    bool onUnreachable(std::string_view server, std::size_t listed, Instant now);
+    bool onReached(std::string_view server, Instant now);
+    /// No connection to the server, out of `listed` ones, could be opened in the time `waited`. Returns true when the VM counts as cut off from now on.
+    bool onUnreachable(std::string_view server, std::size_t listed, Instant now, std::chrono::milliseconds waited = std::chrono::milliseconds(0));
 
     bool isCut() const
     {
@@ -66,7 +66,8 @@
 private:
     ServerPathOptions m_options;
     std::set<std::string, std::less<>> m_unreachable; ///< since a server last responded
-    Instant m_unreachableSince{}; ///< when the first of these failed
+    Instant m_unreachableSince{}; ///< when the first connection to one of these was tried
+    Instant m_reachedAt{}; ///< when a server last responded
     std::map<std::string, Instant, std::less<>> m_lost; ///< servers that have not responded since a connection to them was lost, and when the last one was
     bool m_isCut = false;
     std::chrono::milliseconds m_probeInterval;
--- a/include/auburndrum/gateway/gatewaystate.h
+++ b/include/auburndrum/gateway/gatewaystate.h
@@ -92,8 +92,8 @@
     decision::PeerRoutes peerRoutes;
     decision::ServerPath serverPath;
     std::function<std::vector<decision::EntryVm>()> otherVms; ///< that requests may be passed on to; empty when there is no directory of VMs
-    /// @{ Called with each server that can't be connected to, and when one responds while serverPath is cut.
-    std::function<void(const std::string &server)> onServerUnreachable;
+    /// @{ Called with each server that can't be connected to in the time `waited`, and when one responds while serverPath is cut.
+    std::function<void(const std::string &server, std::chrono::milliseconds waited)> onServerUnreachable;
     std::function<void(const std::string &server)> onConnectionLost; ///< the same with each whose connection ends under a request
     std::function<void()> onPathRegained;
     /// @}
--- a/include/auburndrum/gateway/pathprobe.h
+++ b/include/auburndrum/gateway/pathprobe.h
@@ -33,7 +33,7 @@
         std::optional<Instant> connectedAt;
     };
 
-    void handleUnreachable(const std::string &server);
+    void handleUnreachable(const std::string &server, std::chrono::milliseconds waited);
     /// Tries connections to some servers.
     void connectToSome(std::vector<std::string> servers);
     void handleRegained();
--- a/src/auburndrum/decision/traffic/serverpath.cpp
+++ b/src/auburndrum/decision/traffic/serverpath.cpp
@@ -18,8 +18,9 @@
 {
 }
 
-bool ServerPath::onReached(std::string_view server)
+bool ServerPath::onReached(std::string_view server, Instant now)
 {
+    m_reachedAt = now;
     if (const auto it = m_lost.find(server); it != m_lost.end()) {
         m_lost.erase(it);
     }
@@ -35,11 +36,10 @@
     return std::exchange(m_isCut, false);
 }
 
-bool ServerPath::onUnreachable(std::string_view server, std::size_t listed, Instant now)
+bool ServerPath::onUnreachable(std::string_view server, std::size_t listed, Instant now, std::chrono::milliseconds waited)
 {
-    if (m_unreachable.empty()) {
-        m_unreachableSince = now;
-    }
+    const Instant triedAt = std::max(now - waited, m_reachedAt); // the path was there when a server last responded
+    m_unreachableSince = m_unreachable.empty() ? triedAt : std::min(m_unreachableSince, triedAt);
     m_unreachable.emplace(server);
     if (m_trialUntil != Instant{}) {
         m_trialUntil = {};
--- a/src/auburndrum/decision/traffic/serverpath_test.cpp
+++ b/src/auburndrum/decision/traffic/serverpath_test.cpp
@@ -29,7 +29,7 @@
         CHECK_FALSE(it.onUnreachable("a", 12, Begin));
     }
     CHECK_FALSE(it.onUnreachable("b", 12, Begin));
-    CHECK_FALSE(it.onReached());
+    CHECK_FALSE(it.onReached({}, Begin));
     CHECK_FALSE(it.onUnreachable("b", 12, Begin));
     CHECK_FALSE(it.onUnreachable("c", 12, Begin));
     CHECK_FALSE(it.isCut());
@@ -60,9 +60,9 @@
     CHECK_FALSE(it.takeTrial(false, Begin + 261ms));
     CHECK(it.takeTrial(true, Begin + 262ms));
     CHECK_FALSE(it.takeTrial(true, Begin + 263ms));
-    CHECK(it.onReached());
+    CHECK(it.onReached({}, Begin + 264ms));
     CHECK_FALSE(it.isCut());
-    CHECK_FALSE(it.onReached());
+    CHECK_FALSE(it.onReached({}, Begin + 265ms));
 }
 
 TEST_CASE("trials that fail become rarer, and without a request that may run again another one is the trial")
@@ -102,10 +102,35 @@
     CHECK(it.isPathLoss(Begin + 5s));
     CHECK_FALSE(it.isPathLoss(Begin));
     CHECK_FALSE(it.takeLossCheck(Begin + 1s)); // the probes of the cut go on
-    CHECK(it.onReached());
+    CHECK(it.onReached({}, Begin + 6s));
     CHECK_FALSE(it.isPathLoss(Begin + 200ms));
 }
 
+// Guards against streams that are broken off in a cut in which new connections hang: it is found later than one that refuses them (LOST).
+TEST_CASE("connections that were lost before the ones that hang were tried ended with the VM's path")
+{
+    ServerPath it;
+    it.onReached("a", Begin - 1s);
+    it.onUnreachable("a", 12, Begin + 325ms, 305ms);
+    it.onUnreachable("b", 12, Begin + 325ms, 325ms);
+    CHECK(it.onUnreachable("c", 12, Begin + 325ms, 10ms));
+    CHECK(it.isPathLoss(Begin));
+    CHECK(it.isPathLoss(Begin - 200ms));
+    CHECK_FALSE(it.isPathLoss(Begin - 201ms));
+}
+
+// Guards against a server's end that is excused by a connection to another server that hung before the VM had its path (BUDGET).
+TEST_CASE("no time before a server's last response counts to a cut, however long a connection hangs")
+{
+    ServerPath it;
+    it.onReached("d", Begin + 250ms);
+    it.onUnreachable("a", 12, Begin + 300ms, 300ms);
+    it.onUnreachable("b", 12, Begin + 300ms, 20ms);
+    CHECK(it.onUnreachable("c", 12, Begin + 300ms, 20ms));
+    CHECK(it.isPathLoss(Begin + 50ms));
+    CHECK_FALSE(it.isPathLoss(Begin + 49ms));
+}
+
 // Guards against a request that is sent on and on although its servers end under it: on a VM with few servers, or with few requests, that looks like a cut
 // (BUDGET).
 TEST_CASE("connections that were lost before a probe was accepted, or to the only server, ended with their servers")
@@ -132,9 +157,9 @@
     it.onUnreachable("b", 3, Begin + 2s);
     CHECK(it.onUnreachable("c", 3, Begin + 2s));
     CHECK_FALSE(it.isPathLoss(Begin + 2s));
-    it.onReached("a");
-    it.onReached("b");
-    it.onReached("c");
+    it.onReached("a", Begin + 3s);
+    it.onReached("b", Begin + 3s);
+    it.onReached("c", Begin + 3s);
     it.onLost("c", Begin + 5s);
     it.onUnreachable("a", 3, Begin + 5s);
     it.onUnreachable("b", 3, Begin + 5s);
--- a/src/auburndrum/gateway/forwardedanswer.cpp
+++ b/src/auburndrum/gateway/forwardedanswer.cpp
@@ -158,7 +158,8 @@
     // A request that ends its servers looks like a cut from here, so that only its first reset is a sign of one.
     const bool isFurtherReset = wasResetUnanswered && std::exchange(m_wasResetUnanswered, true);
     if ((!result.sent || wasResetUnanswered) && !isFurtherReset) {
-        recordUnreachable();
+        const auto waited = std::chrono::floor<milliseconds>(suspendAwareNow() - m_attempt->sentAtSuspendAware);
+        recordUnreachable(result.sent ? milliseconds(0) : waited); // a connection that was open had a path until its end
     }
     if (!result.sent) {
         m_state.chooser.recordUnreachable(m_attempt->choice.id, monotonicNow(), m_state.random);
--- a/src/auburndrum/gateway/forwardedrequest.h
+++ b/src/auburndrum/gateway/forwardedrequest.h
@@ -268,7 +268,7 @@
     void takeBack(const char *result);
     /// @{ What the connection shows of this VM's path to the servers.
     void recordReached();
-    void recordUnreachable();
+    void recordUnreachable(std::chrono::milliseconds waited);
     /// @}
     /// @}
     /// @{ Moving a request whose server is silent, in forwardedmove.cpp.
--- a/src/auburndrum/gateway/forwardedwait.cpp
+++ b/src/auburndrum/gateway/forwardedwait.cpp
@@ -168,15 +168,15 @@
 {
     const bool isOtherServer = m_attempt->head && m_attempt->head->status == 421; // which has the address now
     const std::string_view server = isOtherServer ? std::string_view() : std::string_view(m_attempt->choice.id);
-    if (!m_attempt->isPassedOn() && m_state.serverPath.onReached(server) && m_state.onPathRegained) {
+    if (!m_attempt->isPassedOn() && m_state.serverPath.onReached(server, suspendAwareNow()) && m_state.onPathRegained) {
         m_state.onPathRegained();
     }
 }
 
-void ForwardedRequest::recordUnreachable()
+void ForwardedRequest::recordUnreachable(milliseconds waited)
 {
     if (m_state.onServerUnreachable) {
-        m_state.onServerUnreachable(m_attempt->choice.id);
+        m_state.onServerUnreachable(m_attempt->choice.id, waited);
     }
 }
 
--- a/src/auburndrum/gateway/pathprobe.cpp
+++ b/src/auburndrum/gateway/pathprobe.cpp
@@ -24,8 +24,8 @@
     , m_state(state)
 {
     connect(&m_timer, &QTimer::timeout, this, &PathProbe::tick);
-    m_state.onServerUnreachable = [this](const std::string &server) {
-        handleUnreachable(server);
+    m_state.onServerUnreachable = [this](const std::string &server, milliseconds waited) {
+        handleUnreachable(server, waited);
     };
     m_state.onConnectionLost = [this](const std::string &server) {
         const Instant now = suspendAwareNow();
@@ -39,10 +39,10 @@
     };
 }
 
-void PathProbe::handleUnreachable(const std::string &server)
+void PathProbe::handleUnreachable(const std::string &server, milliseconds waited)
 {
     const Instant now = suspendAwareNow();
-    const bool isNewCut = m_state.serverPath.onUnreachable(server, m_state.servers.size(), now);
+    const bool isNewCut = m_state.serverPath.onUnreachable(server, m_state.servers.size(), now, waited);
     if (const auto since = m_state.serverPath.pathLostSince()) {
         m_state.quarantine.withdrawLosses(*since);
     }
@@ -144,12 +144,13 @@
     // The hook that calls this belongs to the socket, which outlives the call.
     const std::shared_ptr<net::TcpSocket> socket = std::move(it->socket);
     const std::string name = server;
+    const auto waited = std::chrono::floor<milliseconds>(suspendAwareNow() - it->connectedAt.value_or(it->begunAt));
     m_probes.erase(it);
     socket->abort();
     QTimer::singleShot(0, this, [socket] {
     });
     if (!isConnected) {
-        handleUnreachable(name);
+        handleUnreachable(name, waited);
         return;
     }
     if (m_state.serverPath.isCut() && suspendAwareNow() - m_lostAt >= MinCutTime) {
