Engines that have newer weights than the newest known version aren't ordered back

Cause: WeightUpdater took each engine whose version differs from the newest named one as outdated. A VM that starts after the store returned from a copy reads an older record of named weights; it would order the engines that loaded newer ones back to it. That the record is the newest in the copy doesn't show that no newer one was named: an engine loads only named weights.

Change: only engines with older weights are outdated. A report of newer weights ends an order or a load, and its version goes into the list.

--- a/src/auburndrum/gateway/weightupdater.cpp
+++ b/src/auburndrum/gateway/weightupdater.cpp
@@ -67,7 +67,7 @@
     for (const auto &[model, named] : m_state.weights) {
         for (const auto &[id, entry] : m_state.servers.entries()) {
             const auto version = entry.server.weightVersions.find(model);
-            if (version != entry.server.weightVersions.end() && !entry.server.isDraining && version->second != named.newestVersion()) {
+            if (version != entry.server.weightVersions.end() && !entry.server.isDraining && version->second < named.newestVersion()) {
                 ++count;
             }
         }
@@ -77,6 +77,7 @@
 
 std::vector<decision::ObservedServerState> WeightUpdater::observedStates(const std::string &model) const
 {
+    const std::uint64_t newest = m_state.weights.at(model).newestVersion();
     std::vector<decision::ObservedServerState> list;
     for (const auto &[id, entry] : m_state.servers.entries()) {
         const auto version = entry.server.weightVersions.find(model);
@@ -85,7 +86,7 @@
         }
         decision::ObservedServerState it;
         it.server = id;
-        it.version = std::to_string(version->second);
+        it.version = std::to_string(std::min(version->second, newest)); // newer weights were named too, in a record that the store lost
         it.isLeaving = entry.server.isDraining;
         list.push_back(std::move(it));
     }
@@ -237,9 +238,9 @@
     const auto *entry = m_state.servers.find(order.server);
     const std::uint64_t version = std::stoull(order.value);
     const auto has = report.weightVersions.find(model);
-    if (has != report.weightVersions.end() && has->second == version) {
+    if (has != report.weightVersions.end() && has->second >= version) {
         m_ordersInProgress.erase(order.server);
-        recordLoaded(order.server, model, version);
+        recordLoaded(order.server, model, has->second);
         return;
     }
     const auto newest = m_state.weights.find(model);
@@ -360,8 +361,8 @@
         }
         m_engines.readReport(entry->server.address, guarded([this, server = server, load = load](const std::optional<EngineReport> &report) {
                                  const auto has = report ? report->weightVersions.find(load.model) : decltype(report->weightVersions.end()){};
-                                 if (report && has != report->weightVersions.end() && has->second == load.version) {
-                                     recordLoaded(server, load.model, load.version);
+                                 if (report && has != report->weightVersions.end() && has->second >= load.version) {
+                                     recordLoaded(server, load.model, has->second);
                                  }
                              }));
     }
--- a/src/auburndrum/gateway/weightupdater_test.cpp
+++ b/src/auburndrum/gateway/weightupdater_test.cpp
@@ -172,6 +172,49 @@
     CHECK(engines.receivedOrders.empty());
 }
 
+// Guards against engines that are ordered back by a VM that starts after the store returned to a copy without the newest named version.
+TEST_CASE("engines that have newer weights than the newest named version that this VM knows aren't ordered back")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    UpdaterVm one("one", fake, engines);
+    one.setRunning();
+    for (int n = 0; n < 5; ++n) {
+        decision::BackendServer it = newEngine(n);
+        it.weightVersions["m"] = 3;
+        engines.versions[it.address] = 3;
+        one.state.servers.put(it, monotonicNow());
+    }
+    one.nameWeights(2);
+    runFor(500ms);
+    CHECK(engines.receivedOrders.empty());
+    CHECK(fake.calls() == 0);
+}
+
+// Guards against the same where other engines are outdated, and where the list doesn't show the newer weights yet.
+TEST_CASE("engines that have newer weights than the ones of a roll-out aren't ordered back in it")
+{
+    FakeStore fake;
+    FakeEngines engines;
+    UpdaterVm one("one", fake, engines);
+    one.setRunning();
+    decision::BackendServer newer = newEngine(0);
+    newer.weightVersions["m"] = 3;
+    one.state.servers.put(newer, monotonicNow());
+    engines.versions["e0:1"] = 3;
+    engines.versions["e1:1"] = 3;
+    one.nameWeights(2);
+    CHECK(runUntil([&] {
+        return engines.versions["e2:1"] != 1 && engines.versions["e3:1"] != 1 && engines.versions["e4:1"] != 1;
+    }));
+    CHECK(runUntil([&] {
+        return one.state.servers.find("e1")->server.weightVersions.at("m") == 3;
+    }));
+    runFor(200ms);
+    CHECK(engines.versions == std::map<std::string, std::uint64_t>{{"e0:1", 3}, {"e1:1", 3}, {"e2:1", 2}, {"e3:1", 2}, {"e4:1", 2}});
+    CHECK(engines.receivedOrders.size() == 3);
+}
+
 // Guards against processes that end over a record of another writer in the topic of orders, such as one whose era is no number.
 TEST_CASE("odd records in the topic of orders are skipped, and orders go on")
 {
