A probe that was accepted and reset counts from its end

Cause: a probe's connection that was accepted and reset told the time since it was accepted, though a path was there until its end, as for requests. Change: only a connection that wasn't accepted counts from its beginning.

--- a/src/auburndrum/gateway/pathprobe.cpp
+++ b/src/auburndrum/gateway/pathprobe.cpp
@@ -144,7 +144,7 @@
     // The hook that calls this belongs to the socket, which outlives the call.
     const std::shared_ptr<net::TcpSocket> socket = std::move(it->socket);
     const std::string name = server;
-    const auto waited = std::chrono::floor<milliseconds>(suspendAwareNow() - it->connectedAt.value_or(it->begunAt));
+    const auto waited = it->connectedAt ? milliseconds(0) : std::chrono::floor<milliseconds>(suspendAwareNow() - it->begunAt);
     m_probes.erase(it);
     socket->abort();
     QTimer::singleShot(0, this, [socket] {
