A VM registers again when the store lost its registration before it knew the store's era

Cause: a VM registered again only when an era followed one that it knew. One that registered just before the store returned to an older copy took its first response's era for the one in which it had registered, and the other VMs never found it.

--- a/src/auburndrum/gateway/relaylink_test.cpp
+++ b/src/auburndrum/gateway/relaylink_test.cpp
@@ -1,8 +1,5 @@
-#include "auburndrum/gateway/relaylink.h"
+#include "relaylinkfixture.h"
 
-#include "auburndrum/gateway/keyedfeed.h"
-#include "eventloop.h"
-#include "fakestore.h"
 #include "rawserver.h"
 
 #include <doctest/doctest.h>
@@ -12,111 +9,6 @@
 using namespace auburndrum::gateway;
 using namespace std::chrono_literals;
 
-namespace {
-
-const std::string Topic = "operator";
-const std::string PromptStore = "10.0.0.1:1";
-const ReadBudget QuickBudget = {.refreshInterval = 250ms, .relayReadTime = 100ms, .answerTime = 50ms, .pollInterval = 10ms};
-
-/// The RelayLink of one entry VM, and what it reports.
-class Vm
-{
-public:
-    Vm(FakeStore &fake, const std::string &name, double linkMegabits, const ReadBudget &budget = QuickBudget)
-        : state({.zone = "zone"},
-                {.vm = name,
-                 .write =
-                     [](std::string_view) {
-                     }},
-                Wire{},
-                {})
-        , link(options(name, linkMegabits, budget),
-               state,
-               fake.hooks(),
-               {.onFollowsStoresChanged =
-                    [this](bool it) {
-                        follows = it;
-                    },
-                .onPromptStoreEntry =
-                    [this](const PromptStoreLogEntry &it) {
-                        promptStoreEntries.push_back(it);
-                    }})
-        , store(link.relayedStore())
-    {
-        state.storedPrompts.configure({{PromptStore, "zone", 1000, 8e9, {}, true}});
-        link.start();
-    }
-
-    static RelayLinkOptions options(const std::string &name, double linkMegabits, const ReadBudget &budget)
-    {
-        RelayLinkOptions it;
-        it.self = {name, "127.0.0.1:0", "zone", linkMegabits};
-        it.directoryTopic = "entries";
-        it.directoryDelay = 50ms;
-        it.budget = budget;
-        it.pollTimeout = 400ms;
-        it.defaultAllowedReaders = 4;
-        return it;
-    }
-
-    /// Reads records one after another from the topic's start, as a feed does.
-    void readContinuously(std::uint64_t from = 0)
-    {
-        store.read({Topic, from, 200ms}, [this, from](const StoreResult<RecordBatch> &result) {
-            const std::uint64_t next = result ? result.value().nextOffset : from;
-            for (const StoreRecord &it : result ? result.value().records : std::vector<StoreRecord>{}) {
-                values.push_back(*it.value);
-            }
-            QTimer::singleShot(1ms, &link, [this, next] {
-                readContinuously(next);
-            });
-        });
-    }
-
-    bool receives(const QByteArray &value)
-    {
-        return runUntil([&] {
-            return !values.empty() && values.back() == value;
-        });
-    }
-
-    GatewayState state;
-    RelayLink link;
-    RecordStore store;
-    std::optional<bool> follows;
-    std::vector<PromptStoreLogEntry> promptStoreEntries;
-    std::vector<QByteArray> values;
-};
-
-/// A large VM and some small ones, in one zone.
-struct Fleet
-{
-    explicit Fleet(int n)
-    {
-        vms.push_back(std::make_unique<Vm>(store, "large", 200));
-        for (int k = 1; k < n; ++k) {
-            vms.push_back(std::make_unique<Vm>(store, "small-" + std::to_string(k), 10));
-        }
-        for (auto &it : vms) {
-            it->readContinuously();
-        }
-    }
-
-    bool isRelayed()
-    {
-        return runUntil([&] {
-            return std::all_of(vms.begin() + 1, vms.end(), [](const auto &it) {
-                return it->link.isRelayed();
-            });
-        });
-    }
-
-    FakeStore store;
-    std::vector<std::unique_ptr<Vm>> vms;
-};
-
-} // namespace
-
 TEST_CASE("in a small fleet each VM reads the store directly")
 {
     Fleet fleet(2);
@@ -145,6 +37,29 @@
     }
 }
 
+// Guards against entry VMs that don't find each other, and so give each server more than its limit (LIMIT).
+TEST_CASE("a VM registers again when the store lost its registration before its first response that names an era")
+{
+    for (const auto registeredFor : {0ms, 200ms}) { // before the VM has read the directory, and after that
+        CAPTURE(registeredFor.count());
+        FakeStore fake;
+        fake.makeCopy();
+        Vm one(fake, "one", 100);
+        REQUIRE(runUntil([&] {
+            return !fake.records("entries").empty();
+        }));
+        runFor(registeredFor);
+        fake.restoreCopy();
+        REQUIRE(fake.records("entries").empty());
+        one.readContinuously();
+        CHECK(runUntil(
+            [&] {
+                return !fake.records("entries").empty();
+            },
+            2s));
+    }
+}
+
 TEST_CASE("updates of prompt stores reach the VMs that don't follow the stores")
 {
     Fleet fleet(6);
--- a/src/auburndrum/gateway/relayreads.cpp
+++ b/src/auburndrum/gateway/relayreads.cpp
@@ -119,10 +119,10 @@
 
 void RelayLink::handleEra(std::uint64_t era)
 {
-    const bool isNew = m_era != 0 && era > m_era;
+    const bool isNew = era > m_era;
     m_era = std::max(m_era, era);
     if (isNew && !m_options.directoryTopic.empty()) {
-        registerSelf(); // the copy that the store returned from may lack this VM
+        registerSelf(); // the copy that the store returned from may lack this VM, also where the return came before the first response
     }
 }
 
