A VM counts the wait before its orders from its first response, also on a store that names no era

Cause: learned eras only from responses that name one. Change: no era counts as an era too: it is known from the first response on, and a lease of it spares a VM that starts the wait.

--- a/include/auburndrum/decision/leaselog.h
+++ b/include/auburndrum/decision/leaselog.h
@@ -43,6 +43,11 @@
     {
         return m_hasResponse;
     }
+    /// When all has ended that was allowed before the era of the first response.
+    Instant settledAt() const
+    {
+        return m_settledAt;
+    }
     /// Whether the log was read to its end, as far as is known, and nothing is waited for.
     bool isCurrent(Instant now) const
     {
@@ -121,7 +126,7 @@
     bool m_hasResponse = false;
     bool m_isAtEnd = false;
     Instant m_recoveredAt; ///< when all has ended that missed records allowed
-    Instant m_settledAt; ///< when all has ended that was allowed before the era of the first response
+    Instant m_settledAt;
 };
 
 } // namespace auburndrum::decision
--- a/include/auburndrum/gateway/keyedfeed.h
+++ b/include/auburndrum/gateway/keyedfeed.h
@@ -59,7 +59,7 @@
     std::function<void(int repeats, std::chrono::milliseconds waited, std::optional<std::chrono::milliseconds> sinceBytes)> onOverdue;
     std::function<void(StoreError)> onStoreLost; ///< the store doesn't respond
     std::function<void()> onStoreRegained;
-    std::function<void(std::uint64_t era)> onEra; ///< a response named this era for the first time
+    std::function<void(std::uint64_t era)> onEra; ///< a response named this era, 0 when it named none
     std::function<void(std::uint64_t era)> onNewEra; ///< the store returned from an older copy of its records
 };
 
--- a/include/auburndrum/gateway/weightupdater.h
+++ b/include/auburndrum/gateway/weightupdater.h
@@ -169,7 +169,7 @@
     std::uint64_t m_readOffset = 0;
     std::uint64_t m_readNumber = 0; ///< of the read whose answer counts; an older one may have been from another era, or from before a write
     Instant m_lastReadAt{}; ///< when the last read began
-    std::optional<Instant> m_finalReadAt; ///< when the topic is read to its end, after the last roll-out
+    std::optional<Instant> m_finalReadAt; ///< when the topic is read to its end after the last roll-out
 };
 
 } // namespace auburndrum::gateway
--- a/src/auburndrum/decision/leaselog.cpp
+++ b/src/auburndrum/decision/leaselog.cpp
@@ -8,7 +8,7 @@
     : m_options(std::move(options))
     , m_holder(m_options.holder, now)
     , m_recoveredAt(now)
-    , m_settledAt(now + m_options.recoveryTime)
+    , m_settledAt(now)
 {
 }
 
@@ -29,7 +29,8 @@
 
 void LeaseLog::onEraSettled(std::uint64_t era)
 {
-    if (m_hasResponse && era != 0 && era == m_era) {
+    // Without eras too: a write counts only if the log's answer to it names the same era, and a log that loses records names one in all its answers.
+    if (m_hasResponse && era == m_era) {
         m_settledAt = {};
     }
 }
--- a/src/auburndrum/gateway/fakestore.h
+++ b/src/auburndrum/gateway/fakestore.h
@@ -25,6 +25,11 @@
         m_copy = m_topics;
     }
     void restoreCopy();
+    /// Responses name no era from now on.
+    void setNamesNoEra()
+    {
+        m_era = 0;
+    }
     /// Every call fails with this error from now on; nothing: calls succeed again.
     void setError(std::optional<StoreError> error)
     {
--- a/src/auburndrum/gateway/keyedfeed.cpp
+++ b/src/auburndrum/gateway/keyedfeed.cpp
@@ -258,18 +258,15 @@
 
 bool KeyedFeed::acceptEra(std::uint64_t era)
 {
-    if (era == m_era) {
-        return true;
-    }
     if (era < m_era) {
         handleFailure(StoreError::Stale);
         return false;
     }
-    const bool isFirst = std::exchange(m_era, era) == 0;
     if (m_hooks.onEra) {
         m_hooks.onEra(era);
     }
-    if (isFirst) {
+    const std::uint64_t before = std::exchange(m_era, era);
+    if (before == era || before == 0) {
         return true;
     }
     for (const auto &[key, offset] : m_offsets) {
--- a/src/auburndrum/gateway/storeera_test.cpp
+++ b/src/auburndrum/gateway/storeera_test.cpp
@@ -206,3 +206,26 @@
     }
     CHECK(holdersFencing.size() >= 4); // a lease of its own in each era
 }
+
+TEST_CASE("a VM knows the store's era from its first responses on, long before it reads the topic of orders")
+{
+    // Guards against a first roll-out that each VM delays, also on a store that names no era (VERSION).
+    for (const bool namesEra : {true, false}) {
+        CAPTURE(namesEra);
+        GatewayFixture it(respondOk, true, [namesEra](GatewayFixture &fixture, GatewayOptions &) {
+            if (!namesEra) {
+                fixture.store.setNamesNoEra();
+            }
+        });
+        it.store.put("servers", "a", it.serverAddresses[0] + " 1");
+        runFor(300ms);
+        it.store.put("operator", "weights", "2");
+        REQUIRE(runUntil([&] {
+            return it.hasLogged("orders_first_read");
+        }));
+        const nlohmann::json &line = it.lastLine("orders_first_read");
+        CHECK(line["era"] == (namesEra ? 1 : 0));
+        CHECK(line["era_known_ms"] >= 300);
+        CHECK(line["wait_ms"] <= 4200 - 300);
+    }
+}
--- a/src/auburndrum/gateway/weightupdatertopic.cpp
+++ b/src/auburndrum/gateway/weightupdatertopic.cpp
@@ -138,10 +138,11 @@
     const bool isFirst = !m_leaseLog.hasResponse();
     const bool isUsable = m_leaseLog.acceptEra(suspendAwareNow(), era, m_state.storeEra.since(era));
     if (isFirst) {
-        const auto known = suspendAwareNow() - m_state.storeEra.since(era).value_or(suspendAwareNow());
-        m_state.log.write(LinePriority::Notable,
-                          "orders_unknown",
-                          {{"topic", m_options.topic}, {"era", era}, {"era_known_ms", std::chrono::floor<milliseconds>(known).count()}});
+        const Instant now = suspendAwareNow();
+        const auto known = std::chrono::floor<milliseconds>(now - m_state.storeEra.since(era).value_or(now));
+        const auto wait = std::chrono::ceil<milliseconds>(std::max(m_leaseLog.settledAt(), now) - now);
+        m_state.log.write(
+            LinePriority::Notable, "orders_first_read", {{"topic", m_options.topic}, {"era", era}, {"era_known_ms", known.count()}, {"wait_ms", wait.count()}});
     }
     if (!isUsable && m_leaseLog.era() != before) {
         // Announced loads and leases since the copy are gone, maybe that of a holder whose orders are still under way.
